--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# Named chores. `make help` lists them.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+export CCACHE_BASEDIR ?= $(abspath $(CURDIR)/..)
+export CCACHE_NOHASHDIR ?= 1
+
+.PHONY: help packages build test model format format-fix lint check check-asan check-tsan proto clean
+
+help: ## List the chores.
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
+
+packages: ## Install the Debian packages that the project needs.
+	scripts/install-packages.sh
+
+build: ## Configure and build everything in $(BUILD).
+	cmake -G Ninja -S . -B $(BUILD) > $(BUILD).configure.log 2>&1 || { cat $(BUILD).configure.log; exit 1; }
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build ## Run all tests.
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+model: ## Check the protocol models with spin; broken variants must be rejected.
+	scripts/check-models.sh
+
+format: ## Fail when a file is not formatted.
+	scripts/check-format.sh
+
+format-fix: ## Format all files in place.
+	scripts/check-format.sh --fix
+
+lint: build ## Run clang-tidy.
+	CELERYROUTE_JOBS=$(JOBS) scripts/check-lint.sh $(BUILD)
+
+check: packages build format lint model test ## All that CI checks.
+
+check-asan: ## Tests under AddressSanitizer and UndefinedBehaviorSanitizer.
+	cmake -G Ninja -S . -B $(BUILD)-asan -DCELERYROUTE_SANITIZER=address
+	cmake --build $(BUILD)-asan -j $(JOBS)
+	ctest --test-dir $(BUILD)-asan --output-on-failure -j $(JOBS)
+
+check-tsan: ## Tests under ThreadSanitizer.
+	cmake -G Ninja -S . -B $(BUILD)-tsan -DCELERYROUTE_SANITIZER=thread
+	cmake --build $(BUILD)-tsan -j $(JOBS)
+	ctest --test-dir $(BUILD)-tsan --output-on-failure -j $(JOBS)
+
+proto: ## Regenerate the committed protobuf code.
+	scripts/generate-proto.sh
+
+clean: ## Remove the build folders.
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-tsan $(BUILD).configure.log
