--- /dev/null
+++ b/include/celeryroute/detail/state/shares.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <celeryroute/detail/state/revision.h>
+
+#include <map>
+#include <string>
+
+namespace celeryroute {
+
+/// How customers' budgets are divided between entries.
+struct Shares {
+    Revision epoch = 0; ///< Revision of the division in force.
+    std::map<std::string, double> fractions; ///< By entry incarnation; they sum to at most 1.
+    bool operator==(const Shares &) const = default;
+};
+
+} // namespace celeryroute
