Queue attempts of a target by urgency, fairness and deadline

Cause: a target needs one place that decides which waiting attempt starts next and that refuses an attempt as soon as its deadline is out of reach.

Change: AdmissionQueue serves urgency classes with guaranteed shares, start-time fair queueing of tokens between customers, then the earliest deadline. Entries of a model that is not resident wait aside. Every entry leaves exactly once; when the queue is full, the newest least urgent entry of the customer with the largest backlog is refused.

--- /dev/null
+++ b/include/celeryroute/detail/queue/admissionqueue.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <celeryroute/detail/queue/backlogindex.h>
+#include <celeryroute/detail/queue/classqueue.h>
+#include <celeryroute/detail/queue/modelgate.h>
+#include <celeryroute/detail/queue/queueentry.h>
+#include <celeryroute/detail/queue/queuelimits.h>
+#include <celeryroute/detail/queue/runningset.h>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace celeryroute {
+
+/// What AdmissionQueue::start() decided.
+struct StartDecision {
+    std::optional<QueueEntry> started; ///< Empty when no entry may start now.
+    std::vector<RefusedEntry> refused; ///< Entries that cannot meet their deadline any more.
+    bool operator==(const StartDecision &) const = default;
+};
+
+/// Waiting and running attempts of one target.
+///
+/// Serves the most urgent class first, with a guaranteed share for each waiting class; inside a
+/// class by start-time fair queueing of tokens between customers; inside a customer by deadline.
+/// Entries whose model is not resident wait aside and block nobody. A suspect runs alone.
+///
+/// Every submitted entry leaves in exactly one way: started, cancelled, or in a returned list of
+/// refusals. Each step costs O(log n) per entry that it moves.
+class AdmissionQueue
+{
+public:
+    explicit AdmissionQueue(QueueLimits limits);
+
+    /// @brief Refuses @p entry (DeadlineUnreachable, QueueFull) or queues it, which may evict others.
+    ///
+    /// An attempt that already waits or runs stays as it is.
+    std::vector<RefusedEntry> submit(QueueEntry entry, TimePoint now);
+
+    /// @brief Refuses the entries that cannot meet their deadline any more (DeadlineUnreachable).
+    std::vector<RefusedEntry> expire(TimePoint now);
+
+    /// @brief Starts the next entry when a slot is free. Call again until nothing is started.
+    StartDecision start(TimePoint now);
+
+    /// @brief Frees the slot of @p attemptId and charges the tokens used instead of the worst case.
+    void finish(const std::string &attemptId, std::uint64_t tokensUsed);
+
+    /// @brief Removes a waiting entry; empty when it is not waiting.
+    std::optional<QueueEntry> cancel(const std::string &attemptId);
+
+    /// @brief Makes a waiting entry a suspect, so that it runs alone.
+    void markSuspect(const std::string &attemptId);
+
+    /// @brief @p model is resident: its entries may start.
+    void setModelReady(const std::string &model);
+
+    /// @brief @p model is loading; refuses entries that cannot wait until @p expectedReady.
+    std::vector<RefusedEntry> setModelLoading(const std::string &model, TimePoint expectedReady, TimePoint now);
+
+    /// @brief @p model is neither resident nor loading; its entries wait for a load.
+    void setModelAbsent(const std::string &model);
+
+    /// @brief Refuses all waiting entries of @p model, e.g. with LoadFailed.
+    std::vector<RefusedEntry> refuseModel(const std::string &model, ResultCode code, TimePoint now);
+
+    /// @brief Refuses all waiting entries, e.g. with Stopping.
+    std::vector<RefusedEntry> refuseAll(ResultCode code, TimePoint now);
+
+    /// @brief Models to load for waiting entries, the most urgent first, then by latest start.
+    std::vector<ModelDemand> modelDemands() const;
+
+    /// @brief Estimated time until a new @p entry would start.
+    Duration estimatedWait(const QueueEntry &entry, TimePoint now) const;
+
+    /// @brief When expire() has work next; empty when nothing waits.
+    std::optional<TimePoint> nextExpiry() const;
+
+    std::size_t running() const
+    {
+        return m_running.size();
+    }
+    std::size_t waiting() const
+    {
+        return m_waiting.size();
+    }
+    std::size_t waitingBytes() const
+    {
+        return m_bytes;
+    }
+    std::uint64_t waitingTokens() const
+    {
+        return m_tokens;
+    }
+
+private:
+    using LatestStartKey = std::pair<TimePoint, std::uint64_t>;
+
+    void insert(QueueEntry entry);
+    QueueEntry remove(std::uint64_t sequence);
+    RefusedEntry refuse(std::uint64_t sequence, ResultCode code, TimePoint now);
+    std::vector<RefusedEntry> refuseEach(const std::vector<std::uint64_t> &sequences, ResultCode code, TimePoint now);
+    void moveModel(const std::string &model, ModelGate::Phase phase, TimePoint expectedReady);
+    std::optional<std::size_t> nextClass() const;
+    bool earnedItsShare(std::size_t index) const;
+    void chargeClass(std::size_t served, std::uint64_t tokens);
+
+    QueueLimits m_limits;
+    std::uint64_t m_nextSequence = 1;
+    absl::node_hash_map<std::uint64_t, QueueEntry> m_waiting;
+    absl::flat_hash_map<std::string, std::uint64_t> m_sequences;
+    std::array<ClassQueue, AllUrgencies.size()> m_classes;
+    std::array<double, AllUrgencies.size()> m_shareCredits{}; ///< Tokens earned while waiting.
+    std::set<LatestStartKey> m_byLatestStart;
+    ModelGate m_models;
+    RunningSet m_running;
+    BacklogIndex m_backlog;
+    std::size_t m_bytes = 0;
+    std::uint64_t m_tokens = 0;
+};
+
+} // namespace celeryroute
