Fold claims of calls that may not be repeated

A booking may run once only, so all processes must agree which request holds an idempotency key and what became of it. A key is known to be old by the creation time it carries (UUID version 7 or a Unix time prefix) against a horizon that only rises with the recorded times; an undated key stays refused in 16 bytes after the window.

--- /dev/null
+++ b/include/celeryroute/detail/claims/claimfold.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <celeryroute/detail/claims/claimtable.h>
+
+namespace celeryroute {
+
+/// @brief The table after the record @p batch at @p offset of the log.
+///
+/// The first claim of a key wins. A tombstone frees the key for a later claim; an outcome or a
+/// doubt settles it. Claims of keys that are older than the horizon have no effect.
+ClaimTable foldClaimBatch(ClaimTable table, const proto::ClaimBatch &batch, std::uint64_t offset);
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/claims/claimslot.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <cstring>
+#include <string>
+
+namespace celeryroute {
+
+/// Place of an idempotency key in the claim table: 128 bits of a digest of customer and key.
+struct ClaimSlot {
+    static constexpr std::size_t Size = 16;
+    std::array<char, Size> bytes{};
+    auto operator<=>(const ClaimSlot &) const = default;
+
+    /// @brief A number in which all slots are spread evenly.
+    std::uint64_t spread() const
+    {
+        std::uint64_t value = 0;
+        std::memcpy(&value, bytes.data(), sizeof value);
+        return value;
+    }
+};
+
+/// Hash of slots for tables in memory.
+struct ClaimSlotHash {
+    std::size_t operator()(const ClaimSlot &slot) const
+    {
+        return slot.spread() / 1024; // The low bits choose the shard and are equal within it.
+    }
+};
+
+/// @brief The slot of the key with @p keyDigest of @p customer.
+ClaimSlot claimSlot(const std::string &customer, const std::string &keyDigest);
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/claims/claimtable.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <celeryroute/detail/claims/claim.h>
+#include <celeryroute/detail/claims/claimlimits.h>
+#include <celeryroute/detail/claims/claimslot.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <memory>
+#include <vector>
+
+namespace celeryroute {
+
+/// @brief All claims within the window for repeats: an immutable value, folded from the log.
+///
+/// Copies share their shards; a fold copies only the shards that it changes.
+class ClaimTable
+{
+public:
+    static constexpr std::size_t ShardCount = 1024;
+    using ClaimPtr = std::shared_ptr<const Claim>;
+
+    /// @brief The claim that holds the key; null when there is none.
+    ClaimPtr find(const std::string &customer, const std::string &keyDigest) const;
+    /// @brief Whether the key was used before the window and must not run again.
+    bool isRetired(const std::string &customer, const std::string &keyDigest) const;
+
+    /// @brief Latest wall time of a folded claim, in milliseconds.
+    std::int64_t timeMs() const
+    {
+        return m_timeMs;
+    }
+    /// @brief Keys created before this time are refused; it never falls.
+    std::int64_t horizonMs() const
+    {
+        return m_timeMs - ClaimWindowMs;
+    }
+    std::size_t claimCount() const
+    {
+        return m_claimCount;
+    }
+    std::size_t retiredCount() const
+    {
+        return m_retiredCount;
+    }
+    std::size_t answerBytes() const
+    {
+        return m_answerBytes;
+    }
+    /// @brief All claims in order of their slots.
+    std::vector<ClaimPtr> claims() const;
+    /// @brief Slots of all retired keys in order.
+    std::vector<ClaimSlot> retiredSlots() const;
+
+    bool operator==(const ClaimTable &other) const;
+
+    /// @brief This table with @p claim in its slot.
+    ClaimTable with(Claim claim) &&;
+    /// @brief This table with the key of @p slot refused for ever.
+    ClaimTable withRetired(const ClaimSlot &slot) &&;
+    /// @brief This table at @p timeMs when that is later.
+    ClaimTable atTime(std::int64_t timeMs) &&;
+    /// @brief This table without claims of shard @p index that are older than the horizon.
+    ClaimTable swept(std::size_t index) &&;
+
+    /// @brief Index of the shard that holds the key.
+    static std::size_t shardIndex(const std::string &customer, const std::string &keyDigest);
+
+private:
+    // A null claim marks a retired key.
+    using Shard = absl::flat_hash_map<ClaimSlot, ClaimPtr, ClaimSlotHash>;
+
+    const ClaimPtr *lookUp(const ClaimSlot &slot) const;
+    Shard &writable(std::size_t index);
+    void put(const ClaimSlot &slot, ClaimPtr claim);
+    void erase(const ClaimSlot &slot);
+    void discount(const ClaimPtr &claim);
+
+    std::array<std::shared_ptr<Shard>, ShardCount> m_shards;
+    std::int64_t m_timeMs = 0;
+    std::size_t m_claimCount = 0;
+    std::size_t m_retiredCount = 0;
+    std::size_t m_answerBytes = 0;
+};
+
+} // namespace celeryroute
--- a/include/celeryroute/resultcode.h
+++ b/include/celeryroute/resultcode.h
@@ -44,6 +44,7 @@
     IdempotencyKeyReused = 315,
     IdempotencyKeyExpired = 316,
     TooManyConnections = 317,
+    IdempotencyKeyInvalid = 318,
 
     // 4xx: agreed state and the platform's log.
     LogUnavailable = 401,
