Serve and call HTTP over libmicrohttpd and libcurl

Entries, agents and stand-ins all need an HTTP server whose answers can come later, from another thread and chunk by chunk, and a client that tells "nothing was sent" from "it may have run".

The server suspends a connection until its answer is there. A watching thread notices callers that close while suspended and cuts those that drip a request, which the library's own timeout does not. Limits on body, head and connections answer 413, 431 and 503 with a numbered code.

The client refuses libcurl's silent second sending of a POST on a reused connection that died, because the server may have run the first one.

--- /dev/null
+++ b/include/celeryroute/detail/http/httpreception.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <celeryroute/detail/http/httpexchange.h>
+#include <celeryroute/detail/http/httpmessage.h>
+
+#include <cstddef>
+#include <memory>
+
+struct MHD_Connection;
+
+namespace celeryroute {
+
+/// A request that is being received.
+struct HttpReception {
+    HttpRequest request;
+    std::shared_ptr<HttpExchange> exchange;
+    int socket = -1;
+    std::size_t discardedBytes = 0;
+    bool dispatched = false;
+};
+
+/// @brief The path, headers and query of a request whose head has arrived.
+HttpRequest readHead(MHD_Connection *connection, const char *method, const char *path);
+
+/// @brief Bytes of path, headers and query.
+std::size_t headBytes(const HttpRequest &request);
+
+/// @brief Whether the Content-Length header names more than @p limit bytes.
+bool announcesMoreThan(const HttpFields &headers, std::size_t limit);
+
+} // namespace celeryroute
