Add the entry's traffic thread and callers' API

Cause: calls need one place that carries each from admission to exactly one final answer, whatever agents and links do. Change: links with heartbeats and silence limits, in-order relay with resume, retry only of what provably did not run or may run twice, withdrawal of a key ends its running streams, deadlines, the chat, models and service paths.

--- /dev/null
+++ b/include/celeryroute/detail/entry/agentlink.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <celeryroute/detail/platform/hostentry.h>
+#include <celeryroute/detail/transport/peerlink.h>
+
+#include <memory>
+
+namespace celeryroute {
+
+namespace proto {
+class TargetLoad;
+}
+
+/// How long a link may be quiet before it is replaced, and before its host counts as unreachable.
+struct LinkTimeouts {
+    Duration heartbeatInterval = std::chrono::milliseconds(500);
+    Duration reconnectAfter = std::chrono::milliseconds(1500);
+    Duration unreachableAfter = std::chrono::milliseconds(4000);
+    bool operator==(const LinkTimeouts &) const = default;
+};
+
+/// What a tick of a link asks its owner to do.
+enum class LinkStep {
+    None,
+    SendHeartbeat,
+    Reconnected, ///< A new connection replaced a silent one; a heartbeat is due on it.
+};
+
+/// @brief The link of an entry to one agent: heartbeats, silence, last load report.
+class AgentLink
+{
+public:
+    AgentLink(TransportContext &context, HostEntry host, LinkTimeouts timeouts, TimePoint now);
+
+    const HostEntry &host() const;
+    void setState(HostState state);
+    PeerLink &peer();
+
+    /// @brief Replaces a silent connection and says whether a heartbeat is due.
+    LinkStep tick(TimePoint now);
+    /// @brief Takes a message of the agent; returns nothing when there is none.
+    std::shared_ptr<const proto::Envelope> receive(TimePoint now);
+
+    /// @brief Whether the agent answered within the time limit.
+    bool reachable(TimePoint now) const;
+    TimePoint opened() const;
+    /// @brief Whether new work may be sent.
+    bool usable(TimePoint now) const;
+    /// @brief The last load report; nullptr before the first.
+    const proto::TargetLoad *load() const;
+    TimePoint loadReceived() const;
+    const std::string &incarnation() const;
+    std::uint64_t stateOffset() const;
+
+private:
+    HostEntry m_host;
+    LinkTimeouts m_timeouts;
+    PeerLink m_peer;
+    TimePoint m_opened;
+    TimePoint m_lastHeartbeat;
+    TimePoint m_lastAnswer;
+    TimePoint m_lastConnect;
+    TimePoint m_loadReceived;
+    std::shared_ptr<const proto::Envelope> m_report;
+    std::string m_incarnation;
+    std::uint64_t m_stateOffset = 0;
+    bool m_answered = false;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/entry/dispatchersettings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <celeryroute/detail/entry/agentlink.h>
+
+#include <cstddef>
+
+namespace celeryroute {
+
+/// Limits of an entry's traffic thread.
+struct DispatcherSettings {
+    std::string instance; ///< Incarnation of the entry.
+    std::size_t maxFlights = 20'000;
+    std::uint32_t maxAttempts = 3;
+    std::size_t maxWholeAnswerBytes = 16U << 20U;
+    std::size_t maxUnreadBytes = 4U << 20U; ///< Held for a caller that does not read its stream.
+    Duration progressTimeout = std::chrono::seconds(20); ///< Between chunks of a stream.
+    LinkTimeouts link;
+    bool operator==(const DispatcherSettings &) const = default;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/entry/agentlink.cpp
@@ -0,0 +1,107 @@
+#include <celeryroute/detail/entry/agentlink.h>
+
+#include <peer.pb.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+AgentLink::AgentLink(TransportContext &context, HostEntry host, LinkTimeouts timeouts, TimePoint now)
+    : m_host(std::move(host))
+    , m_timeouts(timeouts)
+    , m_peer(context, m_host.address, now)
+    , m_opened(now)
+    , m_lastHeartbeat(now - timeouts.heartbeatInterval)
+    , m_lastAnswer(now)
+    , m_lastConnect(now)
+{}
+
+const HostEntry &AgentLink::host() const
+{
+    return m_host;
+}
+
+void AgentLink::setState(HostState state)
+{
+    m_host.state = state;
+}
+
+PeerLink &AgentLink::peer()
+{
+    return m_peer;
+}
+
+// A connection that something between the two ends has forgotten stays silent for good while a new
+// one works, so silence is answered with a new connection before the host is given up.
+LinkStep AgentLink::tick(TimePoint now)
+{
+    const TimePoint quietSince = std::max(m_lastAnswer, m_lastConnect);
+    if (now - quietSince >= m_timeouts.reconnectAfter) {
+        m_peer.reconnect(now);
+        m_lastConnect = now;
+        m_lastHeartbeat = now;
+        return LinkStep::Reconnected;
+    }
+    if (now - m_lastHeartbeat >= m_timeouts.heartbeatInterval) {
+        m_lastHeartbeat = now;
+        return LinkStep::SendHeartbeat;
+    }
+    return LinkStep::None;
+}
+
+std::shared_ptr<const proto::Envelope> AgentLink::receive(TimePoint now)
+{
+    std::shared_ptr<const proto::Envelope> envelope = m_peer.receive(now);
+    if (!envelope) {
+        return nullptr;
+    }
+    m_lastAnswer = now;
+    m_answered = true;
+    m_stateOffset = envelope->state_offset();
+    m_incarnation = envelope->sender();
+    if (envelope->has_heartbeat_reply()) {
+        m_report = envelope;
+        m_loadReceived = now;
+    }
+    return envelope;
+}
+
+bool AgentLink::reachable(TimePoint now) const
+{
+    return m_answered && now - m_lastAnswer < m_timeouts.unreachableAfter;
+}
+
+TimePoint AgentLink::opened() const
+{
+    return m_opened;
+}
+
+bool AgentLink::usable(TimePoint now) const
+{
+    if (m_host.state == HostState::Leaving || !reachable(now)) {
+        return false;
+    }
+    return m_report == nullptr || !m_report->heartbeat_reply().leaving();
+}
+
+const proto::TargetLoad *AgentLink::load() const
+{
+    return m_report == nullptr ? nullptr : &m_report->heartbeat_reply().load();
+}
+
+TimePoint AgentLink::loadReceived() const
+{
+    return m_loadReceived;
+}
+
+const std::string &AgentLink::incarnation() const
+{
+    return m_incarnation;
+}
+
+std::uint64_t AgentLink::stateOffset() const
+{
+    return m_stateOffset;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/entry/callrunner.cpp
@@ -0,0 +1,385 @@
+#include "callrunner.h"
+
+#include "submitmessage.h"
+
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/entry/targetselection.h>
+
+#include <peer.pb.h>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr Duration RetryAfterCapacity = std::chrono::seconds(1);
+constexpr std::uint64_t ChunksPerAck = 16;
+constexpr std::size_t AttemptIdBytes = 8;
+
+RunState runStateOf(proto::RunReport report)
+{
+    switch (report) {
+    case proto::NOT_RUN:
+        return RunState::NotRun;
+    case proto::RAN:
+        return RunState::Ran;
+    default:
+        return RunState::Unknown;
+    }
+}
+
+// Reasons of one agent that another agent of the pool need not share.
+bool anotherTargetMayServe(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::Stopping:
+    case ResultCode::QueueFull:
+    case ResultCode::NotAuthorized:
+    case ResultCode::MemoryExhausted:
+    case ResultCode::LoadFailed:
+    case ResultCode::TargetFailed:
+    case ResultCode::TargetTimeout:
+    case ResultCode::PeerUnreachable:
+    case ResultCode::PeerSilent:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+CallRunner::CallRunner(DispatcherSettings settings, AgentDirectory &directory)
+    : m_settings(std::move(settings))
+    , m_directory(directory)
+    , m_state(std::make_shared<const FleetState>())
+{}
+
+void CallRunner::setState(std::shared_ptr<const FleetState> state, TimePoint now)
+{
+    if (state == m_state) {
+        return;
+    }
+    m_state = std::move(state);
+    const auto withdrawn = m_table.select([this](const Flight &flight) {
+        const Versioned<KeyEntry> *key = m_state->key(flight.call.caller.keyDigest);
+        return key != nullptr && key->value.withdrawn;
+    });
+    for (const std::string &requestId : withdrawn) {
+        Flight &flight = *m_table.find(requestId);
+        const RunState run = flight.attempt ? RunState::Unknown : RunState::NotRun;
+        cancelAttempt(flight);
+        refuse(flight, {{ResultCode::KeyWithdrawn, "the key has been withdrawn"}, run, Duration::zero()});
+    }
+    tick(now);
+}
+
+void CallRunner::setRefusingNew()
+{
+    m_refusingNew = true;
+}
+
+void CallRunner::start(CallerCall call, std::shared_ptr<HttpResponder> responder, TimePoint now)
+{
+    const bool full = m_table.size() >= m_settings.maxFlights;
+    Flight &flight = m_table.add(std::move(call), std::move(responder));
+    if (m_refusingNew) {
+        refuse(flight, {{ResultCode::Stopping, "this entry is stopping"}, RunState::NotRun, RetryAfterCapacity});
+    } else if (full) {
+        refuse(flight,
+               {{ResultCode::TooManyConnections, "too many calls in work"}, RunState::NotRun, RetryAfterCapacity});
+    } else {
+        startAttempt(flight, now);
+    }
+}
+
+void CallRunner::startAttempt(Flight &flight, TimePoint now)
+{
+    const std::vector<AgentLink *> candidates = m_directory.usable(flight.call.route.pool, now);
+    AgentLink *link = selectTarget(candidates, flight.call.model, flight.triedHosts);
+    if (link == nullptr || !sendAttempt(flight, *link, now)) {
+        const std::string message = "no live target of pool '" + flight.call.route.pool + "' is left to try";
+        refuse(flight, {{ResultCode::NoTarget, message}, RunState::NotRun, RetryAfterCapacity});
+    }
+}
+
+bool CallRunner::sendAttempt(Flight &flight, AgentLink &link, TimePoint now)
+{
+    auto attempt = std::make_unique<Attempt>();
+    attempt->id = randomId(AttemptIdBytes);
+    attempt->host = link.host().host;
+    attempt->sent = now;
+    attempt->lastProgress = now;
+    SubmitTerms terms;
+    if (const auto *customer = m_state->customer(flight.call.caller.customer)) {
+        terms.weight = customer->value.weight;
+    }
+    terms.shareEpoch = m_state->shares().epoch;
+    proto::Envelope envelope;
+    fillSubmit(envelope, flight.call, attempt->id, terms, now);
+    envelope.set_sender(m_settings.instance);
+    envelope.set_state_offset(m_state->nextOffset());
+    if (!link.peer().send(envelope)) {
+        return false;
+    }
+    flight.triedHosts.insert(attempt->host);
+    ++flight.attempts;
+    m_table.setAttempt(flight, std::move(attempt));
+    return true;
+}
+
+void CallRunner::receive(AgentLink &link, const proto::Envelope &envelope, TimePoint now)
+{
+    switch (envelope.body_case()) {
+    case proto::Envelope::kResponseHead:
+        if (Flight *flight = m_table.findAttempt(envelope.response_head().attempt_id())) {
+            flight->attempt->lastProgress = now;
+            takeHead(*flight, envelope.response_head());
+        }
+        break;
+    case proto::Envelope::kResponseChunk:
+        if (Flight *flight = m_table.findAttempt(envelope.response_chunk().attempt_id())) {
+            flight->attempt->lastProgress = now;
+            takeChunk(*flight, link, envelope.response_chunk(), now);
+        }
+        break;
+    case proto::Envelope::kResponseEnd:
+        if (Flight *flight = m_table.findAttempt(envelope.response_end().attempt_id())) {
+            flight->attempt->lastProgress = now;
+            takeEnd(*flight, link, envelope.response_end(), now);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void CallRunner::takeHead(Flight &flight, const proto::ResponseHead &head)
+{
+    flight.attempt->status = head.status();
+    flight.attempt->contentType = head.content_type();
+}
+
+void CallRunner::takeChunk(Flight &flight, AgentLink &link, const proto::ResponseChunk &chunk, TimePoint now)
+{
+    Attempt &attempt = *flight.attempt;
+    const std::uint64_t before = attempt.relay.nextSequence();
+    const std::string text = attempt.relay.take(chunk.sequence(), chunk.data());
+    if (attempt.relay.gap()) {
+        askForMissing(flight, link);
+    }
+    if (before / ChunksPerAck != attempt.relay.nextSequence() / ChunksPerAck) {
+        proto::Envelope ack;
+        ack.mutable_chunk_ack()->set_attempt_id(attempt.id);
+        ack.mutable_chunk_ack()->set_next_sequence(attempt.relay.nextSequence());
+        send(link, ack);
+    }
+    deliver(flight, text, now);
+}
+
+// Ends the flight itself when the caller cannot take any more, so callers of deliver() must not use
+// the flight afterwards.
+void CallRunner::deliver(Flight &flight, const std::string &text, TimePoint now)
+{
+    if (text.empty()) {
+        return;
+    }
+    if (!flight.call.stream) {
+        flight.wholeBody += text;
+        if (flight.wholeBody.size() > m_settings.maxWholeAnswerBytes) {
+            cancelAttempt(flight);
+            const std::string message = "the answer exceeds " + std::to_string(m_settings.maxWholeAnswerBytes)
+                + " bytes";
+            refuse(flight, {{ResultCode::TargetFailed, message}, RunState::Ran, Duration::zero()});
+        }
+        return;
+    }
+    if (!flight.headSent) {
+        flight.headSent = true;
+        flight.responder->begin(static_cast<int>(flight.attempt->status),
+                                {{"content-type", flight.attempt->contentType},
+                                 {"cache-control", "no-cache"},
+                                 {"x-request-id", flight.call.requestId}});
+    }
+    flight.responder->write(text);
+    if (flight.responder->pendingBytes() > m_settings.maxUnreadBytes) {
+        callerGone(flight.call.requestId, now);
+    }
+}
+
+void CallRunner::takeEnd(Flight &flight, AgentLink &link, const proto::ResponseEnd &end, TimePoint now)
+{
+    Attempt &attempt = *flight.attempt;
+    if (end.result_code() == 0) {
+        attempt.relay.finish(end.chunks());
+        if (attempt.relay.complete()) {
+            finish(flight);
+        } else {
+            askForMissing(flight, link);
+        }
+        return;
+    }
+    Refusal refusal;
+    refusal.error = {resultCodeInfo(static_cast<ResultCode>(end.result_code())).code, end.message()};
+    refusal.run = runStateOf(end.run());
+    refusal.retryAfter = std::chrono::milliseconds(end.retry_after_ms());
+    failAttempt(flight, refusal, anotherTargetMayServe(refusal.error.code), now);
+}
+
+// A call is tried again only when it provably did not run or may run twice, and never after the
+// caller has received a part of an answer.
+void CallRunner::failAttempt(Flight &flight, const Refusal &refusal, bool mayRetry, TimePoint now)
+{
+    const bool harmless = refusal.run == RunState::NotRun || flight.call.route.repeatable;
+    const bool timeLeft = now < flight.call.deadline;
+    if (mayRetry && harmless && timeLeft && !flight.headSent && flight.attempts < m_settings.maxAttempts) {
+        m_table.clearAttempt(flight);
+        flight.wholeBody.clear();
+        const std::vector<AgentLink *> candidates = m_directory.usable(flight.call.route.pool, now);
+        AgentLink *link = selectTarget(candidates, flight.call.model, flight.triedHosts);
+        if (link != nullptr && sendAttempt(flight, *link, now)) {
+            return;
+        }
+    }
+    refuse(flight, refusal);
+}
+
+void CallRunner::finish(Flight &flight)
+{
+    Attempt &attempt = *flight.attempt;
+    if (flight.call.stream && attempt.status < 400) {
+        if (!flight.headSent) {
+            flight.responder->begin(static_cast<int>(attempt.status), {{"content-type", attempt.contentType}});
+        }
+        flight.responder->end(true);
+    } else {
+        HttpResponse response;
+        response.status = static_cast<int>(attempt.status);
+        response.headers = {{"content-type", attempt.contentType}, {"x-request-id", flight.call.requestId}};
+        response.body = std::move(flight.wholeBody);
+        flight.responder->respond(std::move(response));
+    }
+    m_table.remove(flight.call.requestId);
+}
+
+void CallRunner::refuse(Flight &flight, const Refusal &refusal)
+{
+    if (flight.headSent) {
+        flight.responder->write(refusalEvent(refusal, flight.call.requestId));
+        flight.responder->end(false);
+    } else {
+        flight.responder->respond(refusalResponse(refusal, flight.call.requestId));
+    }
+    m_table.remove(flight.call.requestId);
+}
+
+void CallRunner::callerGone(const std::string &requestId, TimePoint)
+{
+    Flight *flight = m_table.find(requestId);
+    if (flight == nullptr) {
+        return;
+    }
+    cancelAttempt(*flight);
+    flight->responder->end(false);
+    m_table.remove(requestId);
+}
+
+void CallRunner::cancelAttempt(Flight &flight)
+{
+    if (!flight.attempt) {
+        return;
+    }
+    if (AgentLink *link = m_directory.find(flight.attempt->host)) {
+        proto::Envelope cancel;
+        cancel.mutable_cancel()->set_attempt_id(flight.attempt->id);
+        send(*link, cancel);
+    }
+    m_table.clearAttempt(flight);
+}
+
+void CallRunner::askForMissing(Flight &flight, AgentLink &link)
+{
+    proto::Envelope resume;
+    resume.mutable_resume()->set_attempt_id(flight.attempt->id);
+    resume.mutable_resume()->set_next_sequence(flight.attempt->relay.nextSequence());
+    send(link, resume);
+}
+
+void CallRunner::linkReconnected(AgentLink &link)
+{
+    const std::string &host = link.host().host;
+    const auto requestIds = m_table.select(
+        [&host](const Flight &flight) { return flight.attempt && flight.attempt->host == host; });
+    for (const std::string &requestId : requestIds) {
+        askForMissing(*m_table.find(requestId), link);
+    }
+}
+
+void CallRunner::tick(TimePoint now)
+{
+    for (const std::string &requestId : m_table.takeExpired(now)) {
+        if (Flight *flight = m_table.find(requestId)) {
+            expire(*flight, now);
+        }
+    }
+    const auto stalled = m_table.select([this, now](const Flight &flight) {
+        return flight.attempt && flight.headSent && now - flight.attempt->lastProgress > m_settings.progressTimeout;
+    });
+    for (const std::string &requestId : stalled) {
+        Flight &flight = *m_table.find(requestId);
+        cancelAttempt(flight);
+        refuse(flight,
+               {{ResultCode::TargetTimeout, "the stream made no progress"}, RunState::Unknown, Duration::zero()});
+    }
+    for (const auto &[host, link] : m_directory.links()) {
+        if (!link->reachable(now) && now - link->opened() > m_settings.link.unreachableAfter) {
+            hostLost(host, now);
+        }
+    }
+}
+
+void CallRunner::hostLost(const std::string &host, TimePoint now)
+{
+    const auto requestIds = m_table.select(
+        [&host](const Flight &flight) { return flight.attempt && flight.attempt->host == host; });
+    for (const std::string &requestId : requestIds) {
+        Flight &flight = *m_table.find(requestId);
+        cancelAttempt(flight);
+        const Error error{ResultCode::PeerSilent, "host " + host + " does not answer"};
+        failAttempt(flight, {error, RunState::Unknown, Duration::zero()}, true, now);
+    }
+}
+
+// The deadline of a stream is met by its first part.
+void CallRunner::expire(Flight &flight, TimePoint)
+{
+    if (flight.headSent) {
+        return;
+    }
+    const RunState run = flight.attempt ? RunState::Unknown : RunState::NotRun;
+    cancelAttempt(flight);
+    refuse(flight, {{ResultCode::DeadlineExceeded, "the deadline passed before the answer"}, run, Duration::zero()});
+}
+
+void CallRunner::refuseAll(const Error &error)
+{
+    for (const std::string &requestId : m_table.select([](const Flight &) { return true; })) {
+        Flight &flight = *m_table.find(requestId);
+        const RunState run = flight.attempt ? RunState::Unknown : RunState::NotRun;
+        cancelAttempt(flight);
+        refuse(flight, {error, run, Duration::zero()});
+    }
+}
+
+std::size_t CallRunner::flights() const
+{
+    return m_table.size();
+}
+
+void CallRunner::send(AgentLink &link, proto::Envelope &envelope)
+{
+    envelope.set_sender(m_settings.instance);
+    envelope.set_state_offset(m_state->nextOffset());
+    link.peer().send(envelope);
+}
+
+} // namespace celeryroute
--- a/src/entry/chatrequest.cpp
+++ b/src/entry/chatrequest.cpp
@@ -75,16 +75,8 @@
     return static_cast<std::uint32_t>((bytes + BytesPerToken - 1) / BytesPerToken);
 }
 
-} // namespace
-
-std::uint32_t estimateTokens(const std::string &text)
+Result<ChatRequest> readChat(const Json &body)
 {
-    return static_cast<std::uint32_t>((text.size() + BytesPerToken - 1) / BytesPerToken);
-}
-
-Result<ChatRequest> parseChatRequest(const std::string &text)
-{
-    const Json body = Json::parse(text, nullptr, false);
     if (!body.is_object()) {
         return fail(ResultCode::RequestMalformed, "the body is not a JSON object");
     }
@@ -106,4 +98,16 @@
     return request;
 }
 
+} // namespace
+
+std::uint32_t estimateTokens(const std::string &text)
+{
+    return static_cast<std::uint32_t>((text.size() + BytesPerToken - 1) / BytesPerToken);
+}
+
+Result<ChatRequest> parseChatRequest(const std::string &body)
+{
+    return readChat(Json::parse(body, nullptr, false));
+}
+
 } // namespace celeryroute
