Add the memory ledger and the load controller

Cause: nothing yet decides what a target may load. Change: a ledger that reserves memory before an order goes out and a pure controller with single-flight loads.

--- /dev/null
+++ b/include/celeryroute/detail/residency/engineinventory.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <celeryroute/detail/residency/itemphase.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace celeryroute {
+
+/// One model or adapter that an engine reports.
+struct InventoryItem {
+    std::string item; ///< `model` or `model/adapter`.
+    std::uint32_t memoryMb = 0;
+    std::uint32_t version = 0;
+    std::uint64_t fencing = 0;
+    ItemPhase phase = ItemPhase::Resident;
+    bool operator==(const InventoryItem &) const = default;
+};
+
+/// What an engine holds in memory, as read at one moment.
+struct EngineInventory {
+    std::uint32_t memoryMb = 0;
+    std::vector<InventoryItem> items;
+    bool operator==(const EngineInventory &) const = default;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/residency/loadcontroller.cpp
@@ -0,0 +1,301 @@
+#include <celeryroute/detail/residency/itemname.h>
+#include <celeryroute/detail/residency/loadcontroller.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+LoadController::LoadController(LoadControllerSettings settings, TimePoint now)
+    : m_settings(settings)
+    , m_ledger(settings.capacityMb)
+    , m_startSettledAfter(now + settings.orderSettleTime)
+    , m_nextInventory(now)
+{}
+
+void LoadController::updateGrants(std::shared_ptr<const GrantTable> grants)
+{
+    m_grants = std::move(grants);
+}
+
+void LoadController::setCapacity(std::uint32_t capacityMb)
+{
+    m_settings.capacityMb = capacityMb;
+    m_ledger.setCapacity(capacityMb);
+}
+
+Readiness LoadController::demand(const std::string &item, const LoadDemand &demand, TimePoint now)
+{
+    if (!mayServe(item)) {
+        return Readiness::NotAuthorized;
+    }
+    if (resident(item) && !staleVersion(item)) {
+        return Readiness::Ready;
+    }
+    if (m_ledger.phase(item) == ItemPhase::Absent && !mayLoad(item)) {
+        return Readiness::NotAuthorized;
+    }
+    ItemDemand &entry = m_demands[item];
+    if (entry.waiting == 0 || moreUrgent(demand, entry.mostUrgent)) {
+        entry.mostUrgent = demand;
+    }
+    ++entry.waiting;
+    entry.lastUse = std::max(entry.lastUse, now);
+    return Readiness::Waiting;
+}
+
+void LoadController::withdrawDemand(const std::string &item)
+{
+    ItemDemand &entry = m_demands[item];
+    if (entry.waiting > 0) {
+        --entry.waiting;
+    }
+}
+
+void LoadController::beginUse(const std::string &item, TimePoint now)
+{
+    ItemDemand &entry = m_demands[item];
+    entry = recordUse(entry, now);
+    ++entry.uses;
+    if (isAdapter(item)) {
+        beginUse(baseModel(item), now);
+    }
+}
+
+void LoadController::endUse(const std::string &item, TimePoint now)
+{
+    ItemDemand &entry = m_demands[item];
+    if (entry.uses > 0) {
+        --entry.uses;
+    }
+    entry.lastUse = std::max(entry.lastUse, now);
+    if (isAdapter(item)) {
+        endUse(baseModel(item), now);
+    }
+}
+
+void LoadController::grantSlot(const std::string &item)
+{
+    m_demands[item].slotGranted = true;
+}
+
+bool LoadController::confirmSend(const ModelOrder &order, TimePoint now)
+{
+    const auto found = m_orders.find(order.id);
+    if (found == m_orders.end() || found->second.sent) {
+        return false;
+    }
+    const bool fresh = now - order.decidedAt <= m_settings.maxDecisionAge;
+    const bool load = order.kind == OrderKind::Load;
+    const bool valid = load ? mayLoad(order.item) && grantOf(order.item)->fencing == order.fencing : idle(order.item);
+    if (fresh && valid) {
+        found->second.sent = true;
+        return true;
+    }
+    m_orders.erase(found);
+    m_orderOfItem.erase(order.item);
+    if (load) {
+        m_ledger.confirmAbsent(order.item);
+    } else {
+        m_ledger.confirmResident(order.item);
+    }
+    return false;
+}
+
+void LoadController::onOrderEnd(std::uint64_t orderId, OrderOutcome outcome, TimePoint now)
+{
+    const auto found = m_orders.find(orderId);
+    if (found == m_orders.end()) {
+        return;
+    }
+    const ModelOrder order = found->second.order;
+    m_orders.erase(found);
+    m_orderOfItem.erase(order.item);
+    if (outcome == OrderOutcome::InDoubt) {
+        putInDoubt(order.item, order.kind, now + m_settings.orderSettleTime);
+    } else if (order.kind == OrderKind::Load) {
+        finishLoad(order, outcome, now);
+    } else {
+        finishUnload(order, outcome, now);
+    }
+}
+
+void LoadController::finishLoad(const ModelOrder &order, OrderOutcome outcome, TimePoint now)
+{
+    ItemDemand &demand = m_demands[order.item];
+    if (outcome == OrderOutcome::Done) {
+        m_ledger.confirmResident(order.item);
+        demand.loadTime = now - order.decidedAt;
+        demand.failures = 0;
+        return;
+    }
+    m_ledger.confirmAbsent(order.item);
+    demand.retryAfter = now + m_settings.failureBackoff;
+    if (outcome == OrderOutcome::FencingRefused) {
+        failItem(order.item, Error{ResultCode::NotAuthorized, "the target refused the fencing number of the load"});
+    } else if (outcome == OrderOutcome::NoMemory) {
+        m_inventoryWanted = true;
+        failItem(order.item, Error{ResultCode::MemoryExhausted, "the target has no memory for the load"});
+    } else {
+        retryLoad(order.item, now);
+    }
+}
+
+void LoadController::retryLoad(const std::string &item, TimePoint now)
+{
+    constexpr std::uint32_t MaxFailures = 3;
+    ItemDemand &demand = m_demands[item];
+    ++demand.failures;
+    if (demand.failures < MaxFailures) {
+        demand.retryAfter = now + m_settings.failureBackoff * (1U << demand.failures);
+        return;
+    }
+    demand.failures = 0;
+    failItem(item, Error{ResultCode::LoadFailed, absl::StrCat("loading ", item, " failed ", MaxFailures, " times")});
+}
+
+void LoadController::finishUnload(const ModelOrder &order, OrderOutcome outcome, TimePoint now)
+{
+    if (outcome == OrderOutcome::Done) {
+        m_ledger.confirmAbsent(order.item);
+        return;
+    }
+    m_ledger.confirmResident(order.item);
+    m_demands[order.item].retryAfter = now + m_settings.failureBackoff;
+}
+
+void LoadController::failItem(const std::string &item, const Error &error)
+{
+    for (auto &[name, demand] : m_demands) {
+        const bool affected = name == item || (isAdapter(name) && baseModel(name) == item);
+        if (affected && demand.waiting > 0) {
+            demand.waiting = 0;
+            m_failures.emplace_back(ItemFailed{name, error});
+        }
+    }
+}
+
+void LoadController::putInDoubt(const std::string &item, OrderKind kind, TimePoint settledAfter)
+{
+    m_ledger.markUnknown(item);
+    m_doubts[item] = Doubt{kind, settledAfter};
+    m_inventoryWanted = true;
+}
+
+void LoadController::onInventory(const EngineInventory &inventory, TimePoint readStarted, TimePoint now)
+{
+    m_inventoryReading = false;
+    m_inventoryWanted = false;
+    m_nextInventory = now + m_settings.inventoryInterval;
+    std::map<std::string, const InventoryItem *> reported;
+    for (const InventoryItem &entry : inventory.items) {
+        reported.emplace(entry.item, &entry);
+    }
+    const auto known = m_ledger.items();
+    for (const auto &[item, entry] : known) {
+        const auto found = reported.find(item);
+        settle(item, found == reported.end() ? nullptr : found->second, readStarted);
+    }
+    for (const auto &[item, entry] : reported) {
+        if (!known.contains(item)) {
+            settleReported(item, *entry, readStarted);
+        }
+    }
+    if (readStarted >= m_startSettledAfter) {
+        m_started = true;
+    }
+}
+
+void LoadController::settle(const std::string &item, const InventoryItem *reported, TimePoint readStarted)
+{
+    const auto doubt = m_doubts.find(item);
+    const bool conclusive = doubt == m_doubts.end() || readStarted >= doubt->second.settledAfter;
+    if (hasOrder(item)) {
+        return;
+    }
+    if (reported != nullptr) {
+        settleReported(item, *reported, readStarted);
+        return;
+    }
+    // An unload in doubt that shows its effect needs no wait; a load in doubt may still begin.
+    const bool unloaded = doubt != m_doubts.end() && doubt->second.kind == OrderKind::Unload;
+    if (conclusive || unloaded) {
+        m_ledger.confirmAbsent(item);
+        m_doubts.erase(item);
+    }
+}
+
+void LoadController::settleReported(const std::string &item, const InventoryItem &reported, TimePoint readStarted)
+{
+    if (hasOrder(item)) {
+        return;
+    }
+    const auto doubt = m_doubts.find(item);
+    const bool pendingUnload = doubt != m_doubts.end() && doubt->second.kind == OrderKind::Unload
+        && readStarted < doubt->second.settledAfter;
+    const bool settled = reported.phase == ItemPhase::Resident && !pendingUnload;
+    LedgerItem entry{ItemPhase::Resident, reported.memoryMb, reported.version, reported.fencing};
+    entry.memoryMb = std::max(entry.memoryMb, m_ledger.item(item).memoryMb);
+    m_ledger.adopt(item, entry);
+    if (settled) {
+        m_doubts.erase(item);
+        return;
+    }
+    m_ledger.markUnknown(item);
+    if (doubt == m_doubts.end() || reported.phase == ItemPhase::Loading) {
+        // The order has begun, so a later absence is its final outcome.
+        m_doubts[item] = Doubt{OrderKind::Load, readStarted};
+    }
+}
+
+void LoadController::onInventoryFailed(TimePoint now)
+{
+    m_inventoryReading = false;
+    m_nextInventory = now + m_settings.inventoryInterval;
+}
+
+void LoadController::onTargetLost(TimePoint now)
+{
+    const auto known = m_ledger.items();
+    for (const auto &[item, entry] : known) {
+        if (!hasOrder(item) && !m_doubts.contains(item)) {
+            putInDoubt(item, OrderKind::Load, now);
+        }
+    }
+    m_inventoryWanted = true;
+}
+
+void LoadController::beginDrain()
+{
+    m_draining = true;
+}
+
+const MemoryLedger &LoadController::ledger() const
+{
+    return m_ledger;
+}
+
+bool LoadController::started() const
+{
+    return m_started;
+}
+
+bool LoadController::drained() const
+{
+    return m_ledger.items().empty() && m_orders.empty();
+}
+
+Duration LoadController::expectedLoadTime(const std::string &item) const
+{
+    const auto found = m_demands.find(item);
+    return found == m_demands.end() ? ItemDemand{}.loadTime : found->second.loadTime;
+}
+
+bool LoadController::inUse(const std::string &item) const
+{
+    const auto found = m_demands.find(item);
+    return found != m_demands.end() && found->second.uses > 0;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/residency/loadcontrollersteps.cpp
@@ -0,0 +1,280 @@
+#include <celeryroute/detail/residency/itemname.h>
+#include <celeryroute/detail/residency/loadcontroller.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+ResidencyActions LoadController::step(TimePoint now)
+{
+    ResidencyActions actions = std::exchange(m_failures, {});
+    stepReadiness(actions);
+    // The owner pins what became ready before anything is chosen for eviction.
+    if (!actions.empty()) {
+        return actions;
+    }
+    stepInventory(actions, now);
+    if (m_started && m_grants) {
+        stepUnloads(actions, now);
+        stepLoads(actions, now);
+        stepReleases(actions);
+        std::move(m_failures.begin(), m_failures.end(), std::back_inserter(actions));
+        m_failures.clear();
+    }
+    return actions;
+}
+
+void LoadController::stepReadiness(ResidencyActions &actions)
+{
+    for (auto &[item, demand] : m_demands) {
+        if (demand.waiting > 0 && resident(item) && !staleVersion(item)) {
+            demand.waiting = 0;
+            actions.emplace_back(ItemReady{item});
+        }
+    }
+}
+
+void LoadController::stepInventory(ResidencyActions &actions, TimePoint now)
+{
+    const bool wanted = m_inventoryWanted || !m_started || !m_doubts.empty();
+    if (m_inventoryReading || !wanted || now < m_nextInventory) {
+        return;
+    }
+    m_inventoryReading = true;
+    actions.emplace_back(ReadInventory{});
+}
+
+void LoadController::stepUnloads(ResidencyActions &actions, TimePoint now)
+{
+    const auto items = m_ledger.items();
+    for (const auto &[item, entry] : items) {
+        const bool unwanted = !mayServe(item) || staleVersion(item);
+        if (unwanted && entry.phase == ItemPhase::Resident && idle(item) && m_demands[item].retryAfter <= now) {
+            orderUnload(item, actions, now);
+        }
+    }
+}
+
+void LoadController::stepReleases(ResidencyActions &actions)
+{
+    for (const auto &[item, grant] : *m_grants) {
+        const bool ended = grant.revoked || grant.predecessor || m_draining;
+        if (!ended || m_ledger.phase(item) != ItemPhase::Absent || m_released[item] == grant.fencing) {
+            continue;
+        }
+        m_released[item] = grant.fencing;
+        actions.emplace_back(ReleaseGrant{item, grant.fencing});
+    }
+}
+
+void LoadController::stepLoads(ResidencyActions &actions, TimePoint now)
+{
+    for (const std::string &item : wantedItems(now)) {
+        // Freed memory goes to the most urgent item first, even when a smaller one would fit now.
+        if (!tryLoad(item, actions, now)) {
+            return;
+        }
+    }
+}
+
+std::vector<std::string> LoadController::wantedItems(TimePoint now)
+{
+    std::map<std::string, LoadDemand> wanted;
+    const auto add = [&wanted](const std::string &item, const LoadDemand &demand) {
+        const auto [entry, inserted] = wanted.emplace(item, demand);
+        if (!inserted && moreUrgent(demand, entry->second)) {
+            entry->second = demand;
+        }
+    };
+    std::vector<std::string> refused;
+    for (const auto &[item, demand] : m_demands) {
+        if (demand.waiting == 0 || m_ledger.phase(item) != ItemPhase::Absent) {
+            continue;
+        }
+        const std::string base = baseModel(item);
+        const bool needsBase = isAdapter(item) && m_ledger.phase(base) == ItemPhase::Absent;
+        if (!mayLoad(item) || (needsBase && !mayLoad(base))) {
+            refused.push_back(item);
+        } else if (needsBase) {
+            add(base, demand.mostUrgent);
+        } else if (!isAdapter(item) || m_ledger.phase(base) == ItemPhase::Resident) {
+            add(item, demand.mostUrgent);
+        }
+    }
+    for (const std::string &item : refused) {
+        failItem(item, Error{ResultCode::NotAuthorized, absl::StrCat("this host may not hold ", item)});
+    }
+    std::vector<std::string> order;
+    for (const auto &[item, demand] : wanted) {
+        if (m_demands[item].retryAfter <= now) {
+            order.push_back(item);
+        }
+    }
+    std::stable_sort(order.begin(), order.end(), [&wanted](const std::string &left, const std::string &right) {
+        return moreUrgent(wanted.at(left), wanted.at(right));
+    });
+    return order;
+}
+
+bool LoadController::tryLoad(const std::string &item, ResidencyActions &actions, TimePoint now)
+{
+    const ItemGrant grant = *grantOf(item);
+    if (grant.memoryMb > m_ledger.capacityMb()) {
+        failItem(item, Error{ResultCode::MemoryExhausted, absl::StrCat(item, " is larger than the target's memory")});
+        return true;
+    }
+    if (grant.memoryMb > m_ledger.freeMb()) {
+        makeRoom(grant.memoryMb, actions, now);
+        return false;
+    }
+    if (!takeSlot(item, actions)) {
+        return true;
+    }
+    m_ledger.reserve(item, LedgerItem{ItemPhase::Loading, grant.memoryMb, grant.version, grant.fencing});
+    sendOrder(ModelOrder{0, OrderKind::Load, item, grant.memoryMb, grant.version, grant.fencing, now}, actions, now);
+    return true;
+}
+
+bool LoadController::takeSlot(const std::string &item, ResidencyActions &actions)
+{
+    if (!m_settings.paced) {
+        return true;
+    }
+    ItemDemand &demand = m_demands[item];
+    if (demand.slotGranted) {
+        demand.slotGranted = false;
+        demand.slotRequested = false;
+        return true;
+    }
+    if (!demand.slotRequested) {
+        demand.slotRequested = true;
+        actions.emplace_back(RequestLoadSlot{item, demand.mostUrgent.priority, demand.mostUrgent.deadline});
+    }
+    return false;
+}
+
+void LoadController::makeRoom(std::uint32_t neededMb, ResidencyActions &actions, TimePoint now)
+{
+    std::uint64_t coming = std::uint64_t(m_ledger.freeMb()) + m_ledger.unloadingMb();
+    while (coming < neededMb) {
+        const std::optional<std::string> victim = cheapestVictim(now);
+        if (!victim) {
+            return;
+        }
+        coming += m_ledger.item(*victim).memoryMb;
+        orderUnload(*victim, actions, now);
+    }
+}
+
+std::optional<std::string> LoadController::cheapestVictim(TimePoint now) const
+{
+    std::optional<std::string> victim;
+    double lowest = 0;
+    for (const auto &[item, entry] : m_ledger.items()) {
+        if (!evictable(item)) {
+            continue;
+        }
+        const auto demand = m_demands.find(item);
+        const bool retryLater = demand != m_demands.end() && demand->second.retryAfter > now;
+        const double score
+            = keepWarmScore(demand == m_demands.end() ? ItemDemand{} : demand->second, entry.memoryMb, now);
+        if (!retryLater && (!victim || score < lowest)) {
+            victim = item;
+            lowest = score;
+        }
+    }
+    return victim;
+}
+
+void LoadController::orderUnload(const std::string &item, ResidencyActions &actions, TimePoint now)
+{
+    const LedgerItem entry = m_ledger.item(item);
+    const ItemGrant *grant = grantOf(item);
+    const std::uint64_t fencing = std::max(entry.fencing, grant == nullptr ? 0 : grant->fencing);
+    if (m_ledger.beginUnload(item)) {
+        sendOrder(ModelOrder{0, OrderKind::Unload, item, entry.memoryMb, entry.version, fencing, now}, actions, now);
+    }
+}
+
+void LoadController::sendOrder(ModelOrder order, ResidencyActions &actions, TimePoint now)
+{
+    order.id = m_nextOrder++;
+    order.decidedAt = now;
+    m_orderOfItem[order.item] = order.id;
+    m_orders[order.id] = OutstandingOrder{order};
+    actions.emplace_back(SendOrder{order});
+}
+
+const ItemGrant *LoadController::grantOf(const std::string &item) const
+{
+    if (!m_grants) {
+        return nullptr;
+    }
+    const auto found = m_grants->find(item);
+    return found == m_grants->end() ? nullptr : &found->second;
+}
+
+bool LoadController::mayLoad(const std::string &item) const
+{
+    const ItemGrant *grant = grantOf(item);
+    return !m_draining && grant != nullptr && grant->permitsLoad();
+}
+
+bool LoadController::mayServe(const std::string &item) const
+{
+    if (m_draining) {
+        return false;
+    }
+    // Without any agreed state, what a predecessor loaded is served and nothing is changed.
+    if (!m_grants) {
+        return m_ledger.phase(item) != ItemPhase::Absent;
+    }
+    const ItemGrant *grant = grantOf(item);
+    const bool own = grant != nullptr && !grant->revoked;
+    return own && (!isAdapter(item) || mayServe(baseModel(item)));
+}
+
+bool LoadController::resident(const std::string &item) const
+{
+    const bool own = m_ledger.phase(item) == ItemPhase::Resident;
+    return own && (!isAdapter(item) || m_ledger.phase(baseModel(item)) == ItemPhase::Resident);
+}
+
+bool LoadController::staleVersion(const std::string &item) const
+{
+    const ItemGrant *grant = grantOf(item);
+    return grant != nullptr && m_ledger.item(item).version != grant->version;
+}
+
+bool LoadController::idle(const std::string &item) const
+{
+    if (inUse(item)) {
+        return false;
+    }
+    if (isAdapter(item)) {
+        return true;
+    }
+    return std::none_of(m_ledger.items().begin(), m_ledger.items().end(), [&item](const auto &entry) {
+        return isAdapter(entry.first) && baseModel(entry.first) == item;
+    });
+}
+
+bool LoadController::evictable(const std::string &item) const
+{
+    if (m_ledger.phase(item) != ItemPhase::Resident || !idle(item)) {
+        return false;
+    }
+    return std::none_of(m_demands.begin(), m_demands.end(), [&item](const auto &entry) {
+        const bool needs = entry.first == item || baseModel(entry.first) == item;
+        return needs && entry.second.waiting > 0;
+    });
+}
+
+bool LoadController::hasOrder(const std::string &item) const
+{
+    return m_orderOfItem.contains(item);
+}
+
+} // namespace celeryroute
