Add the agent's thin path and its residency control

Cause: nothing stands between entries and a target yet. Change: Agent serves submits on one traffic thread: checks, admission queue, call to the target, relay in sequence, cancel, heartbeats with the load report, graceful stop. LoadController decides loads and unloads under grants of the agreed state, with the memory ledger behind it and inventories settling lost answers.

--- /dev/null
+++ b/include/celeryroute/detail/agent/agentloop.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <celeryroute/detail/agent/agenthooks.h>
+#include <celeryroute/detail/agent/agentsettings.h>
+#include <celeryroute/detail/agent/attemptrunner.h>
+#include <celeryroute/detail/agent/grantreleaser.h>
+#include <celeryroute/detail/agent/peergateway.h>
+#include <celeryroute/detail/agent/residencyrunner.h>
+#include <celeryroute/detail/agent/targetmonitor.h>
+
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <optional>
+#include <string>
+
+namespace celeryroute {
+
+/// @brief The traffic of one agent: every message and every call to the target, on one thread.
+class AgentLoop
+{
+public:
+    AgentLoop(AgentSettings settings, AgentHooks hooks, TransportContext &context);
+
+    Result<void> bind();
+    std::string endpoint() const;
+    /// @brief Serves until a requested stop is complete.
+    void run();
+    /// @brief Any thread: finish what is in hand, release the grants and return from run().
+    void requestStop();
+    /// @brief Any thread: return from run() at once.
+    void abort();
+    /// @brief Any thread.
+    std::string statusJson() const;
+
+private:
+    enum class Stage { Serving, FinishingWork, ReleasingGrants, Closing, Closed };
+
+    AgentView newestView();
+    void receiveAll();
+    void handle(const PeerMessage &message);
+    void answerHeartbeat(const PeerMessage &message);
+    void passOn(const PeerMessage &message);
+    void step(TimePoint now);
+    void stepResidency(TimePoint now);
+    void stepReleases(TimePoint now);
+    void stepStop(TimePoint now);
+    void fillLoad(proto::TargetLoad &load) const;
+    void targetProbed(TargetCondition before, TargetCondition condition);
+    void publishStatus();
+    void emit(const AgentEvent &event);
+    ResidencyObserver residencyObserver();
+
+    AgentSettings m_settings;
+    AgentHooks m_hooks;
+    HttpMultiClient m_client;
+    PeerGateway m_gateway;
+    AgentView m_view;
+    ResidencyRunner m_residency;
+    TargetMonitor m_monitor;
+    AttemptRunner m_attempts;
+    GrantReleaser m_releaser;
+    std::atomic<bool> m_stopRequested = false;
+    std::atomic<bool> m_aborted = false;
+    Stage m_stage = Stage::Serving;
+    TimePoint m_stageDeadline;
+    TimePoint m_nextStatus;
+    mutable absl::Mutex m_statusMutex;
+    std::string m_status ABSL_GUARDED_BY(m_statusMutex) = "{}";
+};
+
+} // namespace celeryroute
--- a/include/celeryroute/detail/residency/loadcontroller.h
+++ b/include/celeryroute/detail/residency/loadcontroller.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -92,6 +93,8 @@
     bool staleVersion(const std::string &item) const;
     bool idle(const std::string &item) const;
     bool evictable(const std::string &item) const;
+    bool wantedByWaiting(const std::string &item) const;
+    std::uint64_t reclaimableMb() const;
     bool hasOrder(const std::string &item) const;
 
     void stepInventory(ResidencyActions &actions, TimePoint now);
@@ -102,7 +105,7 @@
     std::vector<std::string> wantedItems(TimePoint now);
     bool tryLoad(const std::string &item, ResidencyActions &actions, TimePoint now);
     bool takeSlot(const std::string &item, ResidencyActions &actions);
-    void makeRoom(std::uint32_t neededMb, ResidencyActions &actions, TimePoint now);
+    bool makeRoom(std::uint32_t neededMb, ResidencyActions &actions, TimePoint now);
     std::optional<std::string> cheapestVictim(TimePoint now) const;
     void sendOrder(ModelOrder order, ResidencyActions &actions, TimePoint now);
     void orderUnload(const std::string &item, ResidencyActions &actions, TimePoint now);
--- a/include/celeryroute/detail/residency/residencyaction.h
+++ b/include/celeryroute/detail/residency/residencyaction.h
@@ -48,8 +48,7 @@
     bool operator==(const ReleaseGrant &) const = default;
 };
 
-using ResidencyAction =
-    std::variant<SendOrder, ReadInventory, RequestLoadSlot, ItemReady, ItemFailed, ReleaseGrant>;
+using ResidencyAction = std::variant<SendOrder, ReadInventory, RequestLoadSlot, ItemReady, ItemFailed, ReleaseGrant>;
 using ResidencyActions = std::vector<ResidencyAction>;
 
 } // namespace celeryroute
--- /dev/null
+++ b/src/agent/attemptcalls.cpp
@@ -0,0 +1,189 @@
+#include <celeryroute/detail/agent/attemptrunner.h>
+#include <celeryroute/detail/agent/targetrequest.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr unsigned MaxResumes = 3;
+constexpr int HttpOk = 200;
+constexpr int HttpNotFound = 404;
+constexpr int HttpServerErrors = 500;
+
+std::string field(const HttpFields &fields, const std::string &name)
+{
+    const auto found = fields.find(name);
+    return found == fields.end() ? std::string() : found->second;
+}
+
+/// Whether an engine's answer is its own failure and not an answer to the caller.
+bool engineFailed(int status)
+{
+    return status >= HttpServerErrors || status == HttpNotFound;
+}
+
+} // namespace
+
+void AttemptRunner::dispatch(const AttemptPointer &attempt, TimePoint now)
+{
+    attempt->phase = AttemptPhase::Running;
+    attempt->startedAt = now;
+    emit(AgentEventKind::Dispatched, *attempt);
+    startCall(attempt);
+}
+
+void AttemptRunner::startCall(const AttemptPointer &attempt)
+{
+    const PoolKind kind = m_view.pool->kind;
+    const HttpCall call = targetRequest(m_services.settings, kind, attempt->submit(), attempt->meter.events());
+    HttpCallObserver observer;
+    observer.onHead = [this, attempt](int status, const HttpFields &headers) { onHead(attempt, status, headers); };
+    observer.onData = [this, attempt](const std::string &data) { onData(attempt, data); };
+    observer.onEnd = [this, attempt](const HttpCallEnd &end) { onCallEnd(attempt, end, MonotonicClock::now()); };
+    attempt->call = m_services.client.start(call, std::move(observer));
+}
+
+void AttemptRunner::onHead(const AttemptPointer &attempt, int status, const HttpFields &headers)
+{
+    attempt->reachedTarget = true;
+    const bool refused = isEngine() && (attempt->headSent ? status != HttpOk : engineFailed(status));
+    if (refused) {
+        cutCall(attempt);
+        // An engine that does not know a stream it had begun was replaced meanwhile.
+        const bool crashed = attempt->headSent && status == HttpNotFound;
+        const Error error{ResultCode::TargetFailed, absl::StrCat("the target answered with status ", status)};
+        finish(attempt, Outcome{error, proto::RUN_UNKNOWN, crashed}, MonotonicClock::now());
+        return;
+    }
+    if (attempt->headSent) {
+        return;
+    }
+    proto::ResponseHead head;
+    head.set_attempt_id(attempt->id());
+    head.set_status(static_cast<std::uint32_t>(status));
+    head.set_content_type(field(headers, "content-type"));
+    attempt->meter.begin(head.content_type());
+    attempt->head = std::move(head);
+    attempt->headSent = true;
+    sendHead(*attempt);
+}
+
+void AttemptRunner::onData(const AttemptPointer &attempt, const std::string &data)
+{
+    if (attempt->phase != AttemptPhase::Running) {
+        return;
+    }
+    std::string whole = attempt->meter.take(data);
+    if (!whole.empty()) {
+        sendChunk(*attempt, attempt->chunks.append(std::move(whole)));
+    }
+}
+
+void AttemptRunner::onCallEnd(const AttemptPointer &attempt, const HttpCallEnd &end, TimePoint now)
+{
+    if (attempt->phase != AttemptPhase::Running) {
+        return;
+    }
+    attempt->call = 0;
+    if (!end.error) {
+        std::string rest = attempt->meter.takeRest();
+        if (!rest.empty()) {
+            sendChunk(*attempt, attempt->chunks.append(std::move(rest)));
+        }
+        finish(attempt, Outcome{Error{ResultCode::Ok, {}}, proto::RAN}, now);
+        return;
+    }
+    attempt->reachedTarget = attempt->reachedTarget || end.connected;
+    if (!attempt->reachedTarget) {
+        m_services.monitor.probeSoon();
+        finish(attempt, Outcome{Error{ResultCode::TargetFailed, end.error->message}}, now);
+        return;
+    }
+    suspend(attempt);
+}
+
+void AttemptRunner::suspend(const AttemptPointer &attempt)
+{
+    attempt->phase = AttemptPhase::Suspended;
+    attempt->meter.dropPartial();
+    m_services.monitor.probeSoon();
+}
+
+bool AttemptRunner::resumable(const Attempt &attempt) const
+{
+    const bool position = attempt.meter.eventStream() || !attempt.headSent;
+    return isEngine() && position && attempt.resumes < MaxResumes;
+}
+
+void AttemptRunner::targetProbed(TargetCondition condition, TimePoint now)
+{
+    std::vector<AttemptPointer> suspended;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt->phase == AttemptPhase::Suspended) {
+            suspended.push_back(attempt);
+        }
+    }
+    for (const AttemptPointer &attempt : suspended) {
+        if (condition == TargetCondition::Silent && attempt->resumes < MaxResumes) {
+            ++attempt->resumes;
+            m_services.monitor.probeSoon();
+        } else if (condition == TargetCondition::Alive && resumable(*attempt)) {
+            ++attempt->resumes;
+            attempt->phase = AttemptPhase::Running;
+            emit(AgentEventKind::Resumed, *attempt, absl::StrCat("from event ", attempt->meter.events()));
+            startCall(attempt);
+        } else {
+            const bool crashed = condition == TargetCondition::Dead;
+            const ResultCode code = condition == TargetCondition::Silent ? ResultCode::TargetTimeout
+                                                                         : ResultCode::TargetFailed;
+            const Error error{code, crashed ? "the target died" : "the connection to the target was lost"};
+            if (crashed) {
+                emit(AgentEventKind::CrashSuspected, *attempt);
+            }
+            finish(attempt, Outcome{error, proto::RUN_UNKNOWN, crashed}, now);
+        }
+    }
+}
+
+void AttemptRunner::cutCall(const AttemptPointer &attempt)
+{
+    if (attempt->call == 0) {
+        return;
+    }
+    m_services.client.cancel(std::exchange(attempt->call, 0));
+    if (isEngine()) {
+        HttpCallObserver ignore;
+        ignore.onHead = [](int, const HttpFields &) {};
+        ignore.onData = [](const std::string &) {};
+        ignore.onEnd = [](const HttpCallEnd &) {};
+        m_services.client.start(targetCancelRequest(m_services.settings, attempt->id()), std::move(ignore));
+    }
+}
+
+void AttemptRunner::sendHead(const Attempt &attempt)
+{
+    proto::Envelope envelope;
+    *envelope.mutable_response_head() = *attempt.head;
+    m_services.gateway.send(attempt.connection, envelope);
+}
+
+void AttemptRunner::sendChunk(const Attempt &attempt, const SequencedChunk &chunk)
+{
+    proto::Envelope envelope;
+    proto::ResponseChunk *message = envelope.mutable_response_chunk();
+    message->set_attempt_id(attempt.id());
+    message->set_sequence(chunk.sequence);
+    message->set_data(chunk.data);
+    m_services.gateway.send(attempt.connection, envelope);
+}
+
+void AttemptRunner::sendEnd(const Attempt &attempt)
+{
+    proto::Envelope envelope;
+    *envelope.mutable_response_end() = *attempt.end;
+    m_services.gateway.send(attempt.connection, envelope);
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/agent/targetrequest.cpp
@@ -0,0 +1,73 @@
+#include <celeryroute/detail/agent/targetrequest.h>
+
+#include <peer.pb.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr Duration ProbeTimeout = std::chrono::seconds(1);
+constexpr Duration CancelTimeout = std::chrono::seconds(2);
+constexpr Duration MaxCallTime = std::chrono::hours(1);
+
+std::string priority(proto::Urgency urgency)
+{
+    const int number = std::clamp<int>(urgency, proto::INTERACTIVE, proto::BULK);
+    return std::to_string(number - proto::INTERACTIVE);
+}
+
+} // namespace
+
+HttpCall targetRequest(const AgentSettings &settings,
+                       PoolKind kind,
+                       const proto::SubmitRequest &submit,
+                       std::uint64_t resumeFrom)
+{
+    HttpCall call;
+    call.method = submit.method().empty() ? "POST" : submit.method();
+    call.url = settings.targetUrl + submit.path();
+    call.body = submit.body();
+    call.totalTimeout = MaxCallTime;
+    call.idleTimeout = settings.progressTimeout;
+    if (!submit.content_type().empty()) {
+        call.headers["content-type"] = submit.content_type();
+    }
+    call.headers["x-priority"] = priority(submit.urgency());
+    if (kind == PoolKind::Service) {
+        call.headers["x-request-id"] = submit.request_id();
+        call.headers["x-customer"] = submit.customer();
+        call.headers["idempotency-key"] = submit.claim_id().empty() ? submit.request_id() : submit.claim_id();
+        // A call that may not be repeated must not meet a connection that has gone silent.
+        call.freshConnection = !submit.repeatable();
+        return call;
+    }
+    // The engine cancels and resumes by this id, and two attempts of one request may meet in it.
+    call.headers["x-request-id"] = submit.attempt_id();
+    if (resumeFrom > 0) {
+        call.headers["x-resume-from"] = std::to_string(resumeFrom);
+    }
+    return call;
+}
+
+HttpCall targetCancelRequest(const AgentSettings &settings, const std::string &attemptId)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = settings.targetUrl + "/v1/requests/" + attemptId + "/cancel";
+    call.totalTimeout = CancelTimeout;
+    call.freshConnection = true;
+    return call;
+}
+
+HttpCall targetProbeRequest(const AgentSettings &settings, PoolKind kind)
+{
+    HttpCall call;
+    call.url = settings.targetUrl + (kind == PoolKind::Engine ? "/v1/load" : settings.serviceHealthPath);
+    call.totalTimeout = ProbeTimeout;
+    call.freshConnection = true;
+    return call;
+}
+
+} // namespace celeryroute
--- a/src/residency/loadcontrollersteps.cpp
+++ b/src/residency/loadcontrollersteps.cpp
@@ -72,7 +72,7 @@
 void LoadController::stepLoads(ResidencyActions &actions, TimePoint now)
 {
     for (const std::string &item : wantedItems(now)) {
-        // Freed memory goes to the most urgent item first, even when a smaller one would fit now.
+        // Memory that is being freed goes to the most urgent item, even when a smaller one would fit now.
         if (!tryLoad(item, actions, now)) {
             return;
         }
@@ -95,7 +95,8 @@
         }
         const std::string base = baseModel(item);
         const bool needsBase = isAdapter(item) && m_ledger.phase(base) == ItemPhase::Absent;
-        if (!mayLoad(item) || (needsBase && !mayLoad(base))) {
+        const bool baseServed = !isAdapter(item) || mayServe(base);
+        if (!mayLoad(item) || !baseServed || (needsBase && !mayLoad(base))) {
             refused.push_back(item);
         } else if (needsBase) {
             add(base, demand.mostUrgent);
@@ -126,8 +127,7 @@
         return true;
     }
     if (grant.memoryMb > m_ledger.freeMb()) {
-        makeRoom(grant.memoryMb, actions, now);
-        return false;
+        return !makeRoom(grant.memoryMb, actions, now);
     }
     if (!takeSlot(item, actions)) {
         return true;
@@ -155,17 +155,21 @@
     return false;
 }
 
-void LoadController::makeRoom(std::uint32_t neededMb, ResidencyActions &actions, TimePoint now)
+bool LoadController::makeRoom(std::uint32_t neededMb, ResidencyActions &actions, TimePoint now)
 {
     std::uint64_t coming = std::uint64_t(m_ledger.freeMb()) + m_ledger.unloadingMb();
+    if (coming + reclaimableMb() < neededMb) {
+        return false;
+    }
     while (coming < neededMb) {
         const std::optional<std::string> victim = cheapestVictim(now);
         if (!victim) {
-            return;
+            break;
         }
         coming += m_ledger.item(*victim).memoryMb;
         orderUnload(*victim, actions, now);
     }
+    return true;
 }
 
 std::optional<std::string> LoadController::cheapestVictim(TimePoint now) const
@@ -178,8 +182,9 @@
         }
         const auto demand = m_demands.find(item);
         const bool retryLater = demand != m_demands.end() && demand->second.retryAfter > now;
-        const double score
-            = keepWarmScore(demand == m_demands.end() ? ItemDemand{} : demand->second, entry.memoryMb, now);
+        const double score = keepWarmScore(demand == m_demands.end() ? ItemDemand{} : demand->second,
+                                           entry.memoryMb,
+                                           now);
         if (!retryLater && (!victim || score < lowest)) {
             victim = item;
             lowest = score;
@@ -245,7 +250,9 @@
 bool LoadController::staleVersion(const std::string &item) const
 {
     const ItemGrant *grant = grantOf(item);
-    return grant != nullptr && m_ledger.item(item).version != grant->version;
+    const bool held = m_ledger.phase(item) != ItemPhase::Absent;
+    const bool own = held && grant != nullptr && m_ledger.item(item).version != grant->version;
+    return own || (isAdapter(item) && staleVersion(baseModel(item)));
 }
 
 bool LoadController::idle(const std::string &item) const
@@ -263,15 +270,29 @@
 
 bool LoadController::evictable(const std::string &item) const
 {
-    if (m_ledger.phase(item) != ItemPhase::Resident || !idle(item)) {
-        return false;
-    }
-    return std::none_of(m_demands.begin(), m_demands.end(), [&item](const auto &entry) {
+    return m_ledger.phase(item) == ItemPhase::Resident && idle(item) && !wantedByWaiting(item);
+}
+
+bool LoadController::wantedByWaiting(const std::string &item) const
+{
+    return std::any_of(m_demands.begin(), m_demands.end(), [&item](const auto &entry) {
         const bool needs = entry.first == item || baseModel(entry.first) == item;
         return needs && entry.second.waiting > 0;
     });
 }
 
+std::uint64_t LoadController::reclaimableMb() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[item, entry] : m_ledger.items()) {
+        // Adapters in use pin their model too, so an unused model can go once its adapters have gone.
+        if (entry.phase == ItemPhase::Resident && !inUse(item) && !wantedByWaiting(item)) {
+            sum += entry.memoryMb;
+        }
+    }
+    return sum;
+}
+
 bool LoadController::hasOrder(const std::string &item) const
 {
     return m_orderOfItem.contains(item);
--- /dev/null
+++ b/tests/support/residencyworld.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <celeryroute/detail/residency/loadcontroller.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace celeryroute::test {
+
+/// Which faults a schedule contains.
+struct ScheduleFaults {
+    bool engineChecksFencing = true;
+    double loseAnswer = 0.15;
+    double engineDies = 0.004;
+    double agentRestarts = 0.004;
+    double pauseBeforeSend = 0.05;
+    double storeFails = 0.05;
+};
+
+/// @brief A LoadController, a simulated engine and changing grants, driven by one seed.
+///
+/// The engine never checks its memory, so that an overcommit shows.
+class ResidencyWorld
+{
+public:
+    ResidencyWorld(std::uint64_t seed, ScheduleFaults faults);
+
+    /// @brief Advances the time a little and lets something happen; the first broken invariant, or "".
+    std::string step();
+    /// @brief Ends all faults and runs on until no request waits; false when one waits for ever.
+    bool settle();
+    std::size_t ordersSent() const;
+    std::size_t readies() const;
+
+private:
+    struct Transit {
+        ModelOrder order;
+        TimePoint arrives;
+        bool answered = true; ///< The controller still waits for this answer.
+    };
+    struct Held {
+        ItemPhase phase = ItemPhase::Loading;
+        std::uint32_t memoryMb = 0;
+        std::uint32_t version = 0;
+        std::uint64_t fencing = 0;
+        std::uint64_t order = 0;
+        TimePoint until;
+        bool answered = false;
+        bool fails = false;
+    };
+
+    bool chance(double probability);
+    Duration between(int minMs, int maxMs);
+    const std::string &anyItem();
+    void changeGrants();
+    void useItems();
+    void runController();
+    void perform(const ResidencyAction &action);
+    void send(const ModelOrder &order);
+    void answer(std::uint64_t order, OrderOutcome outcome);
+    void deliver();
+    void arrive(const Transit &transit);
+    void advanceEngine();
+    void killEngine();
+    void restartAgent();
+    void finishInventory();
+    EngineInventory inventory() const;
+    std::string check() const;
+
+    ScheduleFaults m_faults;
+    std::mt19937_64 m_random;
+    TimePoint m_now;
+    LoadControllerSettings m_settings;
+    std::unique_ptr<LoadController> m_controller;
+    GrantTable m_grants;
+    std::uint64_t m_offset = 1;
+    std::vector<Transit> m_transit;
+    std::map<std::string, Held> m_engine;
+    std::map<std::string, std::uint64_t> m_highestFencing;
+    std::map<std::string, std::uint32_t> m_waiting;
+    std::vector<std::string> m_uses;
+    bool m_reading = false;
+    TimePoint m_readStarted;
+    TimePoint m_readEnds;
+    std::string m_violation;
+    std::size_t m_orders = 0;
+    std::size_t m_readies = 0;
+};
+
+} // namespace celeryroute::test
