--- /dev/null
+++ b/src/state/fold.cpp
@@ -0,0 +1,145 @@
+#include <celeryroute/detail/state/fold.h>
+#include <celeryroute/detail/state/foldparts.h>
+#include <celeryroute/detail/state/recordformat.h>
+
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+bool isRecent(const StateTables &tables, const std::string &id)
+{
+    const Revision *revision = tables.recentIds.find(id);
+    return revision != nullptr && *revision + RecentIdWindow > tables.nextOffset;
+}
+
+// Ids beyond the window are dropped from the shard that is written anyway. Whether they are still
+// there makes no difference to isRecent().
+void remember(StateTables &tables, const std::string &id, Revision revision)
+{
+    auto &shard = tables.recentIds.shardForEdit(id);
+    for (auto entry = shard.begin(); entry != shard.end();) {
+        const bool expired = entry->second + RecentIdWindow < revision;
+        entry = expired ? shard.erase(entry) : std::next(entry);
+    }
+    shard.insert_or_assign(id, revision);
+}
+
+Refusals foldBody(StateTables &tables, const proto::LogRecord &record, Revision revision)
+{
+    switch (record.body_case()) {
+    case proto::LogRecord::kDeclarationChange:
+        return foldDeclarationChange(tables, record.declaration_change(), revision);
+    case proto::LogRecord::kKeyGrant:
+        return foldKeyGrant(tables, record.key_grant(), revision);
+    case proto::LogRecord::kKeyWithdrawal:
+        return foldKeyWithdrawal(tables, record.key_withdrawal(), revision);
+    case proto::LogRecord::kHostDrain:
+        return foldHostDrain(tables, record.host_drain(), revision);
+    case proto::LogRecord::kAuthorityChange:
+        return foldAuthorityChange(tables, record.authority_change(), revision);
+    case proto::LogRecord::kShareDivision:
+        return foldShareDivision(tables, record.share_division(), revision);
+    case proto::LogRecord::kQuarantine:
+        return foldQuarantine(tables, record.quarantine(), revision);
+    default:
+        return {};
+    }
+}
+
+FoldVerdict verdictOf(const proto::LogRecord &record, const Refusals &refusals)
+{
+    if (refusals.empty()) {
+        return FoldVerdict::Accepted;
+    }
+    const bool judgedEach = record.has_authority_change();
+    const auto items = static_cast<std::size_t>(record.authority_change().items_size());
+    return judgedEach && refusals.size() < items ? FoldVerdict::PartlyAccepted : FoldVerdict::Refused;
+}
+
+bool isMalformed(const proto::LogRecord &record)
+{
+    return record.id().empty() || record.id().size() > MaxRecordIdLength
+        || record.body_case() == proto::LogRecord::BODY_NOT_SET;
+}
+
+FoldOutcome unchanged(StateTables tables, FoldVerdict verdict)
+{
+    return {FleetState(std::move(tables)), verdict, {}};
+}
+
+FoldOutcome skipped(StateTables tables, FoldVerdict verdict)
+{
+    ++tables.nextOffset;
+    return unchanged(std::move(tables), verdict);
+}
+} // namespace
+
+std::string toString(FoldVerdict verdict)
+{
+    switch (verdict) {
+    case FoldVerdict::Accepted:
+        return "accepted";
+    case FoldVerdict::PartlyAccepted:
+        return "partly accepted";
+    case FoldVerdict::Refused:
+        return "refused";
+    case FoldVerdict::Repeated:
+        return "repeated";
+    case FoldVerdict::Malformed:
+        return "malformed";
+    case FoldVerdict::Ignored:
+        return "ignored";
+    case FoldVerdict::OutOfOrder:
+        return "out of order";
+    case FoldVerdict::Incompatible:
+        return "incompatible";
+    }
+    return "unknown";
+}
+
+// The id of a refused record is remembered as well: its author was told that it had no effect, so a
+// repeat must not take effect on a later state.
+FoldOutcome fold(FleetState state, const proto::LogRecord &record, std::uint64_t offset)
+{
+    StateTables tables = std::move(state).takeTables();
+    const bool stopped = tables.newestFormat > NewestKnownFormat;
+    if (stopped || (offset == tables.nextOffset && record.format() > NewestKnownFormat)) {
+        tables.newestFormat = std::max(tables.newestFormat, record.format());
+        return unchanged(std::move(tables), FoldVerdict::Incompatible);
+    }
+    if (offset != tables.nextOffset) {
+        return unchanged(std::move(tables), FoldVerdict::OutOfOrder);
+    }
+    if (isMalformed(record)) {
+        return skipped(std::move(tables), FoldVerdict::Malformed);
+    }
+    if (record.has_snapshot()) {
+        return skipped(std::move(tables), FoldVerdict::Ignored);
+    }
+    if (isRecent(tables, record.id())) {
+        return skipped(std::move(tables), FoldVerdict::Repeated);
+    }
+    const Revision revision = revisionAt(offset);
+    Refusals refusals = foldBody(tables, record, revision);
+    remember(tables, record.id(), revision);
+    tables.nextOffset = offset + 1;
+    const FoldVerdict verdict = verdictOf(record, refusals);
+    return {FleetState(std::move(tables)), verdict, std::move(refusals)};
+}
+
+FoldOutcome foldBytes(FleetState state, const std::string &bytes, std::uint64_t offset)
+{
+    proto::LogRecord record;
+    if (!record.ParseFromString(bytes)) {
+        record.Clear();
+    }
+    return fold(std::move(state), record, offset);
+}
+
+bool hasRecentRecord(const FleetState &state, const std::string &id)
+{
+    return isRecent(state.tables(), id);
+}
+
+} // namespace celeryroute
