--- a/include/celeryroute/detail/state/fleetstate.h
+++ b/include/celeryroute/detail/state/fleetstate.h
@@ -33,6 +33,8 @@
     const Authority *authority(const std::string &pool, const std::string &model) const;
     const ShardedMap<Authority> &authorities() const;
     const Shares &shares() const;
+    /// @brief Calls that may not be repeated and their outcomes.
+    const ClaimTable &claims() const;
     bool quarantined(const std::string &requestDigest) const;
 
     const StateTables &tables() const;
--- a/include/celeryroute/detail/state/foldparts.h
+++ b/include/celeryroute/detail/state/foldparts.h
@@ -22,4 +22,7 @@
 /// @brief Takes effect when it was made from the division in force.
 Refusals foldShareDivision(StateTables &tables, const proto::ShareDivision &division, Revision revision);
 
+/// @brief Claims are judged by the claim table; none is refused here.
+void foldClaims(StateTables &tables, const proto::ClaimBatch &batch, std::uint64_t offset);
+
 } // namespace celeryroute
--- a/include/celeryroute/detail/state/statetables.h
+++ b/include/celeryroute/detail/state/statetables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celeryroute/customerspec.h>
+#include <celeryroute/detail/claims/claimtable.h>
 #include <celeryroute/detail/state/authority.h>
 #include <celeryroute/detail/state/keyentry.h>
 #include <celeryroute/detail/state/shardedmap.h>
@@ -28,6 +29,7 @@
     ShardedMap<Authority> authorities; ///< By authorityKey().
     CopyOnWrite<Shares> shares;
     ShardedMap<Versioned<bool>> quarantines; ///< By request digest; false once lifted.
+    CopyOnWrite<ClaimTable> claims;
     ShardedMap<Revision> recentIds; ///< Record ids of the last RecentIdWindow offsets, and some older.
 };
 
--- a/src/state/accessfold.cpp
+++ b/src/state/accessfold.cpp
@@ -1,4 +1,5 @@
 #include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/claims/claimfold.h>
 #include <celeryroute/detail/state/foldparts.h>
 
 #include <absl/strings/str_cat.h>
@@ -124,4 +125,10 @@
     return {};
 }
 
+void foldClaims(StateTables &tables, const proto::ClaimBatch &batch, std::uint64_t offset)
+{
+    ClaimTable &table = tables.claims.edit();
+    table = foldClaimBatch(std::move(table), batch, offset);
+}
+
 } // namespace celeryroute
--- a/src/state/fleetstate.cpp
+++ b/src/state/fleetstate.cpp
@@ -105,6 +105,11 @@
     return *m_tables.shares;
 }
 
+const ClaimTable &FleetState::claims() const
+{
+    return *m_tables.claims;
+}
+
 bool FleetState::quarantined(const std::string &requestDigest) const
 {
     const Versioned<bool> *entry = m_tables.quarantines.find(requestDigest);
--- a/src/state/fold.cpp
+++ b/src/state/fold.cpp
@@ -25,8 +25,9 @@
     shard.insert_or_assign(id, revision);
 }
 
-Refusals foldBody(StateTables &tables, const proto::LogRecord &record, Revision revision)
+Refusals foldBody(StateTables &tables, const proto::LogRecord &record, std::uint64_t offset)
 {
+    const Revision revision = revisionAt(offset);
     switch (record.body_case()) {
     case proto::LogRecord::kDeclarationChange:
         return foldDeclarationChange(tables, record.declaration_change(), revision);
@@ -42,6 +43,9 @@
         return foldShareDivision(tables, record.share_division(), revision);
     case proto::LogRecord::kQuarantine:
         return foldQuarantine(tables, record.quarantine(), revision);
+    case proto::LogRecord::kClaimBatch:
+        foldClaims(tables, record.claim_batch(), offset);
+        return {};
     default:
         return {};
     }
@@ -120,9 +124,8 @@
     if (isRecent(tables, record.id())) {
         return skipped(std::move(tables), FoldVerdict::Repeated);
     }
-    const Revision revision = revisionAt(offset);
-    Refusals refusals = foldBody(tables, record, revision);
-    remember(tables, record.id(), revision);
+    Refusals refusals = foldBody(tables, record, offset);
+    remember(tables, record.id(), revisionAt(offset));
     tables.nextOffset = offset + 1;
     const FoldVerdict verdict = verdictOf(record, refusals);
     return {FleetState(std::move(tables)), verdict, std::move(refusals)};
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -1,3 +1,4 @@
+#include <celeryroute/detail/claims/claimsnapshot.h>
 #include <celeryroute/detail/state/fold.h>
 #include <celeryroute/detail/state/snapshot.h>
 #include <celeryroute/detail/state/specconversion.h>
@@ -87,6 +88,13 @@
     }
 }
 
+void addClaims(const FleetState &state, Items &items)
+{
+    for (proto::ClaimState &claim : claimSnapshot(state.claims())) {
+        *add(items, 0).mutable_claim() = std::move(claim);
+    }
+}
+
 void addRecentIds(const FleetState &state, Items &items)
 {
     for (const std::string &id : state.tables().recentIds.sortedKeys()) {
@@ -104,6 +112,7 @@
     addAuthorities(state.tables(), items);
     addShares(state.tables(), items);
     addSwitches(state.tables(), items);
+    addClaims(state, items);
     addRecentIds(state, items);
     return items;
 }
@@ -160,6 +169,11 @@
     case proto::SnapshotItem::kQuarantine:
         tables.quarantines.insertOrAssign(item.quarantine().request_digest(), {true, revision});
         return true;
+    case proto::SnapshotItem::kClaim: {
+        ClaimTable &claims = tables.claims.edit();
+        claims = restoreClaim(std::move(claims), item.claim());
+        return true;
+    }
     case proto::SnapshotItem::kRecordId:
         tables.recentIds.insertOrAssign(item.record_id(), revision);
         return true;
--- a/tests/src/unit-foldschedule.cpp
+++ b/tests/src/unit-foldschedule.cpp
@@ -33,7 +33,7 @@
 
     std::string record(const FleetState &view, const std::vector<std::string> &log)
     {
-        const int kind = number(14);
+        const int kind = number(16);
         if (kind == 0 && !log.empty()) {
             return log[log.size() - 1
                        - static_cast<std::size_t>(number(std::min<int>(20, static_cast<int>(log.size()))))];
@@ -80,6 +80,9 @@
             return authorityRecord(id, {authority(view), authority(view)});
         case 10:
             return snapshotRecord(id, view);
+        case 11:
+        case 12:
+            return claims(id);
         default:
             return authorityRecord(id, {authority(view)});
         }
@@ -142,6 +145,22 @@
         return record;
     }
 
+    proto::LogRecord claims(const std::string &id)
+    {
+        proto::LogRecord record = emptyRecord(id);
+        for (int i = 0; i < 2; ++i) {
+            proto::ClaimItem &item = *record.mutable_claim_batch()->add_items();
+            item.set_action(static_cast<proto::ClaimAction>(number(5)));
+            item.set_customer(name("c", 2));
+            item.set_key_digest(std::string(32, static_cast<char>('a' + number(4))));
+            item.set_request_digest(std::string(32, static_cast<char>('a' + number(2))));
+            item.set_claim_id(name("claim", 6));
+            item.set_entry(name("e", 2));
+            item.set_wall_time_ms(1'000'000 + 60'000 * m_ids);
+        }
+        return record;
+    }
+
     proto::LogRecord snapshotRecord(const std::string &id, const FleetState &view)
     {
         proto::LogRecord record = emptyRecord(id);
@@ -157,7 +176,7 @@
 {
     return left.routes == right.routes && left.pools == right.pools && left.customers == right.customers
         && left.keys == right.keys && left.drains == right.drains && left.authorities == right.authorities
-        && left.shares == right.shares && left.quarantines == right.quarantines;
+        && left.shares == right.shares && left.claims == right.claims && left.quarantines == right.quarantines;
 }
 } // namespace
 
