Report calls on the time line and metrics; give entries a peer endpoint

Change: the traffic thread binds a peer endpoint and answers questions through a hook; a reporter writes each step; retry rules stand in a file of their own.

--- a/include/celeryroute/detail/entry/dispatcher.h
+++ b/include/celeryroute/detail/entry/dispatcher.h
@@ -2,11 +2,15 @@
 
 #include <celeryroute/detail/entry/dispatchersettings.h>
 #include <celeryroute/detail/entry/flight.h>
+#include <celeryroute/detail/observe/observers.h>
 #include <celeryroute/detail/platform/hostentry.h>
 #include <celeryroute/detail/state/fleetstate.h>
+#include <celeryroute/result.h>
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace celeryroute {
@@ -16,16 +20,28 @@
 /// The agreed state as of now.
 using StateSource = std::function<std::shared_ptr<const FleetState>()>;
 
+/// What a dispatcher asks of its process; called on the traffic thread and must not block.
+struct DispatcherHooks {
+    StateSource state;
+    /// Answers messages of other processes, such as StateQuery, that come over the peer endpoint.
+    std::function<std::optional<proto::Envelope>(const proto::Envelope &message)> otherMessage;
+    /// A peer has folded the log up to this offset.
+    std::function<void(const std::string &sender, std::uint64_t offset)> peerOffset;
+};
+
 /// @brief The traffic thread of an entry: sends calls to agents and relays their answers.
 class Dispatcher
 {
 public:
-    Dispatcher(DispatcherSettings settings, TransportContext &context, StateSource state);
+    Dispatcher(DispatcherSettings settings, TransportContext &context, DispatcherHooks hooks, Observers observers);
     ~Dispatcher();
     Dispatcher(const Dispatcher &) = delete;
     Dispatcher &operator=(const Dispatcher &) = delete;
 
-    void start();
+    /// @brief Binds the peer endpoint and starts the thread. Fails with PortUnavailable.
+    Result<void> start();
+    /// @brief The bound peer endpoint `ip:port`.
+    std::string endpoint() const;
     /// @brief Takes over a call and answers it; any thread.
     void submit(CallerCall call, std::shared_ptr<HttpResponder> responder);
     /// @brief Replaces the list of hosts; any thread.
--- a/include/celeryroute/detail/entry/dispatchersettings.h
+++ b/include/celeryroute/detail/entry/dispatchersettings.h
@@ -9,6 +9,7 @@
 /// Limits of an entry's traffic thread.
 struct DispatcherSettings {
     std::string instance; ///< Incarnation of the entry.
+    std::string peerEndpoint = "127.0.0.1:0"; ///< `ip:port` where other processes connect.
     std::size_t maxFlights = 20'000;
     std::uint32_t maxAttempts = 3;
     std::size_t maxWholeAnswerBytes = 16U << 20U;
--- /dev/null
+++ b/src/entry/attemptrules.cpp
@@ -0,0 +1,61 @@
+#include "attemptrules.h"
+
+#include <peer.pb.h>
+
+namespace celeryroute {
+
+namespace {
+
+RunState runStateOf(proto::RunReport report)
+{
+    switch (report) {
+    case proto::NOT_RUN:
+        return RunState::NotRun;
+    case proto::RAN:
+        return RunState::Ran;
+    default:
+        return RunState::Unknown;
+    }
+}
+
+} // namespace
+
+// Reasons of one agent that another agent of the pool need not share.
+bool anotherTargetMayServe(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::Stopping:
+    case ResultCode::QueueFull:
+    case ResultCode::NotAuthorized:
+    case ResultCode::MemoryExhausted:
+    case ResultCode::LoadFailed:
+    case ResultCode::TargetFailed:
+    case ResultCode::TargetTimeout:
+    case ResultCode::PeerUnreachable:
+    case ResultCode::PeerSilent:
+        return true;
+    default:
+        return false;
+    }
+}
+
+Refusal refusalOf(const proto::ResponseEnd &end)
+{
+    Refusal refusal;
+    refusal.error = {resultCodeInfo(static_cast<ResultCode>(end.result_code())).code, end.message()};
+    refusal.run = runStateOf(end.run());
+    refusal.retryAfter = std::chrono::milliseconds(end.retry_after_ms());
+    return refusal;
+}
+
+// A call is tried again only when it provably did not run or may run twice, and never after the
+// caller has received a part of an answer.
+bool mayTryAgain(const Flight &flight, const Refusal &refusal, std::uint32_t maxAttempts, TimePoint now)
+{
+    const bool harmless = refusal.run == RunState::NotRun || flight.call.route.repeatable;
+    const bool timeLeft = now < flight.call.deadline;
+    return anotherTargetMayServe(refusal.error.code) && harmless && timeLeft && !flight.headSent
+        && flight.attempts < maxAttempts;
+}
+
+} // namespace celeryroute
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -1,5 +1,6 @@
 #include "callrunner.h"
 
+#include "attemptrules.h"
 #include "submitmessage.h"
 
 #include <celeryroute/detail/base/digest.h>
@@ -14,43 +15,15 @@
 constexpr Duration RetryAfterCapacity = std::chrono::seconds(1);
 constexpr std::uint64_t ChunksPerAck = 16;
 constexpr std::size_t AttemptIdBytes = 8;
-
-RunState runStateOf(proto::RunReport report)
-{
-    switch (report) {
-    case proto::NOT_RUN:
-        return RunState::NotRun;
-    case proto::RAN:
-        return RunState::Ran;
-    default:
-        return RunState::Unknown;
-    }
-}
-
-// Reasons of one agent that another agent of the pool need not share.
-bool anotherTargetMayServe(ResultCode code)
-{
-    switch (code) {
-    case ResultCode::Stopping:
-    case ResultCode::QueueFull:
-    case ResultCode::NotAuthorized:
-    case ResultCode::MemoryExhausted:
-    case ResultCode::LoadFailed:
-    case ResultCode::TargetFailed:
-    case ResultCode::TargetTimeout:
-    case ResultCode::PeerUnreachable:
-    case ResultCode::PeerSilent:
-        return true;
-    default:
-        return false;
-    }
-}
+constexpr std::uint32_t FirstErrorStatus = 400;
 
 } // namespace
 
-CallRunner::CallRunner(DispatcherSettings settings, AgentDirectory &directory)
+CallRunner::CallRunner(DispatcherSettings settings, AgentDirectory &directory, Observers observers)
     : m_settings(std::move(settings))
     , m_directory(directory)
+    , m_timeline(observers.timeline)
+    , m_reporter(observers)
     , m_state(std::make_shared<const FleetState>())
 {}
 
@@ -82,6 +55,7 @@
 {
     const bool full = m_table.size() >= m_settings.maxFlights;
     Flight &flight = m_table.add(std::move(call), std::move(responder));
+    m_reporter.admitted(flight);
     if (m_refusingNew) {
         refuse(flight, {{ResultCode::Stopping, "this entry is stopping"}, RunState::NotRun, RetryAfterCapacity});
     } else if (full) {
@@ -116,19 +90,21 @@
     terms.shareEpoch = m_state->shares().epoch;
     proto::Envelope envelope;
     fillSubmit(envelope, flight.call, attempt->id, terms, now);
-    envelope.set_sender(m_settings.instance);
-    envelope.set_state_offset(m_state->nextOffset());
-    if (!link.peer().send(envelope)) {
-        return false;
-    }
-    flight.triedHosts.insert(attempt->host);
+    const std::string host = attempt->host;
+    flight.triedHosts.insert(host);
     ++flight.attempts;
     m_table.setAttempt(flight, std::move(attempt));
+    m_reporter.dispatched(flight, host);
+    if (!send(link, envelope)) {
+        m_table.clearAttempt(flight);
+        return false;
+    }
     return true;
 }
 
 void CallRunner::receive(AgentLink &link, const proto::Envelope &envelope, TimePoint now)
 {
+    m_timeline.observe(envelope.logical_time());
     switch (envelope.body_case()) {
     case proto::Envelope::kResponseHead:
         if (Flight *flight = m_table.findAttempt(envelope.response_head().attempt_id())) {
@@ -164,6 +140,9 @@
     Attempt &attempt = *flight.attempt;
     const std::uint64_t before = attempt.relay.nextSequence();
     const std::string text = attempt.relay.take(chunk.sequence(), chunk.data());
+    if (before == 0 && attempt.relay.nextSequence() > 0) {
+        m_reporter.firstPart(flight, now);
+    }
     if (attempt.relay.gap()) {
         askForMissing(flight, link);
     }
@@ -212,41 +191,37 @@
     if (end.result_code() == 0) {
         attempt.relay.finish(end.chunks());
         if (attempt.relay.complete()) {
+            m_reporter.answered(flight, end, now);
             finish(flight);
         } else {
             askForMissing(flight, link);
         }
         return;
     }
-    Refusal refusal;
-    refusal.error = {resultCodeInfo(static_cast<ResultCode>(end.result_code())).code, end.message()};
-    refusal.run = runStateOf(end.run());
-    refusal.retryAfter = std::chrono::milliseconds(end.retry_after_ms());
-    failAttempt(flight, refusal, anotherTargetMayServe(refusal.error.code), now);
+    failAttempt(flight, refusalOf(end), now);
 }
 
-// A call is tried again only when it provably did not run or may run twice, and never after the
-// caller has received a part of an answer.
-void CallRunner::failAttempt(Flight &flight, const Refusal &refusal, bool mayRetry, TimePoint now)
+void CallRunner::failAttempt(Flight &flight, const Refusal &refusal, TimePoint now)
 {
-    const bool harmless = refusal.run == RunState::NotRun || flight.call.route.repeatable;
-    const bool timeLeft = now < flight.call.deadline;
-    if (mayRetry && harmless && timeLeft && !flight.headSent && flight.attempts < m_settings.maxAttempts) {
-        m_table.clearAttempt(flight);
-        flight.wholeBody.clear();
-        const std::vector<AgentLink *> candidates = m_directory.usable(flight.call.route.pool, now);
-        AgentLink *link = selectTarget(candidates, flight.call.model, flight.triedHosts);
-        if (link != nullptr && sendAttempt(flight, *link, now)) {
-            return;
-        }
+    if (!mayTryAgain(flight, refusal, m_settings.maxAttempts, now)) {
+        refuse(flight, refusal);
+        return;
+    }
+    m_table.clearAttempt(flight);
+    flight.wholeBody.clear();
+    const std::vector<AgentLink *> candidates = m_directory.usable(flight.call.route.pool, now);
+    AgentLink *link = selectTarget(candidates, flight.call.model, flight.triedHosts);
+    if (link == nullptr || !sendAttempt(flight, *link, now)) {
+        refuse(flight, refusal);
+        return;
     }
-    refuse(flight, refusal);
+    m_reporter.retried(flight);
 }
 
 void CallRunner::finish(Flight &flight)
 {
     Attempt &attempt = *flight.attempt;
-    if (flight.call.stream && attempt.status < 400) {
+    if (flight.call.stream && attempt.status < FirstErrorStatus) {
         if (!flight.headSent) {
             flight.responder->begin(static_cast<int>(attempt.status), {{"content-type", attempt.contentType}});
         }
@@ -263,6 +238,7 @@
 
 void CallRunner::refuse(Flight &flight, const Refusal &refusal)
 {
+    m_reporter.refused(flight, refusal);
     if (flight.headSent) {
         flight.responder->write(refusalEvent(refusal, flight.call.requestId));
         flight.responder->end(false);
@@ -278,6 +254,7 @@
     if (flight == nullptr) {
         return;
     }
+    m_reporter.callerGone(*flight);
     cancelAttempt(*flight);
     flight->responder->end(false);
     m_table.remove(requestId);
@@ -345,7 +322,7 @@
         Flight &flight = *m_table.find(requestId);
         cancelAttempt(flight);
         const Error error{ResultCode::PeerSilent, "host " + host + " does not answer"};
-        failAttempt(flight, {error, RunState::Unknown, Duration::zero()}, true, now);
+        failAttempt(flight, {error, RunState::Unknown, Duration::zero()}, now);
     }
 }
 
@@ -375,11 +352,12 @@
     return m_table.size();
 }
 
-void CallRunner::send(AgentLink &link, proto::Envelope &envelope)
+bool CallRunner::send(AgentLink &link, proto::Envelope &envelope)
 {
     envelope.set_sender(m_settings.instance);
     envelope.set_state_offset(m_state->nextOffset());
-    link.peer().send(envelope);
+    envelope.set_logical_time(m_timeline.stamp());
+    return link.peer().send(envelope);
 }
 
 } // namespace celeryroute
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "flightreporter.h"
 #include "flighttable.h"
 
 #include <celeryroute/detail/entry/agentdirectory.h>
 #include <celeryroute/detail/entry/answers.h>
 #include <celeryroute/detail/entry/dispatchersettings.h>
+#include <celeryroute/detail/observe/observers.h>
 #include <celeryroute/detail/state/fleetstate.h>
 
 #include <peer.pb.h>
@@ -20,7 +22,7 @@
 class CallRunner
 {
 public:
-    CallRunner(DispatcherSettings settings, AgentDirectory &directory);
+    CallRunner(DispatcherSettings settings, AgentDirectory &directory, Observers observers);
 
     /// @brief Uses @p state from now on and ends the calls whose key it has withdrawn.
     void setState(std::shared_ptr<const FleetState> state, TimePoint now);
@@ -46,16 +48,18 @@
     void takeChunk(Flight &flight, AgentLink &link, const proto::ResponseChunk &chunk, TimePoint now);
     void takeEnd(Flight &flight, AgentLink &link, const proto::ResponseEnd &end, TimePoint now);
     void deliver(Flight &flight, const std::string &text, TimePoint now);
-    void failAttempt(Flight &flight, const Refusal &refusal, bool mayRetry, TimePoint now);
+    void failAttempt(Flight &flight, const Refusal &refusal, TimePoint now);
     void expire(Flight &flight, TimePoint now);
     void finish(Flight &flight);
     void refuse(Flight &flight, const Refusal &refusal);
     void cancelAttempt(Flight &flight);
     void askForMissing(Flight &flight, AgentLink &link);
-    void send(AgentLink &link, proto::Envelope &envelope);
+    bool send(AgentLink &link, proto::Envelope &envelope);
 
     DispatcherSettings m_settings;
     AgentDirectory &m_directory;
+    Timeline &m_timeline;
+    FlightReporter m_reporter;
     std::shared_ptr<const FleetState> m_state;
     FlightTable m_table;
     bool m_refusingNew = false;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "wakeup.h"
 
 #include <celeryroute/detail/base/mailbox.h>
+#include <celeryroute/detail/transport/peerserver.h>
 
 #include <peer.pb.h>
 
@@ -36,11 +37,13 @@
 class Dispatcher::Private
 {
 public:
-    Private(DispatcherSettings settings, TransportContext &context, StateSource state)
-        : instance(settings.instance)
-        , state(std::move(state))
+    Private(DispatcherSettings newSettings, TransportContext &context, DispatcherHooks newHooks, Observers observers)
+        : settings(std::move(newSettings))
+        , hooks(std::move(newHooks))
+        , observers(observers)
+        , server(context)
         , directory(context, settings.link)
-        , runner(std::move(settings), directory)
+        , runner(settings, directory, observers)
         , commands([this] { wakeUp.signal(); })
     {}
 
@@ -49,9 +52,10 @@
         while (!stopping) {
             waitForWork();
             const TimePoint now = MonotonicClock::now();
-            runner.setState(state(), now);
+            runner.setState(hooks.state(), now);
             takeCommands(now);
             receiveFromAgents(now);
+            answerPeers();
             tickLinks(now);
             runner.tick(now);
             publish(now);
@@ -63,8 +67,9 @@
     void waitForWork()
     {
         std::vector<zmq_pollitem_t> items;
-        items.reserve(directory.links().size() + 1);
+        items.reserve(directory.links().size() + 2);
         items.push_back({nullptr, wakeUp.fd(), ZMQ_POLLIN, 0});
+        items.push_back({nullptr, server.fd(), ZMQ_POLLIN, 0});
         for (const auto &[host, link] : directory.links()) {
             items.push_back({link->peer().socket(), 0, ZMQ_POLLIN, 0});
         }
@@ -105,11 +110,32 @@
     {
         for (const auto &[host, link] : directory.links()) {
             while (const auto envelope = link->receive(now)) {
+                hooks.peerOffset(envelope->sender(), envelope->state_offset());
                 runner.receive(*link, *envelope, now);
             }
         }
     }
 
+    void answerPeers()
+    {
+        while (const auto message = server.receive()) {
+            observers.timeline.observe(message->envelope->logical_time());
+            std::optional<proto::Envelope> reply = hooks.otherMessage(*message->envelope);
+            if (reply) {
+                reply->set_call(message->envelope->call());
+                stamp(*reply);
+                server.send(message->connection, *reply);
+            }
+        }
+    }
+
+    void stamp(proto::Envelope &envelope)
+    {
+        envelope.set_sender(settings.instance);
+        envelope.set_state_offset(hooks.state()->nextOffset());
+        envelope.set_logical_time(observers.timeline.stamp());
+    }
+
     void tickLinks(TimePoint now)
     {
         for (const auto &[host, link] : directory.links()) {
@@ -127,15 +153,15 @@
     void sendHeartbeat(AgentLink &link)
     {
         proto::Envelope envelope;
-        envelope.set_sender(instance);
-        envelope.set_state_offset(state()->nextOffset());
         envelope.mutable_heartbeat()->set_sequence(++heartbeats);
+        stamp(envelope);
         link.peer().send(envelope);
     }
 
     void publish(TimePoint now)
     {
         flights = runner.flights();
+        observers.metrics.setInFlight(static_cast<std::int64_t>(flights));
         std::map<std::string, bool> reachability;
         for (const auto &[host, link] : directory.links()) {
             bool &reachable = reachability[link->host().domain];
@@ -145,8 +171,10 @@
         domains = std::move(reachability);
     }
 
-    std::string instance;
-    StateSource state;
+    DispatcherSettings settings;
+    DispatcherHooks hooks;
+    Observers observers;
+    PeerServer server;
     AgentDirectory directory;
     CallRunner runner;
     WakeUp wakeUp;
@@ -159,8 +187,11 @@
     std::thread thread;
 };
 
-Dispatcher::Dispatcher(DispatcherSettings settings, TransportContext &context, StateSource state)
-    : m_private(std::make_unique<Private>(std::move(settings), context, std::move(state)))
+Dispatcher::Dispatcher(DispatcherSettings settings,
+                       TransportContext &context,
+                       DispatcherHooks hooks,
+                       Observers observers)
+    : m_private(std::make_unique<Private>(std::move(settings), context, std::move(hooks), observers))
 {}
 
 Dispatcher::~Dispatcher()
@@ -168,9 +199,16 @@
     stop();
 }
 
-void Dispatcher::start()
+Result<void> Dispatcher::start()
 {
+    BOOST_LEAF_CHECK(m_private->server.bind(m_private->settings.peerEndpoint));
     m_private->thread = std::thread([this] { m_private->run(); });
+    return {};
+}
+
+std::string Dispatcher::endpoint() const
+{
+    return m_private->server.endpoint();
 }
 
 void Dispatcher::submit(CallerCall call, std::shared_ptr<HttpResponder> responder)
--- a/tests/src/unit-entry.cpp
+++ b/tests/src/unit-entry.cpp
@@ -232,6 +232,8 @@
     std::shared_ptr<const FleetState> state = std::make_shared<const FleetState>(fleet());
     PeerServer agent{context};
     PeerServer secondAgent{context};
+    Timeline timeline{"entry-1", "host-e", 100};
+    Metrics metrics;
     std::unique_ptr<Dispatcher> dispatcher;
     std::shared_ptr<RecordingResponder> responder = std::make_shared<RecordingResponder>();
 
@@ -247,8 +249,17 @@
         DispatcherSettings settings;
         settings.instance = "entry-1";
         settings.link.heartbeatInterval = std::chrono::milliseconds(20);
-        dispatcher = std::make_unique<Dispatcher>(settings, context, [this] { return std::atomic_load(&state); });
-        dispatcher->start();
+        DispatcherHooks hooks;
+        hooks.state = [this] { return std::atomic_load(&state); };
+        hooks.otherMessage = [](const proto::Envelope &) { return std::nullopt; };
+        hooks.peerOffset = [](const std::string &, std::uint64_t) {};
+        dispatcher = std::make_unique<Dispatcher>(settings, context, hooks, Observers{timeline, metrics});
+        handleErrors(
+            [this]() -> Result<bool> {
+                BOOST_LEAF_CHECK(dispatcher->start());
+                return true;
+            },
+            [](const Error &) { return false; });
         dispatcher->setHosts({{"host-1", agent.endpoint(), "a", HostRole::Agent, "assay-llm", HostState::Live}});
         answerHeartbeat(agent);
         answerHeartbeat(agent);
