--- a/include/celeryroute/detail/claims/claimslot.h
+++ b/include/celeryroute/detail/claims/claimslot.h
@@ -11,7 +11,11 @@
 struct ClaimSlot {
     static constexpr std::size_t Size = 16;
     std::array<char, Size> bytes{};
-    auto operator<=>(const ClaimSlot &) const = default;
+    bool operator==(const ClaimSlot &) const = default;
+    bool operator<(const ClaimSlot &other) const
+    {
+        return bytes < other.bytes;
+    }
 
     /// @brief A number in which all slots are spread evenly.
     std::uint64_t spread() const
--- a/include/celeryroute/detail/claims/claimtable.h
+++ b/include/celeryroute/detail/claims/claimtable.h
@@ -73,7 +73,7 @@
 
     const ClaimPtr *lookUp(const ClaimSlot &slot) const;
     Shard &writable(std::size_t index);
-    void put(const ClaimSlot &slot, ClaimPtr claim);
+    void put(const ClaimSlot &slot, const ClaimPtr &claim);
     void erase(const ClaimSlot &slot);
     void discount(const ClaimPtr &claim);
 
--- a/scripts/check-models.sh
+++ b/scripts/check-models.sh
@@ -1,39 +1,76 @@
 #!/usr/bin/env bash
-# Verifies every spec/*.pml with spin. A model X.pml must pass; each X.broken-*.flags file
-# holds the preprocessor flags of a deliberately broken variant, which spin must reject.
+# Verifies every spec/*.pml with spin and prints the states explored. A model X.pml must hold; each
+# X.broken-*.flags file holds the preprocessor flags of a broken variant, which spin must reject, and
+# each X.holds-*.flags file those of other bounds, within which the model must hold too.
+# A search that spin cut short counts as a failure. Usage: check-models.sh [MODEL...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
+readonly MEMORY_MB=3000
+readonly SEARCH_DEPTH=2000000
+jobs=${CELERYROUTE_JOBS:-4}
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-# verify MODEL FLAGS: prints spin's summary; succeeds when no error was found.
+
+# verify MODEL WANT FLAGS NAME: writes one line to $work/NAME.line; fails unless the verdict is WANT.
 verify() {
-    local name
-    name=$(basename "$1" .pml)-$RANDOM$RANDOM
-    mkdir "$work/$name"
-    cp spec/*.pml spec/*.h "$work/$name/" 2>/dev/null || true
+    local model=$1 want=$2 flags=$3 name=$4 dir
+    dir=$work/$name
+    mkdir "$dir"
+    cp spec/*.pml "$dir/"
     (
-        cd "$work/$name"
+        cd "$dir"
         # shellcheck disable=SC2086
-        spin $2 -a "$(basename "$1")" > spin.log
-        gcc -O2 -DSAFETY -DNOREDUCE -DMEMLIM=4096 -DVECTORSZ=4096 -o pan pan.c
-        ./pan -m200000 -w24 > pan.log 2>&1 || true
-        states=$(awk '/states, stored/ {print $1}' pan.log)
-        grep -q 'error: max search depth too small\|out of memory\|reached -DMEMLIM' pan.log && { echo "$1: search truncated"; exit 2; }
-        errors=$(sed -nE 's/.*errors: ([0-9]+).*/\1/p' pan.log)
-        echo "$1 ${2:-} states=${states:-0} errors=${errors:-none}"
-        [ "${errors:-1}" = 0 ]
-    )
+        spin $flags -a "$(basename "$model")" > spin.log 2>&1 || { cat spin.log; exit 1; }
+        gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=$MEMORY_MB -DVECTORSZ=4096 -o pan pan.c
+        ./pan -m$SEARCH_DEPTH -w22 > pan.log 2>&1 || true
+    ) || { echo "FAIL: $name does not compile" > "$work/$name.line"; return 1; }
+    local log=$dir/pan.log states errors seen
+    states=$(awk '/states, stored/ {print $1}' "$log")
+    errors=$(sed -nE 's/.*errors: ([0-9]+).*/\1/p' "$log")
+    seen=holds
+    [ "${errors:-none}" = 0 ] || seen=rejected
+    if grep -qE 'max search depth too small|out of memory|MEMLIM|Search not completed' "$log" \
+        && ! grep -qE 'assertion violated|invalid end state' "$log"; then
+        seen=truncated
+    fi
+    [ -n "$errors" ] || seen=crashed
+    local reason
+    reason=$(sed -nE 's/^pan:1: (assertion violated .*|invalid end state) \(at.*/\1/p' "$log" | head -1)
+    echo "$name: $seen, ${states:-0} states ${reason:+($reason)}" > "$work/$name.line"
+    [ "$seen" = "$want" ] || { echo "FAIL: $name must be: $want" >> "$work/$name.line"; return 1; }
 }
-status=0
+
+names=()
+pids=()
+start() {
+    while [ "$(jobs -rp | wc -l)" -ge "$jobs" ]; do
+        sleep 0.1
+    done
+    verify "$@" &
+    names+=("$4")
+    pids+=($!)
+}
+
 shopt -s nullglob
-for model in spec/*.pml; do
+models=("$@")
+[ ${#models[@]} -gt 0 ] || models=(spec/*.pml)
+[ ${#models[@]} -gt 0 ] || { echo "FAIL: no model found"; exit 1; }
+for model in "${models[@]}"; do
     base=${model%.pml}
-    verify "$model" "" || { echo "FAIL: $model must hold"; status=1; }
-    for broken in "$base".broken-*.flags; do
-        if verify "$model" "$(cat "$broken")"; then
-            echo "FAIL: $broken must be rejected"
-            status=1
-        fi
+    name=$(basename "$base")
+    start "$model" holds "" "$name"
+    for bounds in "$base".holds-*.flags; do
+        start "$model" holds "$(cat "$bounds")" "$(basename "$bounds" .flags)"
     done
+    twins=("$base".broken-*.flags)
+    [ ${#twins[@]} -gt 0 ] || { echo "FAIL: $model has no broken variant"; exit 1; }
+    for twin in "${twins[@]}"; do
+        start "$model" rejected "$(cat "$twin")" "$(basename "$twin" .flags)"
+    done
+done
+status=0
+for index in "${!pids[@]}"; do
+    wait "${pids[$index]}" || status=1
+    cat "$work/${names[$index]}.line"
 done
 exit $status
--- a/src/claims/claimtable.cpp
+++ b/src/claims/claimtable.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-void ClaimTable::put(const ClaimSlot &slot, ClaimPtr claim)
+void ClaimTable::put(const ClaimSlot &slot, const ClaimPtr &claim)
 {
     erase(slot);
     if (claim) {
@@ -136,7 +136,7 @@
     } else {
         ++m_retiredCount;
     }
-    writable(shardOf(slot)).emplace(slot, std::move(claim));
+    writable(shardOf(slot)).emplace(slot, claim);
 }
 
 void ClaimTable::erase(const ClaimSlot &slot)
