--- a/include/celeryroute/detail/http/connectionwatch.h
+++ b/include/celeryroute/detail/http/connectionwatch.h
@@ -29,8 +29,8 @@
 
     /// @brief A connection opened on @p socket; its first request must be whole in time.
     void connectionOpened(int socket, TimePoint now);
-    /// @brief The first bytes of a request were read.
-    void requestStarted(int socket, TimePoint now);
+    /// @brief The head of a request was read; returns the number of the connection.
+    std::uint64_t requestStarted(int socket, TimePoint now);
     /// @brief The request is whole; reports to @p exchange when the caller goes away.
     void requestReceived(int socket, const std::shared_ptr<HttpExchange> &exchange);
     /// @brief The answer is over; the connection is idle.
--- a/include/celeryroute/detail/http/httpexchange.h
+++ b/include/celeryroute/detail/http/httpexchange.h
@@ -58,6 +58,7 @@
     mutable absl::Mutex m_mutex;
     MHD_Connection *m_connection ABSL_GUARDED_BY(m_mutex);
     Progress m_progress ABSL_GUARDED_BY(m_mutex) = Progress::Waiting;
+    bool m_headSent ABSL_GUARDED_BY(m_mutex) = true;
     bool m_suspended ABSL_GUARDED_BY(m_mutex) = false;
     bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
     HttpResponse m_head ABSL_GUARDED_BY(m_mutex);
--- a/include/celeryroute/detail/http/httpmessage.h
+++ b/include/celeryroute/detail/http/httpmessage.h
@@ -2,6 +2,7 @@
 
 #include <celeryroute/time.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -17,6 +18,7 @@
     HttpFields query;
     HttpFields headers;
     std::string body;
+    std::uint64_t connection = 0; ///< Number of the caller's connection, ascending from 1.
     bool operator==(const HttpRequest &) const = default;
 };
 
--- a/include/celeryroute/detail/http/httpserver.h
+++ b/include/celeryroute/detail/http/httpserver.h
@@ -25,7 +25,8 @@
 
 /// @brief The answer to one request; every method may be called from any thread.
 ///
-/// Either respond() once, or begin(), write() any number of times and end(). Calls after the
+/// Either respond() once, or begin(), write() any number of times and end(); end(false) before
+/// begin() cuts the connection without an answer. Calls after the
 /// caller has gone have no effect. Destroying it unanswered sends status 500.
 class HttpResponder
 {
--- a/src/http/connectionwatch.cpp
+++ b/src/http/connectionwatch.cpp
@@ -49,13 +49,17 @@
     epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event);
 }
 
-void ConnectionWatch::requestStarted(int socket, TimePoint now)
+std::uint64_t ConnectionWatch::requestStarted(int socket, TimePoint now)
 {
     absl::MutexLock lock(&m_mutex);
     const auto found = m_connections.find(socket);
-    if (found != m_connections.end() && !found->second.requestDue) {
+    if (found == m_connections.end()) {
+        return 0;
+    }
+    if (!found->second.requestDue) {
         found->second.requestDue = now + m_requestTimeout;
     }
+    return found->second.id;
 }
 
 void ConnectionWatch::requestReceived(int socket, const std::shared_ptr<HttpExchange> &exchange)
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -78,9 +78,11 @@
 void HttpExchange::end(bool complete)
 {
     absl::MutexLock lock(&m_mutex);
-    if (m_progress != Progress::Streaming) {
+    const bool cutBeforeHead = m_progress == Progress::Waiting && !complete;
+    if (m_progress != Progress::Streaming && !cutBeforeHead) {
         return;
     }
+    m_headSent = !cutBeforeHead;
     m_progress = complete ? Progress::Ended : Progress::Cut;
     resume();
 }
@@ -140,9 +142,10 @@
         return true;
     case Progress::Whole:
         return queueWhole();
+    case Progress::Cut:
+        return m_headSent && queueStream();
     case Progress::Streaming:
     case Progress::Ended:
-    case Progress::Cut:
         return queueStream();
     }
     return false;
@@ -215,7 +218,7 @@
 
 bool HttpExchange::answered() const
 {
-    return m_progress == Progress::Whole || m_progress == Progress::Ended;
+    return m_progress == Progress::Whole || m_progress == Progress::Ended || m_progress == Progress::Cut;
 }
 
 void HttpExchange::resume()
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -131,7 +131,7 @@
     reception.socket = socketOf(connection);
     reception.exchange = std::make_shared<HttpExchange>(connection);
     *context = owned.release();
-    watch->requestStarted(reception.socket, MonotonicClock::now());
+    reception.request.connection = watch->requestStarted(reception.socket, MonotonicClock::now());
     if (!enlist(reception.exchange)) {
         return MHD_NO;
     }
--- a/tests/support/rawconnection.cpp
+++ b/tests/support/rawconnection.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -75,6 +76,12 @@
     }
 }
 
+bool RawConnection::readable() const
+{
+    pollfd wait{m_socket, POLLIN, 0};
+    return poll(&wait, 1, 0) > 0;
+}
+
 void RawConnection::closeNow()
 {
     if (m_socket >= 0) {
--- a/tests/support/rawconnection.h
+++ b/tests/support/rawconnection.h
@@ -20,6 +20,8 @@
     std::string receiveUntil(const std::string &text);
     /// @brief Reads until the peer closes; false when the hang guard fired first.
     bool closedByPeer();
+    /// @brief Whether bytes or the peer's close wait to be read.
+    bool readable() const;
     void closeNow();
 
 private:
