Choose targets by two choices out of a fixed subset

Cause: an entry must choose a target at the same cost in a pool of 10 and of 11,000, from load reports that lag, without herding, and a burst of first requests must make one load.

While no candidate is warm, every process takes the same first one. Else the cheapest of two random warm candidates, the best prefix-cache hit and the first cold candidate is taken, by queue wait, own sends since the report, load time by place of the checkpoint and expected prefix-cache hits. Leaving, drained, silent and tried targets are passed over.

--- /dev/null
+++ b/include/celeryroute/detail/routing/targetstate.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <celeryroute/detail/routing/prefixsketch.h>
+#include <celeryroute/detail/routing/targetinfo.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace celeryroute {
+
+/// A model at a target, with how long a load from there is expected to take.
+struct ModelPlacement {
+    ModelPlace place = ModelPlace::Remote;
+    Duration expectedLoad{};
+    bool operator==(const ModelPlacement &) const = default;
+};
+
+/// All that one entry knows of one target.
+class TargetState
+{
+public:
+    explicit TargetState(TargetInfo info);
+
+    void setInfo(TargetInfo info);
+    void setReport(const LoadReport &report);
+    void setPlacement(const std::string &model, ModelPlacement placement);
+    void noteSent(const std::string &attemptId, std::uint64_t tokens, TimePoint now);
+    void noteEnded(const std::string &attemptId);
+
+    /// @brief Whether @p model is resident or being loaded there; the empty name always is.
+    bool warm(const std::string &model) const;
+
+    /// @brief Expected time until a request for @p model would start.
+    Duration expectedStart(const std::string &model) const;
+
+    const TargetInfo &info() const
+    {
+        return m_info;
+    }
+    PrefixSketch &prefixes()
+    {
+        return m_prefixes;
+    }
+    const PrefixSketch &prefixes() const
+    {
+        return m_prefixes;
+    }
+    double tokensPerSecond() const;
+
+private:
+    struct Sent {
+        TimePoint time;
+        std::uint64_t tokens;
+    };
+
+    Duration loadWait(const std::string &model) const;
+
+    TargetInfo m_info;
+    LoadReport m_report;
+    std::map<std::string, ModelPlacement> m_placements;
+    absl::flat_hash_map<std::string, Sent> m_unreported; ///< Own attempts sent after the report.
+    std::uint64_t m_unreportedTokens = 0;
+    PrefixSketch m_prefixes;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/routing/targetchooser.cpp
@@ -0,0 +1,187 @@
+#include <celeryroute/detail/routing/targetchooser.h>
+
+#include <algorithm>
+#include <map>
+
+namespace celeryroute {
+
+namespace {
+
+/// Subsets kept; far above the models and adapters of one pool that are asked for at a time.
+constexpr std::size_t MaxSubsets = 16384;
+/// How much faster a target reads a prompt than it writes an answer.
+constexpr double PrefillSpeedup = 20.0;
+
+} // namespace
+
+TargetChooser::TargetChooser(std::size_t subsetSize)
+    : m_subsetSize(subsetSize)
+{}
+
+void TargetChooser::setTarget(const TargetInfo &info)
+{
+    const auto found = m_targets.find(info.host);
+    if (found == m_targets.end()) {
+        m_targets.emplace(info.host, TargetState(info));
+        forgetSubsets(info, info.available());
+        return;
+    }
+    const bool wasAvailable = found->second.info().available();
+    const bool moved = found->second.info().domain != info.domain;
+    found->second.setInfo(info);
+    if (moved || wasAvailable != info.available()) {
+        forgetSubsets(info, info.available());
+    }
+}
+
+void TargetChooser::removeTarget(const std::string &host)
+{
+    const auto found = m_targets.find(host);
+    if (found != m_targets.end()) {
+        forgetSubsets(found->second.info(), false);
+        m_targets.erase(found);
+    }
+}
+
+void TargetChooser::setHolders(const std::string &model, std::vector<std::string> hosts)
+{
+    if (hosts.empty()) {
+        m_holders.erase(model);
+        return;
+    }
+    m_holders[model] = rank(model, hosts);
+}
+
+TargetState *TargetChooser::find(const std::string &host)
+{
+    const auto found = m_targets.find(host);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+std::optional<TargetChoice> TargetChooser::choose(const TargetQuery &query)
+{
+    const std::vector<Candidate> ranked = candidates(query);
+    if (ranked.empty()) {
+        return std::nullopt;
+    }
+    std::vector<const Candidate *> warm;
+    const Candidate *firstCold = nullptr;
+    for (const Candidate &candidate : ranked) {
+        if (candidate.warm) {
+            warm.push_back(&candidate);
+        } else if (firstCold == nullptr) {
+            firstCold = &candidate;
+        }
+    }
+    const Candidate *best = firstCold;
+    const auto consider = [&best](const Candidate *other) {
+        if (best == nullptr || other->cost < best->cost) {
+            best = other;
+        }
+    };
+    if (!warm.empty()) {
+        const std::size_t first = query.random % warm.size();
+        const std::size_t step = 1 + (query.random >> 32U) % std::max<std::size_t>(1, warm.size() - 1);
+        consider(warm[first]);
+        consider(warm[(first + step) % warm.size()]);
+        consider(*std::max_element(warm.begin(), warm.end(), [](const Candidate *left, const Candidate *right) {
+            return left->hitSeconds < right->hitSeconds;
+        }));
+    }
+    return TargetChoice{best->state->info().host, best->state->expectedStart(query.model), best->warm};
+}
+
+const std::vector<RankedTarget> &TargetChooser::subsetFor(const std::string &key)
+{
+    const auto found = m_subsets.find(key);
+    if (found != m_subsets.end()) {
+        return found->second;
+    }
+    if (m_subsets.size() >= MaxSubsets) {
+        m_subsets.clear();
+    }
+    std::vector<RankedTarget> targets;
+    targets.reserve(m_targets.size());
+    for (const auto &[host, state] : m_targets) {
+        if (state.info().available()) {
+            targets.push_back({rendezvousScore(key, host), host, state.info().domain});
+        }
+    }
+    m_rankings += targets.size();
+    return m_subsets[key] = rendezvousSubset(std::move(targets), m_subsetSize);
+}
+
+std::vector<RankedTarget> TargetChooser::rank(const std::string &key, const std::vector<std::string> &hosts)
+{
+    std::vector<RankedTarget> targets;
+    targets.reserve(hosts.size());
+    for (const std::string &host : hosts) {
+        targets.push_back({rendezvousScore(key, host), host, {}});
+    }
+    m_rankings += targets.size();
+    return rendezvousSubset(std::move(targets), hosts.size());
+}
+
+// Looks at no more than subsetSize available targets. Holders that are not available are passed
+// over; when none is, the subset of the pool shows where authority will be granted next.
+std::vector<TargetChooser::Candidate> TargetChooser::candidates(const TargetQuery &query)
+{
+    std::vector<Candidate> result;
+    const auto add = [&](const std::vector<RankedTarget> &ranked) {
+        for (std::size_t i = 0; i < ranked.size() && result.size() < m_subsetSize; ++i) {
+            ++m_operations;
+            const TargetState *state = find(ranked[i].host);
+            if (state == nullptr || !state->info().available() || query.excludedHosts.contains(ranked[i].host)) {
+                continue;
+            }
+            const double hitTokens = state->prefixes().expectedHits(query.promptBlocks)
+                * static_cast<double>(query.tokensPerBlock);
+            const double hitSeconds = hitTokens / (state->tokensPerSecond() * PrefillSpeedup);
+            const double cost = toSeconds(state->expectedStart(query.model)) - hitSeconds;
+            result.push_back({state, cost, hitSeconds, state->warm(query.model)});
+        }
+    };
+    const auto holders = m_holders.find(query.model);
+    if (holders != m_holders.end()) {
+        add(holders->second);
+    }
+    if (result.empty()) {
+        add(subsetFor(query.model.empty() ? query.spreadKey : query.model));
+    }
+    return result;
+}
+
+// Only subsets that hold the target, or that it would enter, change; the others stay as they are.
+void TargetChooser::forgetSubsets(const TargetInfo &info, bool added)
+{
+    absl::erase_if(m_subsets, [&](const auto &entry) {
+        const auto &[key, subset] = entry;
+        if (added && wouldEnter(subset, key, info)) {
+            return true;
+        }
+        return std::any_of(subset.begin(), subset.end(), [&info](const RankedTarget &target) {
+            return target.host == info.host;
+        });
+    });
+}
+
+// A target enters by its rank, or where another domain has more than its even part.
+bool TargetChooser::wouldEnter(const std::vector<RankedTarget> &subset,
+                               const std::string &key,
+                               const TargetInfo &info) const
+{
+    if (subset.size() < m_subsetSize || rendezvousScore(key, info.host) > subset.back().score) {
+        return true;
+    }
+    std::map<std::string, std::size_t> byDomain;
+    for (const RankedTarget &target : subset) {
+        ++byDomain[target.domain];
+    }
+    const std::size_t evenPart = (m_subsetSize + byDomain.size() - 1) / byDomain.size();
+    const bool uneven = std::any_of(byDomain.begin(), byDomain.end(), [evenPart](const auto &domain) {
+        return domain.second > evenPart;
+    });
+    return uneven && byDomain[info.domain] < evenPart;
+}
+
+} // namespace celeryroute
