--- /dev/null
+++ b/include/celeryroute/detail/claims/claimverdict.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <celeryroute/detail/claims/claim.h>
+#include <celeryroute/error.h>
+
+#include <string>
+#include <variant>
+
+namespace celeryroute {
+
+/// The call may be dispatched, once, under this claim.
+struct ClaimWon {
+    std::string claimId;
+    std::uint64_t offset = 0;
+    bool operator==(const ClaimWon &) const = default;
+};
+
+/// The call ran before; this is its recorded answer.
+struct ClaimRepeat {
+    RecordedAnswer answer;
+    bool operator==(const ClaimRepeat &) const = default;
+};
+
+/// The call must not be dispatched.
+struct ClaimDenied {
+    Error error;
+    RunState run = RunState::NotRun;
+    bool operator==(const ClaimDenied &) const = default;
+};
+
+using ClaimVerdict = std::variant<ClaimWon, ClaimRepeat, ClaimDenied>;
+
+/// The verdict of one waiting call; each call gets exactly one.
+struct ClaimNotice {
+    std::string callId;
+    ClaimVerdict verdict;
+    bool operator==(const ClaimNotice &) const = default;
+};
+
+} // namespace celeryroute
