Decide on retries, crashing requests and keep-warm times

Cause: a failing target must not be hit by amplified retries, a request that crashes targets must stop after two, and a fixed idle timeout either wastes accelerators or causes cold starts.

Change: RetryPolicy retries only what did not run or is idempotent and hedges only idempotent interactive calls, both out of one budget of a fifth of first attempts. SuspectTable makes every request in flight at a crash a suspect, quarantines at the second crash and frees those that ran beside a proved one; its verdicts depend on the set of notices only. KeepWarmPolicy chooses the idle time of least expected cost from a decaying histogram of inter-arrival times and starts from the break-even time.

--- a/include/celeryroute/detail/routing/targetchooser.h
+++ b/include/celeryroute/detail/routing/targetchooser.h
@@ -44,7 +44,7 @@
 
     void setTarget(const TargetInfo &info);
     void removeTarget(const std::string &host);
-    void setHolders(const std::string &model, std::vector<std::string> hosts);
+    void setHolders(const std::string &model, const std::vector<std::string> &hosts);
 
     /// @brief What is known of @p host; null when it is no target of the pool.
     TargetState *find(const std::string &host);
--- /dev/null
+++ b/src/routing/retrypolicy.cpp
@@ -0,0 +1,62 @@
+#include <celeryroute/detail/routing/retrypolicy.h>
+
+#include <algorithm>
+#include <array>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr std::uint32_t MaxAttempts = 3;
+
+/// Failures of one target, which another one may not share.
+constexpr std::array RetryableCodes = {
+    ResultCode::QueueFull,
+    ResultCode::NoTarget,
+    ResultCode::TargetFailed,
+    ResultCode::TargetTimeout,
+    ResultCode::Stopping,
+    ResultCode::LoadFailed,
+    ResultCode::MemoryExhausted,
+    ResultCode::NotAuthorized,
+    ResultCode::DeadlineUnreachable,
+    ResultCode::PeerUnreachable,
+    ResultCode::PeerSilent,
+    ResultCode::TransportFailed,
+};
+
+bool retryable(ResultCode code)
+{
+    return std::find(RetryableCodes.begin(), RetryableCodes.end(), code) != RetryableCodes.end();
+}
+
+} // namespace
+
+RetryPolicy::RetryPolicy(RetryBudget budget)
+    : m_budget(budget)
+{}
+
+void RetryPolicy::noteFirstAttempt()
+{
+    m_budget.noteFirstAttempt();
+}
+
+// An answer that has begun is resumed, never begun anew: the caller must not see two halves.
+RetryVerdict RetryPolicy::afterFailure(const FailedAttempt &attempt)
+{
+    const bool safe = attempt.run == RunState::NotRun || attempt.idempotent;
+    const bool inTime = attempt.remaining > attempt.expectedService;
+    if (!safe || !inTime || attempt.answerBegun || attempt.attempts >= MaxAttempts || !retryable(attempt.code)) {
+        return RetryVerdict::Final;
+    }
+    return m_budget.take() ? RetryVerdict::Retry : RetryVerdict::BudgetExhausted;
+}
+
+bool RetryPolicy::shouldHedge(const SlowAttempt &attempt)
+{
+    const bool allowed = attempt.routeHedges && attempt.idempotent && attempt.urgency == Urgency::Interactive;
+    const bool late = attempt.elapsed > attempt.usualFirstAnswer && attempt.remaining > attempt.expectedService;
+    return allowed && late && !attempt.answerBegun && !attempt.hedged && m_budget.take();
+}
+
+} // namespace celeryroute
--- a/src/routing/targetchooser.cpp
+++ b/src/routing/targetchooser.cpp
@@ -43,7 +43,7 @@
     }
 }
 
-void TargetChooser::setHolders(const std::string &model, std::vector<std::string> hosts)
+void TargetChooser::setHolders(const std::string &model, const std::vector<std::string> &hosts)
 {
     if (hosts.empty()) {
         m_holders.erase(model);
--- /dev/null
+++ b/tests/src/unit-suspects.cpp
@@ -0,0 +1,157 @@
+#include <celeryroute/detail/routing/suspecttable.h>
+
+#include <algorithm>
+#include <iostream>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace celeryroute;
+using namespace std::chrono_literals;
+
+TEST_GROUP(SuspectTable)
+{
+    TimePoint now{};
+    SuspectTable table;
+
+    void check(const std::string &digest, SuspectVerdict expected)
+    {
+        LONGS_EQUAL(static_cast<int>(expected), static_cast<int>(table.verdict(digest)));
+    }
+};
+
+TEST(SuspectTable, targetDies_allInFlightBecomeSuspects)
+{
+    LONGS_EQUAL(2, table.targetDied("h1", "c1", {"bad", "beside"}, now).size());
+    check("bad", SuspectVerdict::Suspect);
+    check("beside", SuspectVerdict::Suspect);
+    check("elsewhere", SuspectVerdict::Clear);
+}
+
+TEST(SuspectTable, secondCrashAlone_quarantinesAndFreesThoseBeside)
+{
+    table.targetDied("h1", "c1", {"bad", "beside"}, now);
+    table.targetDied("h2", "c2", {"bad"}, now);
+    check("bad", SuspectVerdict::Quarantined);
+    check("beside", SuspectVerdict::Clear);
+}
+
+TEST(SuspectTable, suspectFinishesAlone_isCleared)
+{
+    table.targetDied("h1", "c1", {"bad", "beside"}, now);
+    LONGS_EQUAL(1, table.finishedAlone("beside").size());
+    check("beside", SuspectVerdict::Clear);
+    check("bad", SuspectVerdict::Suspect);
+    LONGS_EQUAL(0, table.finishedAlone("beside").size());
+}
+
+TEST(SuspectTable, crashAlone_isNotClearedByALaterRunThatEndsWell)
+{
+    table.targetDied("h1", "c1", {"bad"}, now);
+    table.finishedAlone("bad");
+    table.targetDied("h2", "c2", {"bad"}, now);
+    check("bad", SuspectVerdict::Quarantined);
+}
+
+TEST(SuspectTable, twoCrashesInCompany_noThirdTargetIsRisked)
+{
+    table.targetDied("h1", "c1", {"bad", "a"}, now);
+    table.targetDied("h2", "c2", {"bad", "b"}, now);
+    check("bad", SuspectVerdict::Quarantined);
+    check("a", SuspectVerdict::Suspect);
+}
+
+TEST(SuspectTable, oldCrashes_areForgotten)
+{
+    table.targetDied("h1", "c1", {"a", "b"}, now);
+    table.expire(now + 1h);
+    check("a", SuspectVerdict::Suspect);
+    table.expire(now + 3h);
+    check("a", SuspectVerdict::Clear);
+    LONGS_EQUAL(0, table.crashes());
+}
+
+TEST(SuspectTable, manyCrashes_memoryStaysBounded)
+{
+    for (int i = 0; i < 6000; ++i) {
+        table.targetDied("h", "c" + std::to_string(i), {"d" + std::to_string(i)}, now + std::chrono::milliseconds(i));
+    }
+    LONGS_EQUAL(4096, table.crashes());
+    check("d0", SuspectVerdict::Clear);
+    check("d5999", SuspectVerdict::Suspect);
+}
+
+TEST(SuspectTable, noticesInAnyOrderAndRepeated_giveTheSameVerdicts)
+{
+    constexpr std::uint64_t Seeds = 300;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        std::vector<CrashNotice> notices;
+        for (int i = 0; i < 12; ++i) {
+            CrashNotice notice;
+            notice.requestDigest = "d" + std::to_string(random() % 4);
+            notice.crashId = "c" + std::to_string(random() % 4);
+            notice.host = "h";
+            notice.alone = notice.crashId == "c0";
+            notice.cleared = random() % 4 == 0;
+            notices.push_back(notice);
+        }
+        SuspectTable inOrder;
+        for (const CrashNotice &notice : notices) {
+            inOrder.merge(notice, now);
+        }
+        std::vector<CrashNotice> shuffled = notices;
+        shuffled.insert(shuffled.end(), notices.begin(), notices.end());
+        std::shuffle(shuffled.begin(), shuffled.end(), random);
+        SuspectTable other;
+        for (const CrashNotice &notice : shuffled) {
+            other.merge(notice, now);
+        }
+        for (const std::string digest : {"d0", "d1", "d2", "d3"}) {
+            CHECK(inOrder.verdict(digest) == other.verdict(digest));
+        }
+    }
+}
+
+// A request that kills its target is sent again and again through three entries, beside others.
+TEST(SuspectTable, crashingRequestThroughManyEntries_takesDownAtMostTwoTargets)
+{
+    constexpr std::uint64_t Seeds = 300;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        SuspectTable tables[3];
+        int targetsDown = 0;
+        std::set<std::string> innocent = {"a", "b", "c", "d"};
+        for (int round = 0; round < 40; ++round) {
+            SuspectTable &entry = tables[random() % 3];
+            std::vector<std::string> running;
+            const SuspectVerdict verdict = entry.verdict("bad");
+            if (verdict == SuspectVerdict::Quarantined) {
+                continue;
+            }
+            running.push_back("bad");
+            for (const std::string &each : innocent) {
+                const bool joins = verdict == SuspectVerdict::Clear && random() % 2 == 0;
+                if (joins && entry.verdict(each) == SuspectVerdict::Clear) {
+                    running.push_back(each);
+                }
+            }
+            ++targetsDown;
+            std::vector<CrashNotice> notices = entry.targetDied("h" + std::to_string(round),
+                                                                "c" + std::to_string(round),
+                                                                running,
+                                                                now);
+            std::shuffle(notices.begin(), notices.end(), random);
+            for (SuspectTable &table : tables) {
+                for (const CrashNotice &notice : notices) {
+                    table.merge(notice, now);
+                }
+            }
+        }
+        LONGS_EQUAL(2, targetsDown);
+        for (const std::string &each : innocent) {
+            CHECK(tables[0].verdict(each) == SuspectVerdict::Clear);
+        }
+    }
+    std::cout << "crashing request: seeds 1.." << Seeds << ", two targets down in each\n";
+}
--- /dev/null
+++ b/tests/support/keepwarmsimulation.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <celeryroute/detail/routing/keepwarmpolicy.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace celeryroute::simulation {
+
+/// What a policy paid over all models.
+struct KeepWarmOutcome {
+    double idleSeconds = 0.0;
+    double coldStarts = 0.0;
+
+    double cost(KeepWarmCosts costs) const
+    {
+        return idleSeconds * costs.idlePerSecond + coldStarts * costs.coldStart;
+    }
+};
+
+/// @brief Arrival times in seconds of @p count models over @p seconds: steady, rare, bursty and
+/// timer-driven ones.
+inline std::vector<std::vector<double>> keepWarmArrivals(std::size_t count, double seconds, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<std::vector<double>> models(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        const double mean = std::exp(std::uniform_real_distribution<double>(std::log(10.0), std::log(7200.0))(random));
+        std::exponential_distribution<double> gap(1.0 / mean);
+        std::exponential_distribution<double> shortGap(1.0 / 5.0);
+        std::uniform_real_distribution<double> jitter(0.98, 1.02);
+        double time = 0.0;
+        while (time < seconds) {
+            const bool bursty = i % 3 == 1;
+            const bool timed = i % 3 == 2;
+            if (bursty && random() % 8 != 0) {
+                time += shortGap(random);
+            } else {
+                time += timed ? mean * jitter(random) : gap(random);
+            }
+            models[i].push_back(time);
+        }
+    }
+    return models;
+}
+
+/// @brief Replays arrivals; @p keepSeconds(model, gap) says how long the model stays resident
+/// before a gap, and is told of each arrival by @p arrived.
+inline KeepWarmOutcome replayKeepWarm(const std::vector<std::vector<double>> &models,
+                                      const std::function<double(std::size_t, double)> &keepSeconds,
+                                      const std::function<void(std::size_t, double)> &arrived)
+{
+    KeepWarmOutcome outcome;
+    for (std::size_t model = 0; model < models.size(); ++model) {
+        double last = -1.0;
+        for (const double time : models[model]) {
+            if (last < 0.0) {
+                outcome.coldStarts += 1.0;
+            } else {
+                const double gap = time - last;
+                const double keep = keepSeconds(model, gap);
+                outcome.idleSeconds += std::min(gap, keep);
+                outcome.coldStarts += gap > keep ? 1.0 : 0.0;
+            }
+            arrived(model, time);
+            last = time;
+        }
+    }
+    return outcome;
+}
+
+inline KeepWarmOutcome replayLearned(const std::vector<std::vector<double>> &models, KeepWarmCosts costs)
+{
+    std::vector<KeepWarmPolicy> policies(models.size(), KeepWarmPolicy(costs));
+    return replayKeepWarm(
+        models,
+        [&policies](std::size_t model, double) { return toSeconds(policies[model].keepFor()); },
+        [&policies](std::size_t model, double time) { policies[model].noteArrival(TimePoint{} + fromSeconds(time)); });
+}
+
+inline KeepWarmOutcome replayFixed(const std::vector<std::vector<double>> &models, double timeoutSeconds)
+{
+    return replayKeepWarm(
+        models,
+        [timeoutSeconds](std::size_t, double) { return timeoutSeconds; },
+        [](std::size_t, double) {});
+}
+
+/// @brief Knows each gap beforehand: keeps the model through the gaps that are cheaper to bridge.
+inline KeepWarmOutcome replayClairvoyant(const std::vector<std::vector<double>> &models, KeepWarmCosts costs)
+{
+    return replayKeepWarm(
+        models,
+        [costs](std::size_t, double gap) { return gap * costs.idlePerSecond <= costs.coldStart ? gap : 0.0; },
+        [](std::size_t, double) {});
+}
+
+} // namespace celeryroute::simulation
