--- a/include/celeryroute/detail/platform/memorylog.h
+++ b/include/celeryroute/detail/platform/memorylog.h
@@ -24,6 +24,9 @@
     void loseAnswers(int count);
     /// @brief Loses the next @p count appends before they take effect, without an answer.
     void loseAppends(int count);
+    /// @brief Keeps the next @p count appends on their way, without an answer, until deliverHeld().
+    void holdAppends(int count);
+    void deliverHeld();
     /// @brief Forgets all records before @p first.
     void forgetBefore(std::uint64_t first);
     std::uint64_t next() const;
--- a/src/platform/logmemory.cpp
+++ b/src/platform/logmemory.cpp
@@ -4,6 +4,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace celeryroute {
 
@@ -13,6 +14,8 @@
     std::uint64_t first ABSL_GUARDED_BY(mutex) = 0;
     bool down ABSL_GUARDED_BY(mutex) = false;
     int answersToLose ABSL_GUARDED_BY(mutex) = 0;
+    int appendsToHold ABSL_GUARDED_BY(mutex) = 0;
+    std::vector<std::string> held ABSL_GUARDED_BY(mutex);
     int appendsToLose ABSL_GUARDED_BY(mutex) = 0;
 };
 
@@ -51,6 +54,10 @@
     if (takeOne(m_storage->appendsToLose)) {
         return AppendInDoubt{answerLost()};
     }
+    if (takeOne(m_storage->appendsToHold)) {
+        m_storage->held.push_back(record);
+        return AppendInDoubt{answerLost()};
+    }
     m_storage->records.push_back(record);
     if (takeOne(m_storage->answersToLose)) {
         return AppendInDoubt{answerLost()};
@@ -97,6 +104,21 @@
     m_storage->appendsToLose = count;
 }
 
+void MemoryLog::holdAppends(int count)
+{
+    absl::MutexLock lock(&m_storage->mutex);
+    m_storage->appendsToHold = count;
+}
+
+void MemoryLog::deliverHeld()
+{
+    absl::MutexLock lock(&m_storage->mutex);
+    for (std::string &record : m_storage->held) {
+        m_storage->records.push_back(std::move(record));
+    }
+    m_storage->held.clear();
+}
+
 void MemoryLog::forgetBefore(std::uint64_t first)
 {
     absl::MutexLock lock(&m_storage->mutex);
--- a/src/state/fold.cpp
+++ b/src/state/fold.cpp
@@ -2,6 +2,7 @@
 #include <celeryroute/detail/state/foldparts.h>
 #include <celeryroute/detail/state/recordformat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace celeryroute {
@@ -127,6 +128,7 @@
     Refusals refusals = foldBody(tables, record, offset);
     remember(tables, record.id(), revisionAt(offset));
     tables.nextOffset = offset + 1;
+    tables.newestFormat = std::max(tables.newestFormat, record.format());
     const FoldVerdict verdict = verdictOf(record, refusals);
     return {FleetState(std::move(tables)), verdict, std::move(refusals)};
 }
