--- a/src/state/fold.cpp
+++ b/src/state/fold.cpp
@@ -108,9 +108,9 @@
 FoldOutcome fold(FleetState state, const proto::LogRecord &record, std::uint64_t offset)
 {
     StateTables tables = std::move(state).takeTables();
-    const bool stopped = tables.newestFormat > NewestKnownFormat;
+    const bool stopped = tables.refusedFormat > NewestKnownFormat;
     if (stopped || (offset == tables.nextOffset && record.format() > NewestKnownFormat)) {
-        tables.newestFormat = std::max(tables.newestFormat, record.format());
+        tables.refusedFormat = std::max(tables.refusedFormat, record.format());
         return unchanged(std::move(tables), FoldVerdict::Incompatible);
     }
     if (offset != tables.nextOffset) {
