Test the agent end to end and settle what a lost target held

Cause: after a target had died and come back, queued work started although its model was gone, and a step of the load controller looked at all items each time. Change: queued attempts wait for their model again; grants of a predecessor are taken over in one record; the controller steps only when something changed; the control thread runs the authority plan. Result: unit-agent 23 tests against an in-process target: cut and silent streams resume whole, a dead target is reported as crashed and unknown, planned stop finishes work and releases, claims run at most once.

--- a/include/celeryroute/detail/agent/agentloop.h
+++ b/include/celeryroute/detail/agent/agentloop.h
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace celeryroute {
@@ -32,11 +33,13 @@
     void abort();
     /// @brief Any thread.
     std::string statusJson() const;
+    /// @brief Any thread: the items in the target's memory.
+    std::set<std::string> heldItems() const;
 
 private:
     enum class Stage { Serving, FinishingWork, ReleasingGrants, Closing, Closed };
 
-    AgentView newestView();
+    void refreshView();
     void receiveAll();
     void handle(const PeerMessage &message);
     void answerHeartbeat(const PeerMessage &message);
@@ -63,10 +66,12 @@
     std::atomic<bool> m_stopRequested = false;
     std::atomic<bool> m_aborted = false;
     Stage m_stage = Stage::Serving;
+    bool m_engine = false; ///< The pool's targets are engines.
     TimePoint m_stageDeadline;
     TimePoint m_nextStatus;
     mutable absl::Mutex m_statusMutex;
     std::string m_status ABSL_GUARDED_BY(m_statusMutex) = "{}";
+    std::set<std::string> m_heldItems ABSL_GUARDED_BY(m_statusMutex);
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/agent/attemptrunner.h
+++ b/include/celeryroute/detail/agent/attemptrunner.h
@@ -47,6 +47,8 @@
     void itemFailed(const std::string &item, const Error &error, TimePoint now);
     void itemLoading(const std::string &item, TimePoint expectedReady, TimePoint now);
     void itemAbsent(const std::string &item);
+    /// @brief What the target held is not known any more: queued attempts wait for their model again.
+    void targetLost(TimePoint now);
     void targetProbed(TargetCondition condition, TimePoint now);
 
     void step(TimePoint now);
@@ -90,6 +92,7 @@
 
     AttemptServices m_services;
     AgentView m_view;
+    std::shared_ptr<const PoolSpec> m_pool; ///< As last declared; work goes on after its removal.
     std::unique_ptr<AdmissionQueue> m_queue;
     std::map<std::string, AttemptPointer> m_attempts;
     std::deque<AttemptPointer> m_ended;
--- a/include/celeryroute/detail/agent/grantreleaser.h
+++ b/include/celeryroute/detail/agent/grantreleaser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celeryroute/detail/agent/agentview.h>
+#include <celeryroute/detail/residency/residencyaction.h>
 #include <celeryroute/time.h>
 
 #include <cstdint>
@@ -17,18 +18,18 @@
 class GrantReleaser
 {
 public:
-    GrantReleaser(std::string host, std::string pool);
+    GrantReleaser(std::string host, std::string incarnation, std::string pool);
 
-    /// @brief The item of the grant with number @p fencing is not held any more.
-    void add(const std::string &item, std::uint64_t fencing);
+    void add(const ReleaseGrant &release);
     /// @brief Releases to append now; empty when none is due.
     proto::AuthorityChange due(const AgentView &view, TimePoint now);
     bool empty() const;
 
 private:
     std::string m_host;
+    std::string m_incarnation;
     std::string m_pool;
-    std::map<std::string, std::uint64_t> m_pending;
+    std::map<std::string, ReleaseGrant> m_pending;
     TimePoint m_nextProposal;
 };
 
--- a/include/celeryroute/detail/agent/residencyrunner.h
+++ b/include/celeryroute/detail/agent/residencyrunner.h
@@ -18,7 +18,7 @@
     std::function<void(const std::string &item, const Error &error)> failed;
     std::function<void(const std::string &item, TimePoint expectedReady)> loading;
     std::function<void(const std::string &item)> absent;
-    std::function<void(const std::string &item, std::uint64_t fencing)> released;
+    std::function<void(const ReleaseGrant &release)> released;
     std::function<void(const RequestLoadSlot &request)> slotWanted;
     std::function<void(const AgentEvent &event)> event;
 };
@@ -29,7 +29,7 @@
 public:
     ResidencyRunner(const AgentSettings &settings,
                     HttpMultiClient &client,
-                    std::function<AgentView()> newestView,
+                    std::function<void()> refreshView,
                     ResidencyObserver observer,
                     TimePoint now);
 
@@ -50,7 +50,7 @@
 
     const AgentSettings &m_settings;
     HttpMultiClient &m_client;
-    std::function<AgentView()> m_newestView;
+    std::function<void()> m_refreshView; ///< Calls updateView() when there is a newer one.
     ResidencyObserver m_observer;
     LoadController m_controller;
 };
--- a/include/celeryroute/detail/residency/loadcontroller.h
+++ b/include/celeryroute/detail/residency/loadcontroller.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,8 @@
     /// @brief The grants of the newest agreed state.
     void updateGrants(std::shared_ptr<const GrantTable> grants);
     void setCapacity(std::uint32_t capacityMb);
+    /// @brief Whether step() has anything to look at; cheap, for calling it often.
+    bool due(TimePoint now) const;
 
     /// @brief Asks for @p item; a missing one is loaded once for all that ask.
     Readiness demand(const std::string &item, const LoadDemand &demand, TimePoint now);
@@ -67,6 +70,8 @@
     void onInventoryFailed(TimePoint now);
     /// @brief The target died or was replaced: nothing is known about its memory.
     void onTargetLost(TimePoint now);
+    /// @brief Something points to a change at the target: read the inventory again.
+    void recheck();
     /// @brief From now on every grant counts as revoked.
     void beginDrain();
 
@@ -92,11 +97,11 @@
     bool resident(const std::string &item) const;
     bool staleVersion(const std::string &item) const;
     bool idle(const std::string &item) const;
-    bool evictable(const std::string &item) const;
-    bool wantedByWaiting(const std::string &item) const;
-    std::uint64_t reclaimableMb() const;
+    std::set<std::string> neededByWaiting() const;
+    std::uint64_t reclaimableMb(const std::set<std::string> &needed) const;
     bool hasOrder(const std::string &item) const;
 
+    bool inventoryWanted() const;
     void stepInventory(ResidencyActions &actions, TimePoint now);
     void stepReadiness(ResidencyActions &actions);
     void stepUnloads(ResidencyActions &actions, TimePoint now);
@@ -106,13 +111,14 @@
     bool tryLoad(const std::string &item, ResidencyActions &actions, TimePoint now);
     bool takeSlot(const std::string &item, ResidencyActions &actions);
     bool makeRoom(std::uint32_t neededMb, ResidencyActions &actions, TimePoint now);
-    std::optional<std::string> cheapestVictim(TimePoint now) const;
+    std::optional<std::string> cheapestVictim(const std::set<std::string> &needed, TimePoint now) const;
     void sendOrder(ModelOrder order, ResidencyActions &actions, TimePoint now);
     void orderUnload(const std::string &item, ResidencyActions &actions, TimePoint now);
 
     void finishLoad(const ModelOrder &order, OrderOutcome outcome, TimePoint now);
     void finishUnload(const ModelOrder &order, OrderOutcome outcome, TimePoint now);
     void retryLoad(const std::string &item, TimePoint now);
+    void delayRetry(const std::string &item, TimePoint retryAfter);
     void failItem(const std::string &item, const Error &error);
     void putInDoubt(const std::string &item, OrderKind kind, TimePoint settledAfter);
     void settle(const std::string &item, const InventoryItem *reported, TimePoint readStarted);
@@ -122,6 +128,7 @@
     MemoryLedger m_ledger;
     std::shared_ptr<const GrantTable> m_grants;
     std::map<std::string, ItemDemand> m_demands;
+    std::set<std::string> m_waiting; ///< Items for which requests wait.
     std::map<std::uint64_t, OutstandingOrder> m_orders;
     std::map<std::string, std::uint64_t> m_orderOfItem;
     std::map<std::string, Doubt> m_doubts;
@@ -129,11 +136,13 @@
     ResidencyActions m_failures;
     TimePoint m_startSettledAfter;
     TimePoint m_nextInventory;
+    std::set<TimePoint> m_retries; ///< Ends of backoffs that step() has not seen.
     std::uint64_t m_nextOrder = 1;
     bool m_started = false;
     bool m_inventoryWanted = true;
     bool m_inventoryReading = false;
     bool m_draining = false;
+    bool m_changed = true; ///< Something happened since the last step().
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/residency/residencyaction.h
+++ b/include/celeryroute/detail/residency/residencyaction.h
@@ -41,10 +41,11 @@
     bool operator==(const ItemFailed &) const = default;
 };
 
-/// The item is not held any more; its grant can be released.
+/// A grant that is not needed any more is to be released.
 struct ReleaseGrant {
     std::string item;
     std::uint64_t fencing = 0;
+    bool takeOver = false; ///< Grant it to this incarnation in the same record.
     bool operator==(const ReleaseGrant &) const = default;
 };
 
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -1,21 +1,51 @@
 #include <celeryroute/detail/agent/agent.h>
 #include <celeryroute/detail/agent/agentloop.h>
+#include <celeryroute/detail/agent/authoritycontrol.h>
+
+#include <absl/synchronization/notification.h>
 
 #include <atomic>
 #include <thread>
 
 namespace celeryroute {
 
+namespace {
+
+constexpr absl::Duration ControlInterval = absl::Milliseconds(100);
+
+} // namespace
+
 class Agent::Private
 {
 public:
     Private(AgentSettings settings, AgentHooks hooks, TransportContext &context)
-        : loop(std::move(settings), std::move(hooks), context)
+        : settings(std::move(settings))
+        , hooks(std::move(hooks))
+        , loop(this->settings, this->hooks, context)
     {}
 
+    void runControl()
+    {
+        AuthorityControl authority(settings, hooks);
+        while (!stopping.WaitForNotificationWithTimeout(ControlInterval)) {
+            authority.step(loop.heldItems(), MonotonicClock::now());
+        }
+    }
+
+    void stopControl()
+    {
+        if (!stopping.HasBeenNotified()) {
+            stopping.Notify();
+        }
+    }
+
+    AgentSettings settings;
+    AgentHooks hooks;
     AgentLoop loop;
     std::string endpoint;
     std::thread traffic;
+    std::thread control;
+    absl::Notification stopping;
     std::atomic<bool> finished = false;
 };
 
@@ -25,6 +55,10 @@
 
 Agent::~Agent()
 {
+    m_private->stopControl();
+    if (m_private->control.joinable()) {
+        m_private->control.join();
+    }
     m_private->loop.abort();
     if (m_private->traffic.joinable()) {
         m_private->traffic.join();
@@ -39,6 +73,7 @@
         m_private->loop.run();
         m_private->finished = true;
     });
+    m_private->control = std::thread([this] { m_private->runControl(); });
     return {};
 }
 
@@ -49,6 +84,8 @@
 
 void Agent::requestStop()
 {
+    // A leaving agent proposes nothing for itself any more.
+    m_private->stopControl();
     m_private->loop.requestStop();
 }
 
--- a/src/agent/agentloop.cpp
+++ b/src/agent/agentloop.cpp
@@ -38,7 +38,7 @@
     , m_residency(
           m_settings,
           m_client,
-          [this] { return newestView(); },
+          [this] { refreshView(); },
           residencyObserver(),
           MonotonicClock::now())
     , m_monitor(m_settings,
@@ -50,7 +50,7 @@
                                  m_residency.controller(),
                                  m_monitor,
                                  [this](const AgentEvent &event) { emit(event); }})
-    , m_releaser(m_settings.host, m_settings.pool)
+    , m_releaser(m_settings.host, m_settings.incarnation, m_settings.pool)
 {}
 
 ResidencyObserver AgentLoop::residencyObserver()
@@ -64,7 +64,7 @@
         m_attempts.itemLoading(item, expectedReady, MonotonicClock::now());
     };
     observer.absent = [this](const std::string &item) { m_attempts.itemAbsent(item); };
-    observer.released = [this](const std::string &item, std::uint64_t fencing) { m_releaser.add(item, fencing); };
+    observer.released = [this](const ReleaseGrant &release) { m_releaser.add(release); };
     observer.slotWanted = [this](const RequestLoadSlot &request) { m_residency.controller().grantSlot(request.item); };
     observer.event = [this](const AgentEvent &event) { emit(event); };
     return observer;
@@ -104,13 +104,19 @@
     }
 }
 
-AgentView AgentLoop::newestView()
+void AgentLoop::refreshView()
 {
     std::shared_ptr<const FleetState> state = m_hooks.state();
-    if (state != m_view.state) {
-        m_view = makeAgentView(std::move(state), m_settings.host, m_settings.incarnation, m_settings.pool);
+    if (state == m_view.state) {
+        return;
+    }
+    m_view = makeAgentView(std::move(state), m_settings.host, m_settings.incarnation, m_settings.pool);
+    m_attempts.updateView(m_view);
+    m_residency.updateView(m_view);
+    if (m_view.pool) {
+        m_engine = m_view.pool->kind == PoolKind::Engine;
+        m_monitor.setKind(m_view.pool->kind);
     }
-    return m_view;
 }
 
 void AgentLoop::receiveAll()
@@ -129,6 +135,7 @@
     }
     switch (envelope.body_case()) {
     case proto::Envelope::kSubmit:
+        refreshView();
         m_attempts.submit(message, now);
         break;
     case proto::Envelope::kCancel:
@@ -177,12 +184,7 @@
 
 void AgentLoop::step(TimePoint now)
 {
-    const AgentView view = newestView();
-    m_attempts.updateView(view);
-    m_residency.updateView(view);
-    if (view.pool) {
-        m_monitor.setKind(view.pool->kind);
-    }
+    refreshView();
     m_monitor.step(now);
     m_attempts.step(now);
     stepResidency(now);
@@ -197,7 +199,7 @@
 
 void AgentLoop::stepResidency(TimePoint now)
 {
-    if (m_view.pool && m_view.pool->kind == PoolKind::Engine) {
+    if (m_engine) {
         m_residency.step(now);
     }
 }
@@ -233,9 +235,8 @@
         m_residency.controller().beginDrain();
     }
     if (m_stage == Stage::ReleasingGrants) {
-        const bool engine = m_view.pool && m_view.pool->kind == PoolKind::Engine;
         const LoadController &controller = m_residency.controller();
-        const bool released = !engine || (controller.started() && controller.drained() && m_releaser.empty());
+        const bool released = !m_engine || (controller.started() && controller.drained() && m_releaser.empty());
         if (released || now >= m_stageDeadline) {
             m_stage = Stage::Closing;
             m_stageDeadline = now + ClosingTime;
@@ -254,8 +255,9 @@
         event.kind = condition == TargetCondition::Alive ? AgentEventKind::TargetUp : AgentEventKind::TargetDown;
         emit(event);
     }
-    if (condition == TargetCondition::Dead && before != TargetCondition::Dead) {
+    if (condition != TargetCondition::Alive) {
         m_residency.controller().onTargetLost(now);
+        m_attempts.targetLost(now);
     }
     m_attempts.targetProbed(condition, now);
 }
@@ -299,8 +301,19 @@
                                   {"phase", proto::ModelResidency::Phase_Name(model.phase())},
                                   {"memory_mb", model.memory_mb()}});
     }
+    std::set<std::string> held;
+    for (const auto &[item, entry] : m_residency.controller().ledger().items()) {
+        held.insert(item);
+    }
     absl::MutexLock lock(&m_statusMutex);
     m_status = json.dump();
+    m_heldItems = std::move(held);
+}
+
+std::set<std::string> AgentLoop::heldItems() const
+{
+    absl::MutexLock lock(&m_statusMutex);
+    return m_heldItems;
 }
 
 std::string AgentLoop::statusJson() const
--- a/src/agent/agentview.cpp
+++ b/src/agent/agentview.cpp
@@ -36,6 +36,7 @@
     }
     view.drained = state->hostDrained(host);
     const Versioned<PoolSpec> *declared = state->pool(pool);
+    view.grants = std::make_shared<const GrantTable>();
     if (declared != nullptr) {
         view.pool = std::make_shared<const PoolSpec>(declared->value);
         view.grants = std::make_shared<const GrantTable>(grantsOf(*state, *view.pool, host, incarnation));
--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -36,8 +36,7 @@
 
 void AttemptRunner::startCall(const AttemptPointer &attempt)
 {
-    const PoolKind kind = m_view.pool->kind;
-    const HttpCall call = targetRequest(m_services.settings, kind, attempt->submit(), attempt->meter.events());
+    const HttpCall call = targetRequest(m_services.settings, m_pool->kind, attempt->submit(), attempt->meter.events());
     HttpCallObserver observer;
     observer.onHead = [this, attempt](int status, const HttpFields &headers) { onHead(attempt, status, headers); };
     observer.onData = [this, attempt](const std::string &data) { onData(attempt, data); };
@@ -50,6 +49,7 @@
     attempt->reachedTarget = true;
     const bool refused = isEngine() && (attempt->headSent ? status != HttpOk : engineFailed(status));
     if (refused) {
+        m_services.residency.recheck();
         cutCall(attempt);
         // An engine that does not know a stream it had begun was replaced meanwhile.
         const bool crashed = attempt->headSent && status == HttpNotFound;
@@ -108,6 +108,7 @@
 {
     attempt->phase = AttemptPhase::Suspended;
     attempt->meter.dropPartial();
+    m_services.residency.recheck();
     m_services.monitor.probeSoon();
 }
 
--- a/src/agent/attemptrunner.cpp
+++ b/src/agent/attemptrunner.cpp
@@ -35,9 +35,10 @@
     if (!view.pool) {
         return;
     }
+    m_pool = view.pool;
     QueueLimits limits;
-    limits.maxRunning = view.pool->maxConcurrent > 0 ? view.pool->maxConcurrent : DefaultMaxConcurrent;
-    limits.maxQueued = view.pool->maxQueued > 0 ? view.pool->maxQueued : DefaultMaxQueued;
+    limits.maxRunning = m_pool->maxConcurrent > 0 ? m_pool->maxConcurrent : DefaultMaxConcurrent;
+    limits.maxQueued = m_pool->maxQueued > 0 ? m_pool->maxQueued : DefaultMaxQueued;
     limits.maxBytes = m_services.settings.maxQueuedBytes;
     if (!m_queue) {
         m_queue = std::make_unique<AdmissionQueue>(limits);
@@ -101,6 +102,9 @@
     case Readiness::Waiting:
         attempt->waitsForLoad = true;
         attempt->cold = true;
+        if (m_services.residency.ledger().phase(item) != ItemPhase::Loading) {
+            m_queue->setModelAbsent(item);
+        }
         return true;
     case Readiness::NotAuthorized:
         break;
@@ -212,6 +216,21 @@
     itemAbsent(item);
 }
 
+void AttemptRunner::targetLost(TimePoint now)
+{
+    std::vector<AttemptPointer> queued;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt->phase == AttemptPhase::Queued && attempt->pinned) {
+            queued.push_back(attempt);
+        }
+    }
+    for (const AttemptPointer &attempt : queued) {
+        attempt->pinned = false;
+        m_services.residency.endUse(attempt->submit().model(), now);
+        admitModel(attempt, now);
+    }
+}
+
 void AttemptRunner::itemLoading(const std::string &item, TimePoint expectedReady, TimePoint now)
 {
     if (m_queue) {
@@ -331,7 +350,7 @@
     load.set_running(static_cast<std::uint32_t>(m_queue->running()));
     load.set_queued(static_cast<std::uint32_t>(m_queue->waiting()));
     load.set_queued_tokens(m_queue->waitingTokens());
-    load.set_max_concurrent(m_view.pool->maxConcurrent);
+    load.set_max_concurrent(m_pool->maxConcurrent);
 }
 
 AttemptRunner::AttemptPointer AttemptRunner::find(const std::string &id) const
@@ -342,7 +361,7 @@
 
 bool AttemptRunner::isEngine() const
 {
-    return m_view.pool && m_view.pool->kind == PoolKind::Engine;
+    return m_pool && m_pool->kind == PoolKind::Engine;
 }
 
 void AttemptRunner::emit(AgentEventKind kind, const Attempt &attempt, std::string detail)
--- a/src/agent/residencyrunner.cpp
+++ b/src/agent/residencyrunner.cpp
@@ -40,12 +40,12 @@
 
 ResidencyRunner::ResidencyRunner(const AgentSettings &settings,
                                  HttpMultiClient &client,
-                                 std::function<AgentView()> newestView,
+                                 std::function<void()> refreshView,
                                  ResidencyObserver observer,
                                  TimePoint now)
     : m_settings(settings)
     , m_client(client)
-    , m_newestView(std::move(newestView))
+    , m_refreshView(std::move(refreshView))
     , m_observer(std::move(observer))
     , m_controller(controllerSettings(settings), now)
 {}
@@ -91,7 +91,7 @@
                    [this](const RequestLoadSlot &request) { m_observer.slotWanted(request); },
                    [this](const ItemReady &ready) { m_observer.ready(ready.item); },
                    [this](const ItemFailed &failed) { m_observer.failed(failed.item, failed.error); },
-                   [this](const ReleaseGrant &release) { m_observer.released(release.item, release.fencing); },
+                   [this](const ReleaseGrant &release) { m_observer.released(release); },
                },
                action);
 }
@@ -99,7 +99,7 @@
 void ResidencyRunner::sendOrder(const ModelOrder &order)
 {
     // A pause between the decision and this moment may have outlived the grant.
-    updateView(m_newestView());
+    m_refreshView();
     if (!m_controller.confirmSend(order, MonotonicClock::now())) {
         return;
     }
--- a/src/residency/loadcontroller.cpp
+++ b/src/residency/loadcontroller.cpp
@@ -16,13 +16,19 @@
 
 void LoadController::updateGrants(std::shared_ptr<const GrantTable> grants)
 {
-    m_grants = std::move(grants);
+    if (grants != m_grants) {
+        m_grants = std::move(grants);
+        m_changed = true;
+    }
 }
 
 void LoadController::setCapacity(std::uint32_t capacityMb)
 {
-    m_settings.capacityMb = capacityMb;
-    m_ledger.setCapacity(capacityMb);
+    if (capacityMb != m_settings.capacityMb) {
+        m_settings.capacityMb = capacityMb;
+        m_ledger.setCapacity(capacityMb);
+        m_changed = true;
+    }
 }
 
 Readiness LoadController::demand(const std::string &item, const LoadDemand &demand, TimePoint now)
@@ -41,6 +47,8 @@
         entry.mostUrgent = demand;
     }
     ++entry.waiting;
+    m_waiting.insert(item);
+    m_changed = true;
     entry.lastUse = std::max(entry.lastUse, now);
     return Readiness::Waiting;
 }
@@ -48,8 +56,8 @@
 void LoadController::withdrawDemand(const std::string &item)
 {
     ItemDemand &entry = m_demands[item];
-    if (entry.waiting > 0) {
-        --entry.waiting;
+    if (entry.waiting > 0 && --entry.waiting == 0) {
+        m_waiting.erase(item);
     }
 }
 
@@ -66,8 +74,8 @@
 void LoadController::endUse(const std::string &item, TimePoint now)
 {
     ItemDemand &entry = m_demands[item];
-    if (entry.uses > 0) {
-        --entry.uses;
+    if (entry.uses > 0 && --entry.uses == 0) {
+        m_changed = true;
     }
     entry.lastUse = std::max(entry.lastUse, now);
     if (isAdapter(item)) {
@@ -78,6 +86,7 @@
 void LoadController::grantSlot(const std::string &item)
 {
     m_demands[item].slotGranted = true;
+    m_changed = true;
 }
 
 bool LoadController::confirmSend(const ModelOrder &order, TimePoint now)
@@ -95,6 +104,7 @@
     }
     m_orders.erase(found);
     m_orderOfItem.erase(order.item);
+    m_changed = true;
     if (load) {
         m_ledger.confirmAbsent(order.item);
     } else {
@@ -109,6 +119,7 @@
     if (found == m_orders.end()) {
         return;
     }
+    m_changed = true;
     const ModelOrder order = found->second.order;
     m_orders.erase(found);
     m_orderOfItem.erase(order.item);
@@ -131,7 +142,7 @@
         return;
     }
     m_ledger.confirmAbsent(order.item);
-    demand.retryAfter = now + m_settings.failureBackoff;
+    delayRetry(order.item, now + m_settings.failureBackoff);
     if (outcome == OrderOutcome::FencingRefused) {
         failItem(order.item, Error{ResultCode::NotAuthorized, "the target refused the fencing number of the load"});
     } else if (outcome == OrderOutcome::NoMemory) {
@@ -148,7 +159,7 @@
     ItemDemand &demand = m_demands[item];
     ++demand.failures;
     if (demand.failures < MaxFailures) {
-        demand.retryAfter = now + m_settings.failureBackoff * (1U << demand.failures);
+        delayRetry(item, now + m_settings.failureBackoff * (1U << demand.failures));
         return;
     }
     demand.failures = 0;
@@ -162,16 +173,24 @@
         return;
     }
     m_ledger.confirmResident(order.item);
-    m_demands[order.item].retryAfter = now + m_settings.failureBackoff;
+    delayRetry(order.item, now + m_settings.failureBackoff);
+}
+
+void LoadController::delayRetry(const std::string &item, TimePoint retryAfter)
+{
+    m_demands[item].retryAfter = retryAfter;
+    m_retries.insert(retryAfter);
 }
 
 void LoadController::failItem(const std::string &item, const Error &error)
 {
-    for (auto &[name, demand] : m_demands) {
-        const bool affected = name == item || (isAdapter(name) && baseModel(name) == item);
-        if (affected && demand.waiting > 0) {
-            demand.waiting = 0;
+    const std::set<std::string> waiting = m_waiting;
+    for (const std::string &name : waiting) {
+        if (name == item || baseModel(name) == item) {
+            m_demands[name].waiting = 0;
+            m_waiting.erase(name);
             m_failures.emplace_back(ItemFailed{name, error});
+            m_changed = true;
         }
     }
 }
@@ -187,6 +206,7 @@
 {
     m_inventoryReading = false;
     m_inventoryWanted = false;
+    m_changed = true;
     m_nextInventory = now + m_settings.inventoryInterval;
     std::map<std::string, const InventoryItem *> reported;
     for (const InventoryItem &entry : inventory.items) {
@@ -204,6 +224,8 @@
     }
     if (readStarted >= m_startSettledAfter) {
         m_started = true;
+    } else {
+        m_nextInventory = std::max(now, std::min(m_nextInventory, m_startSettledAfter));
     }
 }
 
@@ -263,12 +285,20 @@
             putInDoubt(item, OrderKind::Load, now);
         }
     }
+    m_changed = true;
+    m_inventoryWanted = true;
+}
+
+void LoadController::recheck()
+{
     m_inventoryWanted = true;
+    m_changed = true;
 }
 
 void LoadController::beginDrain()
 {
     m_draining = true;
+    m_changed = true;
 }
 
 const MemoryLedger &LoadController::ledger() const
--- a/src/residency/loadcontrollersteps.cpp
+++ b/src/residency/loadcontrollersteps.cpp
@@ -7,12 +7,25 @@
 
 namespace celeryroute {
 
+bool LoadController::due(TimePoint now) const
+{
+    const bool inventoryDue = !m_inventoryReading && inventoryWanted() && m_nextInventory <= now;
+    const bool retryDue = !m_retries.empty() && *m_retries.begin() <= now;
+    return m_changed || inventoryDue || retryDue;
+}
+
 ResidencyActions LoadController::step(TimePoint now)
 {
+    if (!due(now)) {
+        return {};
+    }
+    m_changed = false;
+    m_retries.erase(m_retries.begin(), m_retries.upper_bound(now));
     ResidencyActions actions = std::exchange(m_failures, {});
     stepReadiness(actions);
     // The owner pins what became ready before anything is chosen for eviction.
     if (!actions.empty()) {
+        m_changed = true;
         return actions;
     }
     stepInventory(actions, now);
@@ -28,18 +41,24 @@
 
 void LoadController::stepReadiness(ResidencyActions &actions)
 {
-    for (auto &[item, demand] : m_demands) {
-        if (demand.waiting > 0 && resident(item) && !staleVersion(item)) {
-            demand.waiting = 0;
+    const std::set<std::string> waiting = m_waiting;
+    for (const std::string &item : waiting) {
+        if (resident(item) && !staleVersion(item)) {
+            m_demands[item].waiting = 0;
+            m_waiting.erase(item);
             actions.emplace_back(ItemReady{item});
         }
     }
 }
 
+bool LoadController::inventoryWanted() const
+{
+    return m_inventoryWanted || !m_started || !m_doubts.empty();
+}
+
 void LoadController::stepInventory(ResidencyActions &actions, TimePoint now)
 {
-    const bool wanted = m_inventoryWanted || !m_started || !m_doubts.empty();
-    if (m_inventoryReading || !wanted || now < m_nextInventory) {
+    if (m_inventoryReading || !inventoryWanted() || now < m_nextInventory) {
         return;
     }
     m_inventoryReading = true;
@@ -60,12 +79,13 @@
 void LoadController::stepReleases(ResidencyActions &actions)
 {
     for (const auto &[item, grant] : *m_grants) {
-        const bool ended = grant.revoked || grant.predecessor || m_draining;
-        if (!ended || m_ledger.phase(item) != ItemPhase::Absent || m_released[item] == grant.fencing) {
-            continue;
+        // A predecessor on this host cannot run beside this process, so its grants pass to this one.
+        const bool takeOver = grant.predecessor && !grant.revoked && !m_draining;
+        const bool ended = (grant.revoked || m_draining) && m_ledger.phase(item) == ItemPhase::Absent;
+        if ((takeOver || ended) && m_released[item] != grant.fencing) {
+            m_released[item] = grant.fencing;
+            actions.emplace_back(ReleaseGrant{item, grant.fencing, takeOver});
         }
-        m_released[item] = grant.fencing;
-        actions.emplace_back(ReleaseGrant{item, grant.fencing});
     }
 }
 
@@ -89,10 +109,11 @@
         }
     };
     std::vector<std::string> refused;
-    for (const auto &[item, demand] : m_demands) {
-        if (demand.waiting == 0 || m_ledger.phase(item) != ItemPhase::Absent) {
+    for (const std::string &item : m_waiting) {
+        if (m_ledger.phase(item) != ItemPhase::Absent) {
             continue;
         }
+        const ItemDemand &demand = m_demands[item];
         const std::string base = baseModel(item);
         const bool needsBase = isAdapter(item) && m_ledger.phase(base) == ItemPhase::Absent;
         const bool baseServed = !isAdapter(item) || mayServe(base);
@@ -157,12 +178,13 @@
 
 bool LoadController::makeRoom(std::uint32_t neededMb, ResidencyActions &actions, TimePoint now)
 {
+    const std::set<std::string> needed = neededByWaiting();
     std::uint64_t coming = std::uint64_t(m_ledger.freeMb()) + m_ledger.unloadingMb();
-    if (coming + reclaimableMb() < neededMb) {
+    if (coming + reclaimableMb(needed) < neededMb) {
         return false;
     }
     while (coming < neededMb) {
-        const std::optional<std::string> victim = cheapestVictim(now);
+        const std::optional<std::string> victim = cheapestVictim(needed, now);
         if (!victim) {
             break;
         }
@@ -172,12 +194,12 @@
     return true;
 }
 
-std::optional<std::string> LoadController::cheapestVictim(TimePoint now) const
+std::optional<std::string> LoadController::cheapestVictim(const std::set<std::string> &needed, TimePoint now) const
 {
     std::optional<std::string> victim;
     double lowest = 0;
     for (const auto &[item, entry] : m_ledger.items()) {
-        if (!evictable(item)) {
+        if (entry.phase != ItemPhase::Resident || needed.contains(item) || !idle(item)) {
             continue;
         }
         const auto demand = m_demands.find(item);
@@ -268,25 +290,21 @@
     });
 }
 
-bool LoadController::evictable(const std::string &item) const
-{
-    return m_ledger.phase(item) == ItemPhase::Resident && idle(item) && !wantedByWaiting(item);
-}
-
-bool LoadController::wantedByWaiting(const std::string &item) const
+std::set<std::string> LoadController::neededByWaiting() const
 {
-    return std::any_of(m_demands.begin(), m_demands.end(), [&item](const auto &entry) {
-        const bool needs = entry.first == item || baseModel(entry.first) == item;
-        return needs && entry.second.waiting > 0;
-    });
+    std::set<std::string> needed = m_waiting;
+    for (const std::string &item : m_waiting) {
+        needed.insert(baseModel(item));
+    }
+    return needed;
 }
 
-std::uint64_t LoadController::reclaimableMb() const
+std::uint64_t LoadController::reclaimableMb(const std::set<std::string> &needed) const
 {
     std::uint64_t sum = 0;
     for (const auto &[item, entry] : m_ledger.items()) {
         // Adapters in use pin their model too, so an unused model can go once its adapters have gone.
-        if (entry.phase == ItemPhase::Resident && !inUse(item) && !wantedByWaiting(item)) {
+        if (entry.phase == ItemPhase::Resident && !inUse(item) && !needed.contains(item)) {
             sum += entry.memoryMb;
         }
     }
--- a/src/state/fold.cpp
+++ b/src/state/fold.cpp
@@ -2,7 +2,6 @@
 #include <celeryroute/detail/state/foldparts.h>
 #include <celeryroute/detail/state/recordformat.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace celeryroute {
@@ -108,9 +107,9 @@
 FoldOutcome fold(FleetState state, const proto::LogRecord &record, std::uint64_t offset)
 {
     StateTables tables = std::move(state).takeTables();
-    const bool stopped = tables.refusedFormat > NewestKnownFormat;
+    const bool stopped = tables.newestFormat > NewestKnownFormat;
     if (stopped || (offset == tables.nextOffset && record.format() > NewestKnownFormat)) {
-        tables.refusedFormat = std::max(tables.refusedFormat, record.format());
+        tables.newestFormat = std::max(tables.newestFormat, record.format());
         return unchanged(std::move(tables), FoldVerdict::Incompatible);
     }
     if (offset != tables.nextOffset) {
@@ -128,7 +127,6 @@
     Refusals refusals = foldBody(tables, record, offset);
     remember(tables, record.id(), revisionAt(offset));
     tables.nextOffset = offset + 1;
-    tables.newestFormat = std::max(tables.newestFormat, record.format());
     const FoldVerdict verdict = verdictOf(record, refusals);
     return {FleetState(std::move(tables)), verdict, std::move(refusals)};
 }
--- /dev/null
+++ b/tests/support/faketarget.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <celeryroute/detail/http/httpserver.h>
+#include <celeryroute/detail/residency/engineinventory.h>
+
+#include <absl/synchronization/mutex.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace celeryroute::test {
+
+/// @brief An engine or plain service inside the test process, with faults on request.
+///
+/// An answer of the engine has events `t0` to `t4` and the closing one.
+class FakeTarget
+{
+public:
+    static constexpr int EventsPerAnswer = 5;
+
+    FakeTarget();
+    ~FakeTarget();
+
+    std::string url() const;
+    void kill();
+    void restart();
+
+    /// The next streamed answer is cut, or goes silent, after this many events.
+    void cutNextAfter(int events);
+    void silenceNextAfter(int events);
+    /// The next order takes effect, but its answer is cut.
+    void loseNextOrderAnswer();
+    /// Answers to calls wait until release().
+    void hold();
+    void release();
+
+    void addResident(const InventoryItem &item);
+    std::vector<HttpRequest> received(const std::string &pathPrefix) const;
+    void waitForRequests(const std::string &pathPrefix, std::size_t count) const;
+    bool resident(const std::string &item) const;
+
+private:
+    using Responder = std::shared_ptr<HttpResponder>;
+    struct HeldCall {
+        HttpRequest request;
+        Responder responder;
+    };
+
+    void start(std::uint16_t port);
+    void handle(const HttpRequest &request, const Responder &responder);
+    void answerCall(const HttpRequest &request, const Responder &responder);
+    void answerOrder(const HttpRequest &request, const Responder &responder);
+    std::string inventoryJson() const;
+    std::size_t countReceived(const std::string &pathPrefix) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    mutable absl::Mutex m_mutex;
+    std::vector<HttpRequest> m_received ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, InventoryItem> m_items ABSL_GUARDED_BY(m_mutex);
+    std::vector<HeldCall> m_held ABSL_GUARDED_BY(m_mutex);
+    std::vector<Responder> m_silent ABSL_GUARDED_BY(m_mutex);
+    int m_cutAfter ABSL_GUARDED_BY(m_mutex) = -1;
+    int m_silentAfter ABSL_GUARDED_BY(m_mutex) = -1;
+    bool m_loseOrder ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_holding ABSL_GUARDED_BY(m_mutex) = false;
+    std::uint16_t m_port = 0;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace celeryroute::test
