--- a/include/celeryroute/detail/state/snapshot.h
+++ b/include/celeryroute/detail/state/snapshot.h
@@ -19,7 +19,7 @@
 proto::StateSnapshot toWholeSnapshot(const FleetState &state);
 
 /// @brief The state that @p parts describe. Fails with RecordMalformed when a part is missing,
-/// belongs to another snapshot or cannot be read.
+/// belongs to another snapshot or cannot be read, and with RecordNewerFormat.
 Result<FleetState> fromSnapshot(const std::vector<proto::StateSnapshot> &parts);
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/state/statetables.h
+++ b/include/celeryroute/detail/state/statetables.h
@@ -20,7 +20,8 @@
 /// The tables of a FleetState; a copy shares them until it is edited.
 struct StateTables {
     std::uint64_t nextOffset = 0; ///< First offset not folded.
-    std::uint32_t newestFormat = 0; ///< Highest format of a record met.
+    std::uint32_t newestFormat = 0; ///< Highest format of a record folded.
+    std::uint32_t refusedFormat = 0; ///< Of the record at nextOffset that cannot be folded; 0 for none.
     CopyOnWrite<RouteTable> routes;
     CopyOnWrite<PoolTable> pools;
     CopyOnWrite<CustomerTable> customers;
--- a/src/config/similarname.cpp
+++ b/src/config/similarname.cpp
@@ -27,7 +27,7 @@
 
 std::string similarName(const std::string &name, const std::vector<std::string> &known)
 {
-    std::size_t bestDistance = std::max<std::size_t>(1, name.size() / 3) + 1;
+    std::size_t bestDistance = name.size() / 3 + 2;
     std::string best;
     for (const std::string &candidate : known) {
         const std::size_t distance = editDistance(name, candidate);
--- a/src/state/fleetstate.cpp
+++ b/src/state/fleetstate.cpp
@@ -46,7 +46,7 @@
 
 bool FleetState::incompatible() const
 {
-    return m_tables.newestFormat > NewestKnownFormat;
+    return m_tables.refusedFormat > NewestKnownFormat;
 }
 
 const Versioned<RouteSpec> *FleetState::route(const std::string &name) const
--- a/src/state/fold.cpp
+++ b/src/state/fold.cpp
@@ -2,6 +2,7 @@
 #include <celeryroute/detail/state/foldparts.h>
 #include <celeryroute/detail/state/recordformat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace celeryroute {
@@ -107,9 +108,9 @@
 FoldOutcome fold(FleetState state, const proto::LogRecord &record, std::uint64_t offset)
 {
     StateTables tables = std::move(state).takeTables();
-    const bool stopped = tables.newestFormat > NewestKnownFormat;
+    const bool stopped = tables.refusedFormat > NewestKnownFormat;
     if (stopped || (offset == tables.nextOffset && record.format() > NewestKnownFormat)) {
-        tables.newestFormat = std::max(tables.newestFormat, record.format());
+        tables.refusedFormat = std::max(tables.refusedFormat, record.format());
         return unchanged(std::move(tables), FoldVerdict::Incompatible);
     }
     if (offset != tables.nextOffset) {
@@ -127,6 +128,7 @@
     Refusals refusals = foldBody(tables, record, offset);
     remember(tables, record.id(), revisionAt(offset));
     tables.nextOffset = offset + 1;
+    tables.newestFormat = std::max(tables.newestFormat, record.format());
     const FoldVerdict verdict = verdictOf(record, refusals);
     return {FleetState(std::move(tables)), verdict, std::move(refusals)};
 }
--- /dev/null
+++ b/src/state/freshnessrule.cpp
@@ -0,0 +1,68 @@
+#include <celeryroute/detail/state/freshnessrule.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+// The clock's extremes stand for never and always; a bound must not overflow them.
+TimePoint later(TimePoint time, Duration bound)
+{
+    const bool extreme = time == TimePoint::min() || time == TimePoint::max();
+    return extreme ? time : time + bound;
+}
+} // namespace
+
+FreshnessRule::FreshnessRule(FreshnessBounds bounds)
+    : m_bounds(bounds)
+{}
+
+void FreshnessRule::confirmedByLog(TimePoint readStartedAt)
+{
+    m_confirmed = std::max(m_confirmed, readStartedAt);
+}
+
+void FreshnessRule::heardFrom(const std::string &domain, TimePoint sentAt)
+{
+    TimePoint &heard = m_heard.emplace(domain, sentAt).first->second;
+    heard = std::max(heard, sentAt);
+}
+
+void FreshnessRule::setLiveDomains(std::set<std::string> domains)
+{
+    m_liveDomains = std::move(domains);
+}
+
+void FreshnessRule::setOffsets(std::uint64_t own, std::uint64_t farthest, TimePoint now)
+{
+    if (own >= farthest) {
+        m_lagSince = TimePoint::max();
+    } else if (m_lagSince == TimePoint::max()) {
+        m_lagSince = now;
+    }
+}
+
+// A process that has never read the log and knows no other host has nothing to rely on.
+TimePoint FreshnessRule::domainsHeardUntil() const
+{
+    if (m_liveDomains.empty()) {
+        return TimePoint::min();
+    }
+    TimePoint until = TimePoint::max();
+    for (const std::string &domain : m_liveDomains) {
+        const auto heard = m_heard.find(domain);
+        const TimePoint last = heard == m_heard.end() ? TimePoint::min() : heard->second;
+        until = std::min(until, later(last, m_bounds.domainSilence));
+    }
+    return until;
+}
+
+TimePoint FreshnessRule::freshUntil() const
+{
+    const TimePoint byLog = later(m_confirmed, m_bounds.logSilence);
+    const TimePoint byDomains = std::min(domainsHeardUntil(), later(m_lagSince, m_bounds.lag));
+    return std::max(byLog, byDomains);
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/state/pendingrecords.cpp
@@ -0,0 +1,133 @@
+#include <celeryroute/detail/state/pendingrecords.h>
+
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+// A record is appended again only while its id is surely remembered wherever it arrived before.
+constexpr std::uint64_t ReappendWindow = RecentIdWindow / 2;
+
+Settlement settlementOf(FoldVerdict verdict)
+{
+    switch (verdict) {
+    case FoldVerdict::Accepted:
+    case FoldVerdict::Ignored:
+        return Settlement::Accepted;
+    case FoldVerdict::PartlyAccepted:
+        return Settlement::PartlyAccepted;
+    case FoldVerdict::Repeated:
+        return Settlement::Recorded;
+    default:
+        return Settlement::Refused;
+    }
+}
+} // namespace
+
+void PendingRecords::add(const proto::LogRecord &record, std::uint64_t nextOffset)
+{
+    Pending pending;
+    pending.bytes = record.SerializeAsString();
+    pending.submittedAt = nextOffset;
+    if (m_pending.emplace(record.id(), std::move(pending)).second) {
+        m_queue.push_back(record.id());
+    }
+}
+
+std::vector<PendingRecords::Append> PendingRecords::takeAppends()
+{
+    std::vector<Append> appends;
+    for (const std::string &id : std::exchange(m_queue, {})) {
+        const auto found = m_pending.find(id);
+        if (found != m_pending.end()) {
+            found->second.phase = Phase::Sent;
+            appends.push_back({id, found->second.bytes});
+        }
+    }
+    return appends;
+}
+
+// A failed second attempt says nothing about the first, whose answer was lost.
+void PendingRecords::appendEnded(const std::string &recordId, const AppendOutcome &outcome, TimePoint now)
+{
+    const auto found = m_pending.find(recordId);
+    if (found == m_pending.end()) {
+        return;
+    }
+    Pending &pending = found->second;
+    pending.endedAt = now;
+    if (std::holds_alternative<Appended>(outcome)) {
+        pending.phase = Phase::Appended;
+        return;
+    }
+    const auto *refused = std::get_if<NotAppended>(&outcome);
+    pending.lastError = refused != nullptr ? refused->error : std::get<AppendInDoubt>(outcome).error;
+    if (refused != nullptr && !pending.everInDoubt) {
+        const Error error = pending.lastError;
+        settle(recordId, {recordId, Settlement::NotAppended, 0, {}, error});
+        return;
+    }
+    pending.phase = Phase::InDoubt;
+    pending.everInDoubt = true;
+}
+
+void PendingRecords::folded(const std::string &recordId,
+                            std::uint64_t offset,
+                            FoldVerdict verdict,
+                            const Refusals &refusals)
+{
+    if (m_pending.count(recordId) != 0) {
+        settle(recordId, {recordId, settlementOf(verdict), offset, refusals, {}});
+    }
+}
+
+void PendingRecords::stateReplaced(const FleetState &state)
+{
+    std::vector<std::string> recorded;
+    for (const auto &[id, pending] : m_pending) {
+        if (hasRecentRecord(state, id)) {
+            recorded.push_back(id);
+        }
+    }
+    for (const std::string &id : recorded) {
+        settle(id, {id, Settlement::Recorded, 0, {}, {}});
+    }
+}
+
+void PendingRecords::logReadToEnd(std::uint64_t nextOffset, TimePoint readStartedAt)
+{
+    std::vector<std::string> lost;
+    for (auto &[id, pending] : m_pending) {
+        const bool missing = pending.phase == Phase::InDoubt || pending.phase == Phase::Appended;
+        if (!missing || readStartedAt < pending.endedAt + SettleDelay) {
+            continue;
+        }
+        if (nextOffset - pending.submittedAt > ReappendWindow) {
+            lost.push_back(id);
+        } else if (pending.phase == Phase::InDoubt) {
+            pending.phase = Phase::Queued;
+            m_queue.push_back(id);
+        }
+    }
+    for (const std::string &id : lost) {
+        settle(id, {id, Settlement::Unsettled, 0, {}, {ResultCode::LogAppendInDoubt, "the record was not found"}});
+    }
+}
+
+std::vector<RecordVerdict> PendingRecords::takeVerdicts()
+{
+    return std::exchange(m_verdicts, {});
+}
+
+std::size_t PendingRecords::size() const
+{
+    return m_pending.size();
+}
+
+void PendingRecords::settle(const std::string &recordId, RecordVerdict verdict)
+{
+    m_verdicts.push_back(std::move(verdict));
+    m_pending.erase(recordId);
+}
+
+} // namespace celeryroute
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/claims/claimsnapshot.h>
 #include <celeryroute/detail/state/fold.h>
+#include <celeryroute/detail/state/recordformat.h>
 #include <celeryroute/detail/state/snapshot.h>
 #include <celeryroute/detail/state/specconversion.h>
 
@@ -212,6 +213,7 @@
     for (std::size_t i = 0; i < parts.size(); ++i) {
         parts[i].set_next_offset(state.nextOffset());
         parts[i].set_snapshot_id(snapshotId);
+        parts[i].set_format(state.tables().newestFormat);
         parts[i].set_part(static_cast<std::uint32_t>(i));
         parts[i].set_parts(static_cast<std::uint32_t>(parts.size()));
     }
@@ -223,6 +225,7 @@
     proto::StateSnapshot snapshot;
     snapshot.set_next_offset(state.nextOffset());
     snapshot.set_parts(1);
+    snapshot.set_format(state.tables().newestFormat);
     for (proto::SnapshotItem &item : allItems(state)) {
         *snapshot.add_items() = std::move(item);
     }
@@ -234,7 +237,11 @@
     if (!belongTogether(parts)) {
         return fail(ResultCode::RecordMalformed, "the parts of a snapshot do not belong together");
     }
+    if (parts.front().format() > NewestKnownFormat) {
+        return fail(ResultCode::RecordNewerFormat, "the snapshot was written by a newer program");
+    }
     StateTables tables;
+    tables.newestFormat = parts.front().format();
     tables.nextOffset = parts.front().next_offset();
     for (const proto::StateSnapshot &part : parts) {
         for (const proto::SnapshotItem &item : part.items()) {
--- a/standins/include/standins/plainservice.h
+++ b/standins/include/standins/plainservice.h
@@ -33,6 +33,8 @@
     Timer &m_timer;
     absl::Mutex m_mutex;
     std::map<std::string, std::uint64_t> m_executions ABSL_GUARDED_BY(m_mutex);
+    /// By digest of the body, as a caller's repeat may arrive under another key.
+    std::map<std::string, std::uint64_t> m_bodies ABSL_GUARDED_BY(m_mutex);
     std::uint64_t m_calls ABSL_GUARDED_BY(m_mutex) = 0;
 };
 
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -140,6 +140,14 @@
     return m_exitCode;
 }
 
+void ChildProcess::waitForEnd()
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto ended = [this]()
+                           ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) { return m_output.ended && m_errorOutput.ended; };
+    m_mutex.AwaitWithTimeout(absl::Condition(&ended), HangGuard);
+}
+
 std::string ChildProcess::output()
 {
     absl::MutexLock lock(&m_mutex);
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -29,6 +29,8 @@
     void signal(int number) const;
     /// @brief Waits for the end; the exit code, or minus the number of the signal that ended it.
     int wait();
+    /// @brief Waits until all output of an ended program has been read.
+    void waitForEnd();
     std::string output();
     std::string errorOutput();
     /// @brief Waits until standard output holds @p text; false when the program ended without it.
--- /dev/null
+++ b/tests/support/followerworld.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "staterecords.h"
+
+#include <celeryroute/detail/platform/memorylog.h>
+#include <celeryroute/detail/state/statefollower.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace celeryroute::test {
+
+/// Several processes that follow one log and hear from each other, on a clock of their own.
+class FollowerWorld
+{
+public:
+    struct Process {
+        explicit Process(const std::string &name, TimePoint now, const SnapshotPolicy &policy);
+
+        StateStore store;
+        StateFollower follower;
+        std::map<std::string, RecordVerdict> verdicts;
+        bool paused = false; ///< Takes no step.
+        bool cutOffFromLog = false;
+        bool cutOffFromPeers = false;
+    };
+
+    MemoryLog log;
+    TimePoint now{std::chrono::hours(1)};
+    SnapshotPolicy policy;
+
+    Process &start(const std::string &name);
+    void stop(const std::string &name);
+    Process &process(const std::string &name);
+    std::vector<std::string> names() const;
+    /// @brief Steps every process once each 250 ms for @p duration.
+    void run(Duration duration);
+
+private:
+    void step(const std::string &name, Process &process);
+    void carryOut(Process &process, const FollowerAction &action);
+    void exchangeOffsets(const std::string &name, Process &process);
+
+    std::map<std::string, std::unique_ptr<Process>> m_processes;
+};
+
+} // namespace celeryroute::test
