Attribute crashes, limit trust in grants of an isolated agent

Cause: a request that kills its target came back at once, and an agent that heard nothing kept loading under grants that others may have been given meanwhile. Change: what runs when a target dies is suspect, runs alone next time and is refused after two crashes alone; entries linked to the agent are told. An agent that hears neither log nor peers for 10 s loads nothing and after 21 s unloads; others may take its grants after 45 s. A pause of the process counts as silence. The agent takes readings of the host list by setHosts().

--- a/include/celeryroute/detail/agent/agent.h
+++ b/include/celeryroute/detail/agent/agent.h
@@ -2,10 +2,12 @@
 
 #include <celeryroute/detail/agent/agenthooks.h>
 #include <celeryroute/detail/agent/agentsettings.h>
+#include <celeryroute/detail/platform/hostentry.h>
 #include <celeryroute/result.h>
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -28,6 +30,8 @@
     Result<void> start();
     /// @brief The bound peer endpoint `ip:port`.
     std::string endpoint() const;
+    /// @brief One good reading of the platform's host list; without any, no grant is planned.
+    void setHosts(std::vector<HostEntry> hosts);
     /// @brief Begins a graceful stop: refuses new work, finishes what is queued and running, unloads
     /// and releases the grants.
     void requestStop();
--- a/include/celeryroute/detail/agent/agenthooks.h
+++ b/include/celeryroute/detail/agent/agenthooks.h
@@ -1,14 +1,12 @@
 #pragma once
 
 #include <celeryroute/detail/agent/agentevent.h>
-#include <celeryroute/detail/platform/hostentry.h>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace celeryroute {
 
@@ -25,8 +23,6 @@
     std::function<std::shared_ptr<const FleetState>()> state;
     /// Appends a record with this body to the log; a lost one is proposed again.
     std::function<void(const proto::AuthorityChange &change)> submitAuthorityChange;
-    /// The platform's host list as last read; empty while it cannot be read.
-    std::function<std::optional<std::vector<HostEntry>>()> hosts;
     /// Answers messages that are not the agent's own, such as StateQuery.
     std::function<std::optional<proto::Envelope>(const proto::Envelope &message)> otherMessage;
     /// A peer has folded the log up to this offset.
--- a/include/celeryroute/detail/agent/agentloop.h
+++ b/include/celeryroute/detail/agent/agentloop.h
@@ -7,6 +7,7 @@
 #include <celeryroute/detail/agent/peergateway.h>
 #include <celeryroute/detail/agent/residencyrunner.h>
 #include <celeryroute/detail/agent/targetmonitor.h>
+#include <celeryroute/detail/residency/isolationrule.h>
 
 #include <absl/synchronization/mutex.h>
 
@@ -61,8 +62,10 @@
     AgentView m_view;
     ResidencyRunner m_residency;
     TargetMonitor m_monitor;
+    SuspicionRelay m_suspicions;
     AttemptRunner m_attempts;
     GrantReleaser m_releaser;
+    IsolationRule m_isolation;
     std::atomic<bool> m_stopRequested = false;
     std::atomic<bool> m_aborted = false;
     Stage m_stage = Stage::Serving;
--- a/include/celeryroute/detail/agent/attempt.h
+++ b/include/celeryroute/detail/agent/attempt.h
@@ -35,6 +35,7 @@
     bool pinned = false; ///< Holds its item in memory.
     bool waitsForLoad = false;
     bool cold = false;
+    bool suspect = false; ///< Runs alone, because it may crash the target.
     Duration loadWait{};
     HttpMultiClient::CallId call = 0;
     unsigned resumes = 0;
--- a/include/celeryroute/detail/agent/attemptrunner.h
+++ b/include/celeryroute/detail/agent/attemptrunner.h
@@ -8,6 +8,7 @@
 #include <celeryroute/detail/agent/peergateway.h>
 #include <celeryroute/detail/agent/residencyrunner.h>
 #include <celeryroute/detail/agent/servicetimes.h>
+#include <celeryroute/detail/agent/suspicionrelay.h>
 #include <celeryroute/detail/agent/targetmonitor.h>
 #include <celeryroute/detail/queue/admissionqueue.h>
 
@@ -26,6 +27,7 @@
     PeerGateway &gateway;
     LoadController &residency;
     TargetMonitor &monitor;
+    SuspicionRelay &suspicions;
     std::function<void(const AgentEvent &)> event;
 };
 
@@ -78,6 +80,8 @@
     void onHead(const AttemptPointer &attempt, int status, const HttpFields &headers);
     void onData(const AttemptPointer &attempt, const std::string &data);
     void onCallEnd(const AttemptPointer &attempt, const HttpCallEnd &end, TimePoint now);
+    void targetDied(TimePoint now);
+    void goOnOrEnd(const AttemptPointer &attempt, TargetCondition condition, TimePoint now);
     void suspend(const AttemptPointer &attempt);
     bool resumable(const Attempt &attempt) const;
     void checkDeadlines(TimePoint now);
--- a/include/celeryroute/detail/agent/authoritycontrol.h
+++ b/include/celeryroute/detail/agent/authoritycontrol.h
@@ -6,8 +6,13 @@
 #include <celeryroute/detail/state/fleetstate.h>
 #include <celeryroute/time.h>
 
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -17,15 +22,20 @@
 public:
     AuthorityControl(const AgentSettings &settings, const AgentHooks &hooks);
 
+    /// @brief Any thread: one good reading of the host list.
+    void setHosts(std::vector<HostEntry> hosts);
     /// @brief Proposes what is due; @p heldItems are in the target's memory.
     void step(const std::set<std::string> &heldItems, TimePoint now);
 
 private:
+    void takeHosts(TimePoint now);
     std::set<std::string> holderHosts(const FleetState &state) const;
 
     const AgentSettings &m_settings;
     const AgentHooks &m_hooks;
     MembershipView m_membership;
+    absl::Mutex m_mutex;
+    std::optional<std::vector<HostEntry>> m_newHosts ABSL_GUARDED_BY(m_mutex);
     TimePoint m_nextPlan;
     std::uint64_t m_proposedAt = 0; ///< Log offset of the state of the last proposal.
     TimePoint m_nextRepeat;
--- a/include/celeryroute/detail/residency/loadcontroller.h
+++ b/include/celeryroute/detail/residency/loadcontroller.h
@@ -30,6 +30,13 @@
     bool operator==(const LoadControllerSettings &) const = default;
 };
 
+/// How far the grants at hand may be relied on.
+enum class AuthorityTrust {
+    Full,
+    NoLoads, ///< They may have been given to others; what is loaded is still served.
+    None, ///< They count as given to others: unload what is idle.
+};
+
 /// Answer to a demand for an item.
 enum class Readiness {
     Ready,
@@ -48,6 +55,7 @@
     /// @brief The grants of the newest agreed state.
     void updateGrants(std::shared_ptr<const GrantTable> grants);
     void setCapacity(std::uint32_t capacityMb);
+    void setTrust(AuthorityTrust trust);
     /// @brief Whether step() has anything to look at; cheap, for calling it often.
     bool due(TimePoint now) const;
 
@@ -141,6 +149,7 @@
     bool m_started = false;
     bool m_inventoryWanted = true;
     bool m_inventoryReading = false;
+    AuthorityTrust m_trust = AuthorityTrust::Full;
     bool m_draining = false;
     bool m_changed = true; ///< Something happened since the last step().
 };
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -26,7 +26,6 @@
 
     void runControl()
     {
-        AuthorityControl authority(settings, hooks);
         while (!stopping.WaitForNotificationWithTimeout(ControlInterval)) {
             authority.step(loop.heldItems(), MonotonicClock::now());
         }
@@ -42,6 +41,7 @@
     AgentSettings settings;
     AgentHooks hooks;
     AgentLoop loop;
+    AuthorityControl authority{settings, hooks};
     std::string endpoint;
     std::thread traffic;
     std::thread control;
@@ -82,6 +82,11 @@
     return m_private->endpoint;
 }
 
+void Agent::setHosts(std::vector<HostEntry> hosts)
+{
+    m_private->authority.setHosts(std::move(hosts));
+}
+
 void Agent::requestStop()
 {
     // A leaving agent proposes nothing for itself any more.
--- a/src/agent/agentloop.cpp
+++ b/src/agent/agentloop.cpp
@@ -44,13 +44,16 @@
     , m_monitor(m_settings,
                 m_client,
                 [this](TargetCondition before, TargetCondition condition) { targetProbed(before, condition); })
+    , m_suspicions(m_gateway, m_settings.host, m_settings.incarnation)
     , m_attempts(AttemptServices{m_settings,
                                  m_client,
                                  m_gateway,
                                  m_residency.controller(),
                                  m_monitor,
+                                 m_suspicions,
                                  [this](const AgentEvent &event) { emit(event); }})
     , m_releaser(m_settings.host, m_settings.incarnation, m_settings.pool)
+    , m_isolation(MonotonicClock::now())
 {}
 
 ResidencyObserver AgentLoop::residencyObserver()
@@ -130,6 +133,7 @@
 {
     const proto::Envelope &envelope = *message.envelope;
     const TimePoint now = MonotonicClock::now();
+    m_isolation.heard(now);
     if (m_hooks.peerOffset) {
         m_hooks.peerOffset(envelope.sender(), envelope.state_offset());
     }
@@ -147,7 +151,11 @@
     case proto::Envelope::kChunkAck:
         m_attempts.acknowledge(envelope.chunk_ack());
         break;
+    case proto::Envelope::kSuspicion:
+        m_suspicions.receive(envelope.suspicion(), now);
+        break;
     case proto::Envelope::kHeartbeat:
+        m_suspicions.peerSeen(message.connection, now);
         answerHeartbeat(message);
         break;
     default:
@@ -194,11 +202,16 @@
     if (now >= m_nextStatus) {
         m_nextStatus = now + StatusInterval;
         publishStatus();
+        m_suspicions.expire(now);
     }
 }
 
 void AgentLoop::stepResidency(TimePoint now)
 {
+    if (!m_hooks.logReachable || m_hooks.logReachable()) {
+        m_isolation.heard(now);
+    }
+    m_residency.controller().setTrust(m_isolation.step(now));
     if (m_engine) {
         m_residency.step(now);
     }
--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -120,6 +120,10 @@
 
 void AttemptRunner::targetProbed(TargetCondition condition, TimePoint now)
 {
+    if (condition == TargetCondition::Dead) {
+        targetDied(now);
+        return;
+    }
     std::vector<AttemptPointer> suspended;
     for (const auto &[id, attempt] : m_attempts) {
         if (attempt->phase == AttemptPhase::Suspended) {
@@ -127,25 +131,47 @@
         }
     }
     for (const AttemptPointer &attempt : suspended) {
-        if (condition == TargetCondition::Silent && attempt->resumes < MaxResumes) {
-            ++attempt->resumes;
-            m_services.monitor.probeSoon();
-        } else if (condition == TargetCondition::Alive && resumable(*attempt)) {
-            ++attempt->resumes;
-            attempt->phase = AttemptPhase::Running;
-            emit(AgentEventKind::Resumed, *attempt, absl::StrCat("from event ", attempt->meter.events()));
-            startCall(attempt);
-        } else {
-            const bool crashed = condition == TargetCondition::Dead;
-            const ResultCode code = condition == TargetCondition::Silent ? ResultCode::TargetTimeout
-                                                                         : ResultCode::TargetFailed;
-            const Error error{code, crashed ? "the target died" : "the connection to the target was lost"};
-            if (crashed) {
-                emit(AgentEventKind::CrashSuspected, *attempt);
-            }
-            finish(attempt, Outcome{error, proto::RUN_UNKNOWN, crashed}, now);
+        goOnOrEnd(attempt, condition, now);
+    }
+}
+
+void AttemptRunner::targetDied(TimePoint now)
+{
+    std::vector<AttemptPointer> open;
+    std::vector<std::string> digests;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt->phase == AttemptPhase::Suspended || attempt->phase == AttemptPhase::Running) {
+            open.push_back(attempt);
+            digests.push_back(attempt->submit().request_digest());
         }
     }
+    std::erase(digests, std::string());
+    if (!digests.empty()) {
+        m_services.suspicions.targetDied(digests, now);
+    }
+    for (const AttemptPointer &attempt : open) {
+        m_services.client.cancel(std::exchange(attempt->call, 0));
+        emit(AgentEventKind::CrashSuspected, *attempt);
+        const Error error{ResultCode::TargetFailed, "the target died"};
+        finish(attempt, Outcome{error, proto::RUN_UNKNOWN, true}, now);
+    }
+}
+
+void AttemptRunner::goOnOrEnd(const AttemptPointer &attempt, TargetCondition condition, TimePoint now)
+{
+    if (condition == TargetCondition::Silent && attempt->resumes < MaxResumes) {
+        ++attempt->resumes;
+        m_services.monitor.probeSoon();
+    } else if (condition == TargetCondition::Alive && resumable(*attempt)) {
+        ++attempt->resumes;
+        attempt->phase = AttemptPhase::Running;
+        emit(AgentEventKind::Resumed, *attempt, absl::StrCat("from event ", attempt->meter.events()));
+        startCall(attempt);
+    } else {
+        const bool silent = condition == TargetCondition::Silent;
+        const ResultCode code = silent ? ResultCode::TargetTimeout : ResultCode::TargetFailed;
+        finish(attempt, Outcome{Error{code, "the connection to the target was lost"}, proto::RUN_UNKNOWN}, now);
+    }
 }
 
 void AttemptRunner::cutCall(const AttemptPointer &attempt)
--- a/src/agent/attemptrunner.cpp
+++ b/src/agent/attemptrunner.cpp
@@ -78,6 +78,12 @@
         finish(attempt, Outcome{*error}, now);
         return;
     }
+    const SuspectVerdict verdict = m_services.suspicions.verdict(submit.request_digest());
+    if (verdict == SuspectVerdict::Quarantined) {
+        finish(attempt, Outcome{Error{ResultCode::RequestQuarantined, "this request has crashed targets"}}, now);
+        return;
+    }
+    attempt->suspect = submit.suspect() || verdict == SuspectVerdict::Suspect;
     if (!submit.claim_id().empty() && !m_claims.take(submit.claim_id())) {
         const Error error{ResultCode::ClaimInProgress, "this claim was given to the agent before"};
         finish(attempt, Outcome{error, proto::RUN_UNKNOWN}, now);
@@ -127,7 +133,7 @@
     entry.bytes = submit.body().size();
     entry.deadline = attempt.deadline;
     entry.serviceTime = m_serviceTimes.expected(isEngine() ? submit.model() : submit.route());
-    entry.suspect = submit.suspect();
+    entry.suspect = attempt.suspect;
     return entry;
 }
 
@@ -188,63 +194,6 @@
     }
 }
 
-void AttemptRunner::itemReady(const std::string &item, TimePoint now)
-{
-    for (const auto &[id, attempt] : m_attempts) {
-        if (attempt->waitsForLoad && attempt->submit().model() == item) {
-            attempt->waitsForLoad = false;
-            attempt->pinned = true;
-            attempt->loadWait = now - attempt->arrivedAt;
-            m_services.residency.beginUse(item, now);
-        }
-    }
-    m_queue->setModelReady(item);
-}
-
-void AttemptRunner::itemFailed(const std::string &item, const Error &error, TimePoint now)
-{
-    std::vector<AttemptPointer> failed;
-    for (const auto &[id, attempt] : m_attempts) {
-        if (attempt->waitsForLoad && attempt->submit().model() == item) {
-            failed.push_back(attempt);
-        }
-    }
-    for (const AttemptPointer &attempt : failed) {
-        attempt->waitsForLoad = false;
-        finish(attempt, Outcome{error}, now);
-    }
-    itemAbsent(item);
-}
-
-void AttemptRunner::targetLost(TimePoint now)
-{
-    std::vector<AttemptPointer> queued;
-    for (const auto &[id, attempt] : m_attempts) {
-        if (attempt->phase == AttemptPhase::Queued && attempt->pinned) {
-            queued.push_back(attempt);
-        }
-    }
-    for (const AttemptPointer &attempt : queued) {
-        attempt->pinned = false;
-        m_services.residency.endUse(attempt->submit().model(), now);
-        admitModel(attempt, now);
-    }
-}
-
-void AttemptRunner::itemLoading(const std::string &item, TimePoint expectedReady, TimePoint now)
-{
-    if (m_queue) {
-        refuseAll(m_queue->setModelLoading(item, expectedReady, now), now);
-    }
-}
-
-void AttemptRunner::itemAbsent(const std::string &item)
-{
-    if (m_queue) {
-        m_queue->setModelAbsent(item);
-    }
-}
-
 void AttemptRunner::step(TimePoint now)
 {
     if (!m_queue) {
@@ -287,6 +236,9 @@
     const std::uint64_t tokens = ran ? attempt->meter.tokensUsed(submit.prompt_tokens(), submit.reserved_tokens()) : 0;
     if (answered) {
         m_serviceTimes.record(isEngine() ? submit.model() : submit.route(), now - attempt->startedAt);
+        if (attempt->suspect) {
+            m_services.suspicions.finishedAlone(submit.request_digest());
+        }
     }
     release(attempt, tokens, now);
     proto::ResponseEnd end;
--- a/src/agent/authoritycontrol.cpp
+++ b/src/agent/authoritycontrol.cpp
@@ -25,18 +25,32 @@
     , m_membership(settings.pool)
 {}
 
+void AuthorityControl::setHosts(std::vector<HostEntry> hosts)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_newHosts = std::move(hosts);
+}
+
+void AuthorityControl::takeHosts(TimePoint now)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (m_newHosts) {
+        m_membership.update(*m_newHosts, now);
+        m_newHosts.reset();
+    }
+}
+
 void AuthorityControl::step(const std::set<std::string> &heldItems, TimePoint now)
 {
-    if (now < m_nextPlan || !m_hooks.hosts || !m_hooks.submitAuthorityChange) {
+    takeHosts(now);
+    if (now < m_nextPlan || m_membership.liveHosts().empty() || !m_hooks.submitAuthorityChange) {
         return;
     }
     m_nextPlan = now + PlanInterval;
-    const std::optional<std::vector<HostEntry>> hosts = m_hooks.hosts();
     const std::shared_ptr<const FleetState> state = m_hooks.state();
-    if (!hosts || !state) {
+    if (!state) {
         return;
     }
-    m_membership.update(*hosts, now);
     if (state->nextOffset() == m_proposedAt && now < m_nextRepeat) {
         return;
     }
--- a/src/residency/loadcontroller.cpp
+++ b/src/residency/loadcontroller.cpp
@@ -31,6 +31,12 @@
     }
 }
 
+void LoadController::setTrust(AuthorityTrust trust)
+{
+    m_changed = m_changed || trust != m_trust;
+    m_trust = trust;
+}
+
 Readiness LoadController::demand(const std::string &item, const LoadDemand &demand, TimePoint now)
 {
     if (!mayServe(item)) {
--- a/src/residency/loadcontrollersteps.cpp
+++ b/src/residency/loadcontrollersteps.cpp
@@ -246,12 +246,12 @@
 bool LoadController::mayLoad(const std::string &item) const
 {
     const ItemGrant *grant = grantOf(item);
-    return !m_draining && grant != nullptr && grant->permitsLoad();
+    return !m_draining && m_trust == AuthorityTrust::Full && grant != nullptr && grant->permitsLoad();
 }
 
 bool LoadController::mayServe(const std::string &item) const
 {
-    if (m_draining) {
+    if (m_draining || m_trust == AuthorityTrust::None) {
         return false;
     }
     // Without any agreed state, what a predecessor loaded is served and nothing is changed.
--- a/src/residency/membershipview.cpp
+++ b/src/residency/membershipview.cpp
@@ -49,7 +49,7 @@
 std::set<std::string> MembershipView::goneHosts(const std::set<std::string> &holders, TimePoint now) const
 {
     std::set<std::string> gone;
-    if (!m_updated) {
+    if (!m_updated || now - m_lastUpdate > MaxReadingGap) {
         return gone;
     }
     for (const std::string &host : holders) {
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -237,6 +237,31 @@
     CHECK(entry->answer("a").end->target_crashed());
 }
 
+TEST(Agent, requestThatCrashedTheTargetAloneTwice_isRefusedAndTheEntryIsTold)
+{
+    start();
+    for (const char *id : {"a", "b"}) {
+        entry->heartbeat();
+        target.silenceNextAfter(1);
+        proto::SubmitRequest submit = chatSubmit(id);
+        submit.set_request_digest("poison");
+        entry->submit(submit);
+        CHECK(entry->receiveUntil([this, id] { return entry->answer(id).chunks.size() == 1; }));
+        target.kill();
+        checkRefused(id, ResultCode::TargetFailed, proto::RUN_UNKNOWN);
+        target.restart();
+        CHECK(entry->receiveUntil([this] { return entry->heartbeat().load().target_healthy(); }));
+    }
+    proto::SubmitRequest again = chatSubmit("c");
+    again.set_request_digest("poison");
+    entry->submit(again);
+    checkRefused("c", ResultCode::RequestQuarantined, proto::NOT_RUN);
+    CHECK_EQUAL(2U, entry->suspicions().size());
+    CHECK(entry->suspicions()[1].alone());
+    entry->submit(chatSubmit("d"));
+    checkWhole("d");
+}
+
 TEST(Agent, targetComesBackEmpty_isLoadedAgain)
 {
     start();
--- a/tests/src/unit-authority.cpp
+++ b/tests/src/unit-authority.cpp
@@ -1,4 +1,5 @@
 #include <celeryroute/detail/residency/authorityplanner.h>
+#include <celeryroute/detail/residency/isolationrule.h>
 #include <celeryroute/detail/residency/membershipview.h>
 #include <celeryroute/detail/state/fold.h>
 #include <celeryroute/detail/state/joins.h>
@@ -322,3 +323,48 @@
     CHECK(view.leaving("a"));
     CHECK(view.goneHosts({"a"}, now).empty());
 }
+
+TEST(MembershipView, listNotReadAnyMore_nobodyIsGone)
+{
+    view.update({agent("a")}, now);
+    CHECK(view.goneHosts({"b"}, now + MembershipView::GoneAfter * 2).empty());
+}
+
+TEST_GROUP(IsolationRule)
+{
+    TimePoint now{1h};
+    IsolationRule rule{now};
+
+    AuthorityTrust stepFor(Duration duration)
+    {
+        AuthorityTrust trust = AuthorityTrust::Full;
+        for (const TimePoint end = now + duration; now < end; now += 100ms) {
+            trust = rule.step(now);
+        }
+        return trust;
+    }
+};
+
+TEST(IsolationRule, nothingHeard_firstStopsLoadingThenGivesUpBeforeOthersMayBegin)
+{
+    CHECK(AuthorityTrust::Full == stepFor(9s));
+    CHECK(AuthorityTrust::NoLoads == stepFor(2s));
+    CHECK(AuthorityTrust::None == stepFor(12s));
+    CHECK(IsolationRule::UnloadAfter * 2 <= MembershipView::GoneAfter);
+    rule.heard(now);
+    CHECK(AuthorityTrust::Full == rule.step(now));
+}
+
+TEST(IsolationRule, pausedProcess_loadsNothingUntilItHasHeardAnew)
+{
+    stepFor(1s);
+    rule.heard(now);
+    now += 60s;
+    rule.heard(now);
+    CHECK(AuthorityTrust::NoLoads == rule.step(now));
+    rule.heard(now);
+    now += IsolationRule::RevalidationTime;
+    CHECK(AuthorityTrust::None == rule.step(now));
+    rule.heard(now);
+    CHECK(AuthorityTrust::Full == rule.step(now));
+}
--- a/tests/support/agentclient.cpp
+++ b/tests/support/agentclient.cpp
@@ -93,6 +93,11 @@
     return m_answers[attemptId];
 }
 
+const std::vector<proto::SuspicionNotice> &AgentClient::suspicions() const
+{
+    return m_suspicions;
+}
+
 void AgentClient::take(const proto::Envelope &envelope)
 {
     if (envelope.has_response_head()) {
@@ -102,6 +107,8 @@
         m_answers[chunk.attempt_id()].chunks[chunk.sequence()] = chunk.data();
     } else if (envelope.has_response_end()) {
         m_answers[envelope.response_end().attempt_id()].end = envelope.response_end();
+    } else if (envelope.has_suspicion()) {
+        m_suspicions.push_back(envelope.suspicion());
     } else if (envelope.has_heartbeat_reply()) {
         m_heartbeat = envelope.heartbeat_reply();
     }
@@ -127,6 +134,7 @@
     submit.set_prompt_tokens(3);
     submit.set_weight(1);
     submit.set_repeatable(true);
+    submit.set_request_digest("digest-" + attemptId);
     return submit;
 }
 
--- a/tests/support/agentclient.h
+++ b/tests/support/agentclient.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace celeryroute::test {
 
@@ -36,6 +37,7 @@
     /// @brief The answer of @p attemptId, after waiting for its end.
     const ReceivedAnswer &whole(const std::string &attemptId);
     const ReceivedAnswer &answer(const std::string &attemptId);
+    const std::vector<proto::SuspicionNotice> &suspicions() const;
 
 private:
     void send(const proto::Envelope &envelope);
@@ -44,6 +46,7 @@
     PeerLink m_link;
     std::map<std::string, ReceivedAnswer> m_answers;
     std::optional<proto::HeartbeatReply> m_heartbeat;
+    std::vector<proto::SuspicionNotice> m_suspicions;
 };
 
 /// @brief A submit of route `chat`, pool `p`, model `m1`, with half a minute left.
