--- a/include/celeryroute/detail/cli/logsession.h
+++ b/include/celeryroute/detail/cli/logsession.h
@@ -22,7 +22,7 @@
 class LogSession
 {
 public:
-    LogSession(LogClient log, std::string author, Duration timeout, SessionClock clock);
+    LogSession(LogClient log, const std::string &author, Duration timeout, SessionClock clock);
 
     /// @brief The state at the end of the log. Fails with LogUnavailable, StateUnavailable or
     /// RecordNewerFormat.
--- a/include/celeryroute/detail/config/sourceproblem.h
+++ b/include/celeryroute/detail/config/sourceproblem.h
@@ -12,9 +12,12 @@
     std::string file;
     int line = 0;
     int column = 0;
-    auto operator<=>(const SourcePosition &) const = default;
+    bool operator==(const SourcePosition &) const = default;
 };
 
+/// @brief Orders by file, line and column.
+bool operator<(const SourcePosition &left, const SourcePosition &right);
+
 /// One mistake in a declaration file.
 struct SourceProblem {
     SourcePosition position;
--- a/include/celeryroute/detail/state/shardedmap.h
+++ b/include/celeryroute/detail/state/shardedmap.h
@@ -18,7 +18,7 @@
 {
 public:
     using Shard = std::map<std::string, Value>;
-    static constexpr std::size_t ShardCount = 128;
+    static constexpr std::size_t ShardCount = 512;
 
     /// @brief The value of @p key or nullptr; valid until this map is edited or destroyed.
     const Value *find(const std::string &key) const
@@ -84,7 +84,22 @@
         return stableHash(key) % ShardCount;
     }
 
-    CopyOnWrite<std::array<CopyOnWrite<Shard>, ShardCount>> m_shards;
+    using Shards = std::array<CopyOnWrite<Shard>, ShardCount>;
+
+    // All empty maps share one empty shard.
+    static const CopyOnWrite<Shards> &emptyShards()
+    {
+        static const CopyOnWrite<Shards> Empty = [] {
+            const CopyOnWrite<Shard> shard{Shard()};
+            const std::vector<CopyOnWrite<Shard>> copies(ShardCount, shard);
+            Shards shards{copies[0]};
+            std::copy(copies.begin(), copies.end(), shards.begin());
+            return CopyOnWrite<Shards>(std::move(shards));
+        }();
+        return Empty;
+    }
+
+    CopyOnWrite<Shards> m_shards = emptyShards();
 };
 
 } // namespace celeryroute
--- a/src/cli/declarationplan.cpp
+++ b/src/cli/declarationplan.cpp
@@ -2,6 +2,8 @@
 #include <celeryroute/detail/cli/itemtext.h>
 #include <celeryroute/detail/state/specconversion.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <utility>
 
 namespace celeryroute {
@@ -34,7 +36,7 @@
             continue;
         }
         PlannedChange planned;
-        planned.subject = kind + " " + name;
+        planned.subject = absl::StrCat(kind, " ", name);
         planned.action = current == table.end() ? "add" : "change";
         if (current != table.end()) {
             planned.differences = differences(fieldsOf(current->second.value), fieldsOf(spec));
@@ -57,7 +59,7 @@
             continue;
         }
         PlannedChange planned;
-        planned.subject = kind + " " + name;
+        planned.subject = absl::StrCat(kind, " ", name);
         planned.action = "remove";
         planned.change.set_base_revision(current.revision);
         setRemoval(planned.change, name);
--- a/src/cli/logsession.cpp
+++ b/src/cli/logsession.cpp
@@ -27,7 +27,7 @@
     return {[] { return MonotonicClock::now(); }, [](Duration duration) { std::this_thread::sleep_for(duration); }};
 }
 
-LogSession::LogSession(LogClient log, std::string author, Duration timeout, SessionClock clock)
+LogSession::LogSession(LogClient log, const std::string &author, Duration timeout, SessionClock clock)
     : m_log(std::move(log))
     , m_timeout(timeout)
     , m_clock(std::move(clock))
--- a/src/config/declarationreader.cpp
+++ b/src/config/declarationreader.cpp
@@ -20,6 +20,7 @@
 std::vector<std::string> namesOf(const std::map<std::string, Spec> &table)
 {
     std::vector<std::string> names;
+    names.reserve(table.size());
     for (const auto &[name, spec] : table) {
         names.push_back(name);
     }
--- a/src/config/yamlmapping.cpp
+++ b/src/config/yamlmapping.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace celeryroute {
@@ -17,6 +18,11 @@
 }
 } // namespace
 
+bool operator<(const SourcePosition &left, const SourcePosition &right)
+{
+    return std::tie(left.file, left.line, left.column) < std::tie(right.file, right.line, right.column);
+}
+
 std::string toString(const SourceProblem &problem)
 {
     const SourcePosition &position = problem.position;
