Run the whole path: daemon in both roles over the agreed state

Cause: the parts stood alone; a request could not get from a caller to a target through real processes. Change: a control thread follows the log and the host list and answers lagging peers; celeryrouted composes entry and agent; targets are chosen by two choices per pool; customers' tokens are reserved before a call is sent on, lent between entries, and divided anew when entries come or go. Tried and taken back: a first division without handover; it broke unit-budget's loan test, and the wait happens once in a deployment's life.

--- a/include/celeryroute/detail/entry/dispatcher.h
+++ b/include/celeryroute/detail/entry/dispatcher.h
@@ -8,15 +8,20 @@
 #include <celeryroute/result.h>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace celeryroute {
 
 class TransportContext;
 
+namespace proto {
+class Envelope;
+class ShareDivision;
+} // namespace proto
+
 /// The agreed state as of now.
 using StateSource = std::function<std::shared_ptr<const FleetState>()>;
 
@@ -27,6 +32,12 @@
     std::function<std::optional<proto::Envelope>(const proto::Envelope &message)> otherMessage;
     /// A peer has folded the log up to this offset.
     std::function<void(const std::string &sender, std::uint64_t offset)> peerOffset;
+    /// When the agreed state was last known to be the newest.
+    std::function<TimePoint()> confirmedAt;
+    /// Appends a new division of budgets to the log.
+    std::function<void(const proto::ShareDivision &division)> submitDivision;
+    /// A host of this failure domain answered a heartbeat sent at that time.
+    std::function<void(const std::string &domain, TimePoint sentAt)> heardFrom;
 };
 
 /// @brief The traffic thread of an entry: sends calls to agents and relays their answers.
@@ -52,8 +63,8 @@
     void refuseNew();
     /// @brief Calls in work; any thread.
     std::size_t flights() const;
-    /// @brief Failure domains of agents, and whether any agent of each can be reached; any thread.
-    std::map<std::string, bool> domainReachability() const;
+    /// @brief Failure domains of the agents that this entry keeps links to; any thread.
+    std::set<std::string> linkedDomains() const;
     /// @brief Ends the thread; calls in work are refused.
     void stop();
 
--- a/include/celeryroute/detail/entry/dispatchersettings.h
+++ b/include/celeryroute/detail/entry/dispatchersettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <celeryroute/detail/entry/agentlink.h>
+#include <celeryroute/detail/entry/hostlink.h>
 
 #include <cstddef>
 
@@ -8,6 +8,7 @@
 
 /// Limits of an entry's traffic thread.
 struct DispatcherSettings {
+    std::string host; ///< Name of this host in the host list.
     std::string instance; ///< Incarnation of the entry.
     std::string peerEndpoint = "127.0.0.1:0"; ///< `ip:port` where other processes connect.
     std::size_t maxFlights = 20'000;
--- /dev/null
+++ b/include/celeryroute/detail/entry/hostdirectory.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <celeryroute/detail/entry/hostlink.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace celeryroute {
+
+/// @brief The links of one entry to the agents and the other entries that the host list names.
+class HostDirectory
+{
+public:
+    /// @param ownHost no link leads to this host's entry.
+    HostDirectory(TransportContext &context, LinkTimeouts timeouts, std::string ownHost);
+
+    /// @brief Opens and closes links so that they match @p hosts. A host with another address gets a
+    /// new link. Returns the hosts whose links were closed.
+    std::vector<std::string> update(const std::vector<HostEntry> &hosts, TimePoint now);
+    HostLink *find(const std::string &host);
+    /// @brief Incarnations of the other entries that answer.
+    std::vector<std::string> reachableEntries(TimePoint now) const;
+    std::map<std::string, std::unique_ptr<HostLink>> &links();
+
+private:
+    TransportContext &m_context;
+    LinkTimeouts m_timeouts;
+    std::string m_ownHost;
+    std::map<std::string, std::unique_ptr<HostLink>> m_links;
+};
+
+} // namespace celeryroute
--- a/include/celeryroute/detail/entry/agentlink.h
+++ b/include/celeryroute/detail/entry/hostlink.h
@@ -26,11 +26,11 @@
     Reconnected, ///< A new connection replaced a silent one; a heartbeat is due on it.
 };
 
-/// @brief The link of an entry to one agent: heartbeats, silence, last load report.
-class AgentLink
+/// @brief The link of an entry to an agent or another entry: heartbeats, silence, last load report.
+class HostLink
 {
 public:
-    AgentLink(TransportContext &context, HostEntry host, LinkTimeouts timeouts, TimePoint now);
+    HostLink(TransportContext &context, HostEntry host, LinkTimeouts timeouts, TimePoint now);
 
     const HostEntry &host() const;
     void setState(HostState state);
@@ -38,10 +38,14 @@
 
     /// @brief Replaces a silent connection and says whether a heartbeat is due.
     LinkStep tick(TimePoint now);
-    /// @brief Takes a message of the agent; returns nothing when there is none.
+    /// @brief Takes a message of the host; returns nothing when there is none.
     std::shared_ptr<const proto::Envelope> receive(TimePoint now);
 
-    /// @brief Whether the agent answered within the time limit.
+    /// @brief Number to put on the heartbeat that tick() asked for.
+    std::uint64_t heartbeatSequence() const;
+    /// @brief When the last heartbeat that was answered had been sent.
+    TimePoint answeredHeartbeatSentAt() const;
+    /// @brief Whether the host answered within the time limit.
     bool reachable(TimePoint now) const;
     TimePoint opened() const;
     /// @brief Whether new work may be sent.
@@ -58,6 +62,8 @@
     PeerLink m_peer;
     TimePoint m_opened;
     TimePoint m_lastHeartbeat;
+    std::uint64_t m_heartbeatSequence = 0;
+    TimePoint m_answeredHeartbeatSentAt;
     TimePoint m_lastAnswer;
     TimePoint m_lastConnect;
     TimePoint m_loadReceived;
--- a/include/celeryroute/detail/state/statestore.h
+++ b/include/celeryroute/detail/state/statestore.h
@@ -24,6 +24,8 @@
 
     /// @brief Whether the state is new enough at @p now to admit requests with keys.
     bool isFresh(TimePoint now) const;
+    /// @brief The time from which isFresh() is false.
+    TimePoint freshUntil() const;
     void setFreshUntil(TimePoint time);
 
 private:
--- a/src/entry/wakeup.cpp
+++ b/src/base/wakeup.cpp
@@ -1,4 +1,4 @@
-#include "wakeup.h"
+#include <celeryroute/detail/base/wakeup.h>
 
 #include <cstdint>
 #include <sys/eventfd.h>
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -4,7 +4,6 @@
 #include "submitmessage.h"
 
 #include <celeryroute/detail/base/digest.h>
-#include <celeryroute/detail/entry/targetselection.h>
 
 #include <peer.pb.h>
 
@@ -15,13 +14,19 @@
 constexpr Duration RetryAfterCapacity = std::chrono::seconds(1);
 constexpr std::uint64_t ChunksPerAck = 16;
 constexpr std::size_t AttemptIdBytes = 8;
+/// Longest time that a call waits for another entry to lend tokens.
+constexpr Duration LoanWait = std::chrono::milliseconds(250);
 constexpr std::uint32_t FirstErrorStatus = 400;
 
 } // namespace
 
-CallRunner::CallRunner(DispatcherSettings settings, AgentDirectory &directory, Observers observers)
+CallRunner::CallRunner(DispatcherSettings settings, HostDirectory &directory, Observers observers)
     : m_settings(std::move(settings))
     , m_directory(directory)
+    , m_router(directory, m_settings.instance)
+    , m_budget(m_settings.instance,
+               directory,
+               [this](HostLink &link, proto::Envelope &envelope) { send(link, envelope); })
     , m_timeline(observers.timeline)
     , m_reporter(observers)
     , m_state(std::make_shared<const FleetState>())
@@ -29,10 +34,13 @@
 
 void CallRunner::setState(std::shared_ptr<const FleetState> state, TimePoint now)
 {
-    if (state == m_state) {
+    const bool unchanged = state->nextOffset() == m_state->nextOffset();
+    m_state = std::move(state);
+    if (unchanged) {
         return;
     }
-    m_state = std::move(state);
+    m_router.setState(m_state);
+    m_budget.setState(*m_state, now);
     const auto withdrawn = m_table.select([this](const Flight &flight) {
         const Versioned<KeyEntry> *key = m_state->key(flight.call.caller.keyDigest);
         return key != nullptr && key->value.withdrawn;
@@ -41,14 +49,15 @@
         Flight &flight = *m_table.find(requestId);
         const RunState run = flight.attempt ? RunState::Unknown : RunState::NotRun;
         cancelAttempt(flight);
-        refuse(flight, {{ResultCode::KeyWithdrawn, "the key has been withdrawn"}, run, Duration::zero()});
+        refuse(flight, {{ResultCode::KeyWithdrawn, "the key has been withdrawn"}, run, Duration::zero()}, now);
     }
     tick(now);
 }
 
-void CallRunner::setRefusingNew()
+void CallRunner::setRefusingNew(TimePoint now)
 {
     m_refusingNew = true;
+    m_budget.handOver(now);
 }
 
 void CallRunner::start(CallerCall call, std::shared_ptr<HttpResponder> responder, TimePoint now)
@@ -57,26 +66,85 @@
     Flight &flight = m_table.add(std::move(call), std::move(responder));
     m_reporter.admitted(flight);
     if (m_refusingNew) {
-        refuse(flight, {{ResultCode::Stopping, "this entry is stopping"}, RunState::NotRun, RetryAfterCapacity});
+        refuse(flight, {{ResultCode::Stopping, "this entry is stopping"}, RunState::NotRun, RetryAfterCapacity}, now);
     } else if (full) {
         refuse(flight,
-               {{ResultCode::TooManyConnections, "too many calls in work"}, RunState::NotRun, RetryAfterCapacity});
+               {{ResultCode::TooManyConnections, "too many calls in work"}, RunState::NotRun, RetryAfterCapacity},
+               now);
     } else {
+        admit(flight, now);
+    }
+}
+
+// Tokens for the worst case are set aside before a call is sent on. When other entries may hold what
+// is missing, the call waits for a loan for a moment; otherwise the customer hears at once.
+void CallRunner::admit(Flight &flight, TimePoint now)
+{
+    const std::string &customer = flight.call.caller.customer;
+    const auto tokens = static_cast<double>(flight.call.worstCaseTokens);
+    if (customer.empty() || tokens == 0) {
         startAttempt(flight, now);
+        return;
+    }
+    const ReserveOutcome outcome = m_budget.reserve(customer, tokens, now);
+    if (const auto *reservation = std::get_if<Reservation>(&outcome)) {
+        flight.reservation = reservation->id;
+        startAttempt(flight, now);
+        return;
+    }
+    const BudgetRefusal refusal = std::get<BudgetRefusal>(outcome);
+    const bool mayWait = refusal.loanMayHelp && (flight.parkedUntil == TimePoint() || now < flight.parkedUntil);
+    if (mayWait) {
+        if (flight.parkedUntil == TimePoint()) {
+            flight.parkedUntil = std::min(now + LoanWait, flight.call.deadline);
+        }
+        m_parked.push_back(flight.call.requestId);
+        return;
+    }
+    const std::string message = "customer " + customer + " has no tokens left for this request";
+    refuse(flight, {{refusal.code, message}, RunState::NotRun, refusal.retryAfter}, now);
+}
+
+void CallRunner::retryParked(TimePoint now)
+{
+    for (const std::string &requestId : std::exchange(m_parked, {})) {
+        if (Flight *flight = m_table.find(requestId)) {
+            admit(*flight, now);
+        }
+    }
+}
+
+void CallRunner::settleBudget(Flight &flight, double usedTokens, TimePoint now)
+{
+    if (flight.reservation != 0) {
+        m_budget.settle(std::exchange(flight.reservation, 0), usedTokens, now);
     }
 }
 
+void CallRunner::confirmState(TimePoint at)
+{
+    m_budget.confirm(at);
+}
+
+bool CallRunner::receiveFromEntry(const proto::Envelope &envelope, TimePoint now)
+{
+    const bool taken = m_budget.receive(envelope, now);
+    if (taken) {
+        retryParked(now);
+    }
+    return taken;
+}
+
 void CallRunner::startAttempt(Flight &flight, TimePoint now)
 {
-    const std::vector<AgentLink *> candidates = m_directory.usable(flight.call.route.pool, now);
-    AgentLink *link = selectTarget(candidates, flight.call.model, flight.triedHosts);
+    HostLink *link = m_router.choose(flight.call, flight.triedHosts);
     if (link == nullptr || !sendAttempt(flight, *link, now)) {
         const std::string message = "no live target of pool '" + flight.call.route.pool + "' is left to try";
-        refuse(flight, {{ResultCode::NoTarget, message}, RunState::NotRun, RetryAfterCapacity});
+        refuse(flight, {{ResultCode::NoTarget, message}, RunState::NotRun, RetryAfterCapacity}, now);
     }
 }
 
-bool CallRunner::sendAttempt(Flight &flight, AgentLink &link, TimePoint now)
+bool CallRunner::sendAttempt(Flight &flight, HostLink &link, TimePoint now)
 {
     auto attempt = std::make_unique<Attempt>();
     attempt->id = randomId(AttemptIdBytes);
@@ -91,21 +159,28 @@
     proto::Envelope envelope;
     fillSubmit(envelope, flight.call, attempt->id, terms, now);
     const std::string host = attempt->host;
+    m_router.noteSent(link, attempt->id, flight.call.worstCaseTokens, now);
     flight.triedHosts.insert(host);
     ++flight.attempts;
     m_table.setAttempt(flight, std::move(attempt));
     m_reporter.dispatched(flight, host);
     if (!send(link, envelope)) {
-        m_table.clearAttempt(flight);
+        endAttempt(flight);
         return false;
     }
     return true;
 }
 
-void CallRunner::receive(AgentLink &link, const proto::Envelope &envelope, TimePoint now)
+void CallRunner::receive(HostLink &link, const proto::Envelope &envelope, TimePoint now)
 {
     m_timeline.observe(envelope.logical_time());
+    if (receiveFromEntry(envelope, now)) {
+        return;
+    }
     switch (envelope.body_case()) {
+    case proto::Envelope::kHeartbeatReply:
+        m_router.takeReport(link);
+        break;
     case proto::Envelope::kResponseHead:
         if (Flight *flight = m_table.findAttempt(envelope.response_head().attempt_id())) {
             flight->attempt->lastProgress = now;
@@ -135,7 +210,7 @@
     flight.attempt->contentType = head.content_type();
 }
 
-void CallRunner::takeChunk(Flight &flight, AgentLink &link, const proto::ResponseChunk &chunk, TimePoint now)
+void CallRunner::takeChunk(Flight &flight, HostLink &link, const proto::ResponseChunk &chunk, TimePoint now)
 {
     Attempt &attempt = *flight.attempt;
     const std::uint64_t before = attempt.relay.nextSequence();
@@ -168,7 +243,7 @@
             cancelAttempt(flight);
             const std::string message = "the answer exceeds " + std::to_string(m_settings.maxWholeAnswerBytes)
                 + " bytes";
-            refuse(flight, {{ResultCode::TargetFailed, message}, RunState::Ran, Duration::zero()});
+            refuse(flight, {{ResultCode::TargetFailed, message}, RunState::Ran, Duration::zero()}, now);
         }
         return;
     }
@@ -185,13 +260,14 @@
     }
 }
 
-void CallRunner::takeEnd(Flight &flight, AgentLink &link, const proto::ResponseEnd &end, TimePoint now)
+void CallRunner::takeEnd(Flight &flight, HostLink &link, const proto::ResponseEnd &end, TimePoint now)
 {
     Attempt &attempt = *flight.attempt;
     if (end.result_code() == 0) {
         attempt.relay.finish(end.chunks());
         if (attempt.relay.complete()) {
             m_reporter.answered(flight, end, now);
+            settleBudget(flight, static_cast<double>(end.tokens_used()), now);
             finish(flight);
         } else {
             askForMissing(flight, link);
@@ -204,15 +280,14 @@
 void CallRunner::failAttempt(Flight &flight, const Refusal &refusal, TimePoint now)
 {
     if (!mayTryAgain(flight, refusal, m_settings.maxAttempts, now)) {
-        refuse(flight, refusal);
+        refuse(flight, refusal, now);
         return;
     }
-    m_table.clearAttempt(flight);
+    endAttempt(flight);
     flight.wholeBody.clear();
-    const std::vector<AgentLink *> candidates = m_directory.usable(flight.call.route.pool, now);
-    AgentLink *link = selectTarget(candidates, flight.call.model, flight.triedHosts);
+    HostLink *link = m_router.choose(flight.call, flight.triedHosts);
     if (link == nullptr || !sendAttempt(flight, *link, now)) {
-        refuse(flight, refusal);
+        refuse(flight, refusal, now);
         return;
     }
     m_reporter.retried(flight);
@@ -233,11 +308,14 @@
         response.body = std::move(flight.wholeBody);
         flight.responder->respond(std::move(response));
     }
+    endAttempt(flight);
     m_table.remove(flight.call.requestId);
 }
 
-void CallRunner::refuse(Flight &flight, const Refusal &refusal)
+void CallRunner::refuse(Flight &flight, const Refusal &refusal, TimePoint now)
 {
+    const auto worstCase = static_cast<double>(flight.call.worstCaseTokens);
+    settleBudget(flight, refusal.run == RunState::NotRun ? 0.0 : worstCase, now);
     m_reporter.refused(flight, refusal);
     if (flight.headSent) {
         flight.responder->write(refusalEvent(refusal, flight.call.requestId));
@@ -245,16 +323,18 @@
     } else {
         flight.responder->respond(refusalResponse(refusal, flight.call.requestId));
     }
+    endAttempt(flight);
     m_table.remove(flight.call.requestId);
 }
 
-void CallRunner::callerGone(const std::string &requestId, TimePoint)
+void CallRunner::callerGone(const std::string &requestId, TimePoint now)
 {
     Flight *flight = m_table.find(requestId);
     if (flight == nullptr) {
         return;
     }
     m_reporter.callerGone(*flight);
+    settleBudget(*flight, flight->attempt ? static_cast<double>(flight->call.worstCaseTokens) : 0.0, now);
     cancelAttempt(*flight);
     flight->responder->end(false);
     m_table.remove(requestId);
@@ -265,15 +345,28 @@
     if (!flight.attempt) {
         return;
     }
-    if (AgentLink *link = m_directory.find(flight.attempt->host)) {
+    if (HostLink *link = m_directory.find(flight.attempt->host)) {
         proto::Envelope cancel;
         cancel.mutable_cancel()->set_attempt_id(flight.attempt->id);
         send(*link, cancel);
     }
-    m_table.clearAttempt(flight);
+    endAttempt(flight);
+}
+
+void CallRunner::endAttempt(Flight &flight)
+{
+    if (flight.attempt) {
+        m_router.noteEnded(flight.attempt->host, flight.attempt->id);
+        m_table.clearAttempt(flight);
+    }
+}
+
+void CallRunner::linksChanged(TimePoint now)
+{
+    m_router.refresh(now);
 }
 
-void CallRunner::askForMissing(Flight &flight, AgentLink &link)
+void CallRunner::askForMissing(Flight &flight, HostLink &link)
 {
     proto::Envelope resume;
     resume.mutable_resume()->set_attempt_id(flight.attempt->id);
@@ -281,7 +374,7 @@
     send(link, resume);
 }
 
-void CallRunner::linkReconnected(AgentLink &link)
+void CallRunner::linkReconnected(HostLink &link)
 {
     const std::string &host = link.host().host;
     const auto requestIds = m_table.select(
@@ -293,6 +386,9 @@
 
 void CallRunner::tick(TimePoint now)
 {
+    m_router.refresh(now);
+    m_budget.tick(now);
+    retryParked(now);
     for (const std::string &requestId : m_table.takeExpired(now)) {
         if (Flight *flight = m_table.find(requestId)) {
             expire(*flight, now);
@@ -305,7 +401,8 @@
         Flight &flight = *m_table.find(requestId);
         cancelAttempt(flight);
         refuse(flight,
-               {{ResultCode::TargetTimeout, "the stream made no progress"}, RunState::Unknown, Duration::zero()});
+               {{ResultCode::TargetTimeout, "the stream made no progress"}, RunState::Unknown, Duration::zero()},
+               now);
     }
     for (const auto &[host, link] : m_directory.links()) {
         if (!link->reachable(now) && now - link->opened() > m_settings.link.unreachableAfter) {
@@ -327,23 +424,25 @@
 }
 
 // The deadline of a stream is met by its first part.
-void CallRunner::expire(Flight &flight, TimePoint)
+void CallRunner::expire(Flight &flight, TimePoint now)
 {
     if (flight.headSent) {
         return;
     }
     const RunState run = flight.attempt ? RunState::Unknown : RunState::NotRun;
     cancelAttempt(flight);
-    refuse(flight, {{ResultCode::DeadlineExceeded, "the deadline passed before the answer"}, run, Duration::zero()});
+    refuse(flight,
+           {{ResultCode::DeadlineExceeded, "the deadline passed before the answer"}, run, Duration::zero()},
+           now);
 }
 
-void CallRunner::refuseAll(const Error &error)
+void CallRunner::refuseAll(const Error &error, TimePoint now)
 {
     for (const std::string &requestId : m_table.select([](const Flight &) { return true; })) {
         Flight &flight = *m_table.find(requestId);
         const RunState run = flight.attempt ? RunState::Unknown : RunState::NotRun;
         cancelAttempt(flight);
-        refuse(flight, {error, run, Duration::zero()});
+        refuse(flight, {error, run, Duration::zero()}, now);
     }
 }
 
@@ -352,7 +451,7 @@
     return m_table.size();
 }
 
-bool CallRunner::send(AgentLink &link, proto::Envelope &envelope)
+bool CallRunner::send(HostLink &link, proto::Envelope &envelope)
 {
     envelope.set_sender(m_settings.instance);
     envelope.set_state_offset(m_state->nextOffset());
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "entrybudget.h"
 #include "flightreporter.h"
 #include "flighttable.h"
+#include "targetrouter.h"
 
-#include <celeryroute/detail/entry/agentdirectory.h>
 #include <celeryroute/detail/entry/answers.h>
 #include <celeryroute/detail/entry/dispatchersettings.h>
+#include <celeryroute/detail/entry/hostdirectory.h>
 #include <celeryroute/detail/observe/observers.h>
 #include <celeryroute/detail/state/fleetstate.h>
 
@@ -22,42 +24,56 @@
 class CallRunner
 {
 public:
-    CallRunner(DispatcherSettings settings, AgentDirectory &directory, Observers observers);
+    CallRunner(DispatcherSettings settings, HostDirectory &directory, Observers observers);
 
     /// @brief Uses @p state from now on and ends the calls whose key it has withdrawn.
     void setState(std::shared_ptr<const FleetState> state, TimePoint now);
-    void setRefusingNew();
+    /// @brief Refuses new calls and lends the budgets away.
+    void setRefusingNew(TimePoint now);
     void start(CallerCall call, std::shared_ptr<HttpResponder> responder, TimePoint now);
     void callerGone(const std::string &requestId, TimePoint now);
     /// @brief Takes a message that an agent sent over @p link.
-    void receive(AgentLink &link, const proto::Envelope &envelope, TimePoint now);
+    void receive(HostLink &link, const proto::Envelope &envelope, TimePoint now);
     /// @brief Asks again, on a new connection, for what the attempts at @p link still miss.
-    void linkReconnected(AgentLink &link);
+    void linkReconnected(HostLink &link);
     /// @brief Deadlines, silent streams and unreachable hosts.
     void tick(TimePoint now);
+    /// @brief Takes up links that were added or removed.
+    void linksChanged(TimePoint now);
     /// @brief Ends the attempts at a host that the list has dropped.
     void hostLost(const std::string &host, TimePoint now);
     /// @brief Refuses everything in work.
-    void refuseAll(const Error &error);
+    void refuseAll(const Error &error, TimePoint now);
     std::size_t flights() const;
+    /// @brief The agreed state was known to be in force at @p at.
+    void confirmState(TimePoint at);
+    /// @brief Takes a message of another entry; false when it is none for this class.
+    bool receiveFromEntry(const proto::Envelope &envelope, TimePoint now);
 
 private:
+    void admit(Flight &flight, TimePoint now);
+    void retryParked(TimePoint now);
+    void settleBudget(Flight &flight, double usedTokens, TimePoint now);
     void startAttempt(Flight &flight, TimePoint now);
-    bool sendAttempt(Flight &flight, AgentLink &link, TimePoint now);
+    bool sendAttempt(Flight &flight, HostLink &link, TimePoint now);
     void takeHead(Flight &flight, const proto::ResponseHead &head);
-    void takeChunk(Flight &flight, AgentLink &link, const proto::ResponseChunk &chunk, TimePoint now);
-    void takeEnd(Flight &flight, AgentLink &link, const proto::ResponseEnd &end, TimePoint now);
+    void takeChunk(Flight &flight, HostLink &link, const proto::ResponseChunk &chunk, TimePoint now);
+    void takeEnd(Flight &flight, HostLink &link, const proto::ResponseEnd &end, TimePoint now);
     void deliver(Flight &flight, const std::string &text, TimePoint now);
     void failAttempt(Flight &flight, const Refusal &refusal, TimePoint now);
     void expire(Flight &flight, TimePoint now);
     void finish(Flight &flight);
-    void refuse(Flight &flight, const Refusal &refusal);
+    void refuse(Flight &flight, const Refusal &refusal, TimePoint now);
     void cancelAttempt(Flight &flight);
-    void askForMissing(Flight &flight, AgentLink &link);
-    bool send(AgentLink &link, proto::Envelope &envelope);
+    void endAttempt(Flight &flight);
+    void askForMissing(Flight &flight, HostLink &link);
+    bool send(HostLink &link, proto::Envelope &envelope);
 
     DispatcherSettings m_settings;
-    AgentDirectory &m_directory;
+    HostDirectory &m_directory;
+    TargetRouter m_router;
+    EntryBudget m_budget;
+    std::vector<std::string> m_parked; ///< Calls that wait for a loan of tokens.
     Timeline &m_timeline;
     FlightReporter m_reporter;
     std::shared_ptr<const FleetState> m_state;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -1,7 +1,8 @@
 #include <celeryroute/detail/entry/dispatcher.h>
 
 #include "callrunner.h"
-#include "wakeup.h"
+#include <celeryroute/detail/base/wakeup.h>
+#include <celeryroute/detail/entry/divisionplanner.h>
 
 #include <celeryroute/detail/base/mailbox.h>
 #include <celeryroute/detail/transport/peerserver.h>
@@ -42,8 +43,9 @@
         , hooks(std::move(newHooks))
         , observers(observers)
         , server(context)
-        , directory(context, settings.link)
+        , directory(context, settings.link, settings.host)
         , runner(settings, directory, observers)
+        , divisionPlanner(settings.instance, DivisionTimes{})
         , commands([this] { wakeUp.signal(); })
     {}
 
@@ -53,14 +55,16 @@
             waitForWork();
             const TimePoint now = MonotonicClock::now();
             runner.setState(hooks.state(), now);
+            runner.confirmState(hooks.confirmedAt());
             takeCommands(now);
             receiveFromAgents(now);
-            answerPeers();
+            answerPeers(now);
             tickLinks(now);
+            planDivision(now);
             runner.tick(now);
-            publish(now);
+            publish();
         }
-        runner.refuseAll({ResultCode::Stopping, "this entry has stopped"});
+        runner.refuseAll({ResultCode::Stopping, "this entry has stopped"}, MonotonicClock::now());
         flights = 0;
     }
 
@@ -99,28 +103,42 @@
         for (const std::string &host : directory.update(command.hosts, now)) {
             runner.hostLost(host, now);
         }
+        runner.linksChanged(now);
+        std::set<std::string> newDomains;
+        for (const auto &[name, link] : directory.links()) {
+            newDomains.insert(link->host().domain);
+        }
+        absl::MutexLock lock(&domainsMutex);
+        domains = std::move(newDomains);
     }
 
-    void apply(const RefuseNew &, TimePoint)
+    void apply(const RefuseNew &, TimePoint now)
     {
-        runner.setRefusingNew();
+        stoppingSoon = true;
+        runner.setRefusingNew(now);
     }
 
     void receiveFromAgents(TimePoint now)
     {
         for (const auto &[host, link] : directory.links()) {
             while (const auto envelope = link->receive(now)) {
-                hooks.peerOffset(envelope->sender(), envelope->state_offset());
+                if (envelope->has_heartbeat_reply()) {
+                    hooks.peerOffset(envelope->sender(), envelope->state_offset());
+                    hooks.heardFrom(link->host().domain, link->answeredHeartbeatSentAt());
+                }
                 runner.receive(*link, *envelope, now);
             }
         }
     }
 
-    void answerPeers()
+    void answerPeers(TimePoint now)
     {
         while (const auto message = server.receive()) {
             observers.timeline.observe(message->envelope->logical_time());
-            std::optional<proto::Envelope> reply = hooks.otherMessage(*message->envelope);
+            if (runner.receiveFromEntry(*message->envelope, now)) {
+                continue;
+            }
+            std::optional<proto::Envelope> reply = answerTo(*message->envelope);
             if (reply) {
                 reply->set_call(message->envelope->call());
                 stamp(*reply);
@@ -129,6 +147,19 @@
         }
     }
 
+    std::optional<proto::Envelope> answerTo(const proto::Envelope &message)
+    {
+        if (!message.has_heartbeat()) {
+            return hooks.otherMessage(message);
+        }
+        hooks.peerOffset(message.sender(), message.state_offset());
+        proto::Envelope reply;
+        reply.mutable_heartbeat_reply()->set_sequence(message.heartbeat().sequence());
+        reply.mutable_heartbeat_reply()->set_host(settings.host);
+        reply.mutable_heartbeat_reply()->set_leaving(stoppingSoon);
+        return reply;
+    }
+
     void stamp(proto::Envelope &envelope)
     {
         envelope.set_sender(settings.instance);
@@ -150,40 +181,48 @@
         }
     }
 
-    void sendHeartbeat(AgentLink &link)
+    void planDivision(TimePoint now)
+    {
+        std::set<std::string> entries;
+        for (std::string &entry : directory.reachableEntries(now)) {
+            entries.insert(std::move(entry));
+        }
+        if (!stoppingSoon) {
+            entries.insert(settings.instance);
+        }
+        if (const auto division = divisionPlanner.propose(hooks.state()->shares(), entries, now)) {
+            hooks.submitDivision(*division);
+        }
+    }
+
+    void sendHeartbeat(HostLink &link)
     {
         proto::Envelope envelope;
-        envelope.mutable_heartbeat()->set_sequence(++heartbeats);
+        envelope.mutable_heartbeat()->set_sequence(link.heartbeatSequence());
         stamp(envelope);
         link.peer().send(envelope);
     }
 
-    void publish(TimePoint now)
+    void publish()
     {
         flights = runner.flights();
         observers.metrics.setInFlight(static_cast<std::int64_t>(flights));
-        std::map<std::string, bool> reachability;
-        for (const auto &[host, link] : directory.links()) {
-            bool &reachable = reachability[link->host().domain];
-            reachable = reachable || link->reachable(now);
-        }
-        absl::MutexLock lock(&reachabilityMutex);
-        domains = std::move(reachability);
     }
 
     DispatcherSettings settings;
     DispatcherHooks hooks;
     Observers observers;
     PeerServer server;
-    AgentDirectory directory;
+    HostDirectory directory;
     CallRunner runner;
+    DivisionPlanner divisionPlanner;
+    bool stoppingSoon = false;
     WakeUp wakeUp;
     Mailbox<Command> commands;
-    std::uint64_t heartbeats = 0;
     std::atomic<std::size_t> flights{0};
     std::atomic<bool> stopping{false};
-    mutable absl::Mutex reachabilityMutex;
-    std::map<std::string, bool> domains ABSL_GUARDED_BY(reachabilityMutex);
+    mutable absl::Mutex domainsMutex;
+    std::set<std::string> domains ABSL_GUARDED_BY(domainsMutex);
     std::thread thread;
 };
 
@@ -238,9 +277,9 @@
     return m_private->flights;
 }
 
-std::map<std::string, bool> Dispatcher::domainReachability() const
+std::set<std::string> Dispatcher::linkedDomains() const
 {
-    absl::MutexLock lock(&m_private->reachabilityMutex);
+    absl::MutexLock lock(&m_private->domainsMutex);
     return m_private->domains;
 }
 
--- a/src/entry/agentdirectory.cpp
+++ b/src/entry/hostdirectory.cpp
@@ -1,4 +1,4 @@
-#include <celeryroute/detail/entry/agentdirectory.h>
+#include <celeryroute/detail/entry/hostdirectory.h>
 
 namespace celeryroute {
 
@@ -6,21 +6,23 @@
 
 bool sameLink(const HostEntry &left, const HostEntry &right)
 {
-    return left.address == right.address && left.pool == right.pool && left.domain == right.domain;
+    return left.role == right.role && left.address == right.address && left.pool == right.pool
+        && left.domain == right.domain;
 }
 
 } // namespace
 
-AgentDirectory::AgentDirectory(TransportContext &context, LinkTimeouts timeouts)
+HostDirectory::HostDirectory(TransportContext &context, LinkTimeouts timeouts, std::string ownHost)
     : m_context(context)
     , m_timeouts(timeouts)
+    , m_ownHost(std::move(ownHost))
 {}
 
-std::vector<std::string> AgentDirectory::update(const std::vector<HostEntry> &hosts, TimePoint now)
+std::vector<std::string> HostDirectory::update(const std::vector<HostEntry> &hosts, TimePoint now)
 {
     std::map<std::string, const HostEntry *> wanted;
     for (const HostEntry &host : hosts) {
-        if (host.role == HostRole::Agent) {
+        if (host.role == HostRole::Agent || host.host != m_ownHost) {
             wanted[host.host] = &host;
         }
     }
@@ -37,30 +39,30 @@
     }
     for (const auto &[name, host] : wanted) {
         if (m_links.count(name) == 0) {
-            m_links.emplace(name, std::make_unique<AgentLink>(m_context, *host, m_timeouts, now));
+            m_links.emplace(name, std::make_unique<HostLink>(m_context, *host, m_timeouts, now));
         }
     }
     return closed;
 }
 
-AgentLink *AgentDirectory::find(const std::string &host)
+HostLink *HostDirectory::find(const std::string &host)
 {
     const auto found = m_links.find(host);
     return found == m_links.end() ? nullptr : found->second.get();
 }
 
-std::vector<AgentLink *> AgentDirectory::usable(const std::string &pool, TimePoint now)
+std::vector<std::string> HostDirectory::reachableEntries(TimePoint now) const
 {
-    std::vector<AgentLink *> links;
+    std::vector<std::string> incarnations;
     for (const auto &[name, link] : m_links) {
-        if (link->host().pool == pool && link->usable(now)) {
-            links.push_back(link.get());
+        if (link->host().role == HostRole::Entry && link->usable(now)) {
+            incarnations.push_back(link->incarnation());
         }
     }
-    return links;
+    return incarnations;
 }
 
-std::map<std::string, std::unique_ptr<AgentLink>> &AgentDirectory::links()
+std::map<std::string, std::unique_ptr<HostLink>> &HostDirectory::links()
 {
     return m_links;
 }
--- a/src/entry/agentlink.cpp
+++ b/src/entry/hostlink.cpp
@@ -1,4 +1,4 @@
-#include <celeryroute/detail/entry/agentlink.h>
+#include <celeryroute/detail/entry/hostlink.h>
 
 #include <peer.pb.h>
 
@@ -6,7 +6,7 @@
 
 namespace celeryroute {
 
-AgentLink::AgentLink(TransportContext &context, HostEntry host, LinkTimeouts timeouts, TimePoint now)
+HostLink::HostLink(TransportContext &context, HostEntry host, LinkTimeouts timeouts, TimePoint now)
     : m_host(std::move(host))
     , m_timeouts(timeouts)
     , m_peer(context, m_host.address, now)
@@ -16,40 +16,42 @@
     , m_lastConnect(now)
 {}
 
-const HostEntry &AgentLink::host() const
+const HostEntry &HostLink::host() const
 {
     return m_host;
 }
 
-void AgentLink::setState(HostState state)
+void HostLink::setState(HostState state)
 {
     m_host.state = state;
 }
 
-PeerLink &AgentLink::peer()
+PeerLink &HostLink::peer()
 {
     return m_peer;
 }
 
 // A connection that something between the two ends has forgotten stays silent for good while a new
 // one works, so silence is answered with a new connection before the host is given up.
-LinkStep AgentLink::tick(TimePoint now)
+LinkStep HostLink::tick(TimePoint now)
 {
     const TimePoint quietSince = std::max(m_lastAnswer, m_lastConnect);
     if (now - quietSince >= m_timeouts.reconnectAfter) {
         m_peer.reconnect(now);
         m_lastConnect = now;
         m_lastHeartbeat = now;
+        ++m_heartbeatSequence;
         return LinkStep::Reconnected;
     }
     if (now - m_lastHeartbeat >= m_timeouts.heartbeatInterval) {
         m_lastHeartbeat = now;
+        ++m_heartbeatSequence;
         return LinkStep::SendHeartbeat;
     }
     return LinkStep::None;
 }
 
-std::shared_ptr<const proto::Envelope> AgentLink::receive(TimePoint now)
+std::shared_ptr<const proto::Envelope> HostLink::receive(TimePoint now)
 {
     std::shared_ptr<const proto::Envelope> envelope = m_peer.receive(now);
     if (!envelope) {
@@ -62,21 +64,34 @@
     if (envelope->has_heartbeat_reply()) {
         m_report = envelope;
         m_loadReceived = now;
+        if (envelope->heartbeat_reply().sequence() == m_heartbeatSequence) {
+            m_answeredHeartbeatSentAt = m_lastHeartbeat;
+        }
     }
     return envelope;
 }
 
-bool AgentLink::reachable(TimePoint now) const
+std::uint64_t HostLink::heartbeatSequence() const
+{
+    return m_heartbeatSequence;
+}
+
+TimePoint HostLink::answeredHeartbeatSentAt() const
+{
+    return m_answeredHeartbeatSentAt;
+}
+
+bool HostLink::reachable(TimePoint now) const
 {
     return m_answered && now - m_lastAnswer < m_timeouts.unreachableAfter;
 }
 
-TimePoint AgentLink::opened() const
+TimePoint HostLink::opened() const
 {
     return m_opened;
 }
 
-bool AgentLink::usable(TimePoint now) const
+bool HostLink::usable(TimePoint now) const
 {
     if (m_host.state == HostState::Leaving || !reachable(now)) {
         return false;
@@ -84,22 +99,22 @@
     return m_report == nullptr || !m_report->heartbeat_reply().leaving();
 }
 
-const proto::TargetLoad *AgentLink::load() const
+const proto::TargetLoad *HostLink::load() const
 {
     return m_report == nullptr ? nullptr : &m_report->heartbeat_reply().load();
 }
 
-TimePoint AgentLink::loadReceived() const
+TimePoint HostLink::loadReceived() const
 {
     return m_loadReceived;
 }
 
-const std::string &AgentLink::incarnation() const
+const std::string &HostLink::incarnation() const
 {
     return m_incarnation;
 }
 
-std::uint64_t AgentLink::stateOffset() const
+std::uint64_t HostLink::stateOffset() const
 {
     return m_stateOffset;
 }
--- a/src/state/accessfold.cpp
+++ b/src/state/accessfold.cpp
@@ -110,6 +110,7 @@
     }
     Shares shares;
     shares.epoch = revision;
+    shares.baseEpoch = epoch;
     double sum = 0;
     for (const proto::EntryShare &share : division.shares()) {
         const bool valid = std::isfinite(share.fraction()) && share.fraction() >= 0 && !share.incarnation().empty();
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -69,6 +69,7 @@
         return;
     }
     proto::ShareDivision &division = *add(items, tables.shares->epoch).mutable_shares();
+    division.set_base_epoch(tables.shares->baseEpoch);
     for (const auto &[incarnation, fraction] : tables.shares->fractions) {
         proto::EntryShare &share = *division.add_shares();
         share.set_incarnation(incarnation);
@@ -131,6 +132,7 @@
 {
     Shares shares;
     shares.epoch = epoch;
+    shares.baseEpoch = division.base_epoch();
     for (const proto::EntryShare &share : division.shares()) {
         shares.fractions[share.incarnation()] = share.fraction();
     }
--- a/src/state/statestore.cpp
+++ b/src/state/statestore.cpp
@@ -29,6 +29,11 @@
     return now < m_freshUntil.load(std::memory_order_acquire);
 }
 
+TimePoint StateStore::freshUntil() const
+{
+    return m_freshUntil.load(std::memory_order_acquire);
+}
+
 void StateStore::setFreshUntil(TimePoint time)
 {
     m_freshUntil.store(time, std::memory_order_release);
--- a/tests/src/unit-entry.cpp
+++ b/tests/src/unit-entry.cpp
@@ -53,6 +53,9 @@
     tables.keys.insertOrAssign(sha256(std::string("good")), {KeyEntry{"yard", "", false}, 1});
     tables.keys.insertOrAssign(sha256(std::string("gone")), {KeyEntry{"yard", "", true}, 1});
     tables.keys.insertOrAssign(sha256(std::string("other")), {KeyEntry{"hotel", "", false}, 1});
+    tables.customers.edit()["yard"] = {CustomerSpec{"yard", 1e6, 1e6, 1}, 1};
+    tables.nextOffset = 1;
+    tables.shares.edit() = Shares{1, 0, {{"entry-1", 1.0}}};
     return FleetState(std::move(tables));
 }
 
@@ -253,6 +256,9 @@
         hooks.state = [this] { return std::atomic_load(&state); };
         hooks.otherMessage = [](const proto::Envelope &) { return std::nullopt; };
         hooks.peerOffset = [](const std::string &, std::uint64_t) {};
+        hooks.confirmedAt = [] { return MonotonicClock::now(); };
+        hooks.submitDivision = [](const proto::ShareDivision &) {};
+        hooks.heardFrom = [](const std::string &, TimePoint) {};
         dispatcher = std::make_unique<Dispatcher>(settings, context, hooks, Observers{timeline, metrics});
         handleErrors(
             [this]() -> Result<bool> {
@@ -303,6 +309,7 @@
         }
         CallerCall call = handleErrors([&] { return buildChatCall(*state, request, true, MonotonicClock::now()); },
                                        [](const Error &) { return CallerCall(); });
+        call.worstCaseTokens = 0; // Budgets have tests of their own.
         dispatcher->submit(std::move(call), responder);
         return waitFor(agent, [](const proto::Envelope &e) { return e.has_submit(); });
     }
@@ -388,6 +395,7 @@
     sendHead(agent, submit);
     sendChunk(agent, submit, 0, "a");
     StateTables tables = FleetState(*state).takeTables();
+    tables.nextOffset = 2;
     tables.keys.insertOrAssign(sha256(std::string("good")), {KeyEntry{"yard", "", true}, 2});
     std::atomic_store(&state, std::make_shared<const FleetState>(std::move(tables)));
     dispatcher->stateChanged();
