Dispatch calls that may not be repeated only under a claim

An entry sent bookings to an agent without recording them, so a repeat at another entry ran again. The runner now asks the claim desk, dispatches on a claim read back from the log, and records outcome, doubt or tombstone at the end; a caller that goes away no longer cancels a booking under way.

--- a/include/celeryroute/detail/entry/dispatcher.h
+++ b/include/celeryroute/detail/entry/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celeryroute/detail/claims/claimcoordinator.h>
 #include <celeryroute/detail/entry/dispatchersettings.h>
 #include <celeryroute/detail/entry/flight.h>
 #include <celeryroute/detail/observe/observers.h>
@@ -20,6 +21,7 @@
 namespace proto {
 class Envelope;
 class ShareDivision;
+class LogRecord;
 } // namespace proto
 
 /// The agreed state as of now.
@@ -36,6 +38,11 @@
     std::function<TimePoint()> confirmedAt;
     /// Appends a new division of budgets to the log.
     std::function<void(const proto::ShareDivision &division)> submitDivision;
+    /// Has @p record appended and calls @p handler, on any thread, with what became of it.
+    std::function<void(proto::LogRecord record, std::function<void(BatchFate fate, std::uint64_t offset)> handler)>
+        submitRecord;
+    /// Whether the log answered lately.
+    std::function<bool()> logReachable;
     /// A host of this failure domain answered a heartbeat sent at that time.
     std::function<void(const std::string &domain, TimePoint sentAt)> heardFrom;
 };
--- a/include/celeryroute/detail/entry/flight.h
+++ b/include/celeryroute/detail/entry/flight.h
@@ -30,6 +30,8 @@
     std::string wholeBody; ///< Of an answer that is not streamed.
     bool headSent = false; ///< Whether the caller has received a part of the answer.
     std::uint32_t attempts = 0;
+    std::string claimId; ///< Set once the call may be dispatched, when it may not be repeated.
+    std::uint64_t claimOffset = 0;
     std::uint64_t reservation = 0; ///< Of tokens in the customer's budget; 0 for none.
     TimePoint parkedUntil; ///< While it waits for a loan of tokens.
 };
--- a/src/agent/targetrequest.cpp
+++ b/src/agent/targetrequest.cpp
@@ -38,7 +38,8 @@
     if (kind == PoolKind::Service) {
         call.headers["x-request-id"] = submit.request_id();
         call.headers["x-customer"] = submit.customer();
-        call.headers["idempotency-key"] = submit.claim_id().empty() ? submit.request_id() : submit.claim_id();
+        const std::string &ownKey = submit.claim_id().empty() ? submit.request_id() : submit.claim_id();
+        call.headers["idempotency-key"] = submit.idempotency_key().empty() ? ownKey : submit.idempotency_key();
         // A call that may not be repeated must not meet a connection that has gone silent.
         call.freshConnection = !submit.repeatable();
         return call;
--- a/src/daemon/entryprocess.cpp
+++ b/src/daemon/entryprocess.cpp
@@ -14,6 +14,19 @@
 /// Time for the platform's balancer to see that readiness fails before new calls are refused.
 constexpr Duration BalancerDelay = std::chrono::seconds(2);
 
+BatchFate batchFate(Settlement settlement)
+{
+    switch (settlement) {
+    case Settlement::NotAppended:
+        return BatchFate::NotAppended;
+    case Settlement::Unsettled:
+    case Settlement::Recorded:
+        return BatchFate::InDoubt;
+    default:
+        return BatchFate::Appended;
+    }
+}
+
 DispatcherSettings dispatcherSettings(const DaemonSettings &settings, const std::string &instance)
 {
     DispatcherSettings dispatcher;
@@ -94,6 +107,12 @@
         *record.mutable_share_division() = division;
         m_process.control().submit(std::move(record));
     };
+    hooks.submitRecord = [this](proto::LogRecord record, std::function<void(BatchFate, std::uint64_t)> handler) {
+        m_process.control().submit(std::move(record), [handler = std::move(handler)](const RecordVerdict &verdict) {
+            handler(batchFate(verdict.settlement), verdict.offset);
+        });
+    };
+    hooks.logReachable = [this] { return m_process.control().isLogReachable(); };
     hooks.heardFrom = [this](const std::string &domain, TimePoint sentAt) {
         m_process.control().heardFrom(domain, sentAt);
     };
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -30,6 +30,7 @@
     , m_timeline(observers.timeline)
     , m_reporter(observers)
     , m_state(std::make_shared<const FleetState>())
+    , m_claims(m_settings.instance)
 {}
 
 void CallRunner::setState(std::shared_ptr<const FleetState> state, TimePoint now)
@@ -39,6 +40,7 @@
     if (unchanged) {
         return;
     }
+    m_claims.setState(*m_state, now);
     m_router.setState(m_state);
     m_budget.setState(*m_state, now);
     const auto withdrawn = m_table.select([this](const Flight &flight) {
@@ -83,13 +85,13 @@
     const std::string &customer = flight.call.caller.customer;
     const auto tokens = static_cast<double>(flight.call.worstCaseTokens);
     if (customer.empty() || tokens == 0) {
-        startAttempt(flight, now);
+        claimOrStart(flight, now);
         return;
     }
     const ReserveOutcome outcome = m_budget.reserve(customer, tokens, now);
     if (const auto *reservation = std::get_if<Reservation>(&outcome)) {
         flight.reservation = reservation->id;
-        startAttempt(flight, now);
+        claimOrStart(flight, now);
         return;
     }
     const BudgetRefusal refusal = std::get<BudgetRefusal>(outcome);
@@ -135,6 +137,49 @@
     return taken;
 }
 
+// A call that may not be repeated waits for its claim; its verdict starts, answers or refuses it.
+void CallRunner::claimOrStart(Flight &flight, TimePoint now)
+{
+    if (!ClaimDesk::isNeeded(flight.call)) {
+        startAttempt(flight, now);
+        return;
+    }
+    if (const std::optional<Refusal> refusal = m_claims.begin(flight.call, now)) {
+        refuse(flight, *refusal, now);
+    }
+}
+
+ClaimDesk &CallRunner::claims()
+{
+    return m_claims;
+}
+
+void CallRunner::takeClaimNotices(TimePoint now)
+{
+    for (const ClaimNotice &notice : m_claims.takeNotices(now)) {
+        carryOut(notice, now);
+    }
+}
+
+void CallRunner::carryOut(const ClaimNotice &notice, TimePoint now)
+{
+    Flight *flight = m_table.find(notice.callId);
+    if (flight == nullptr) {
+        m_claims.refused(notice.callId, RunState::NotRun, now);
+    } else if (const auto *won = std::get_if<ClaimWon>(&notice.verdict)) {
+        flight->claimId = won->claimId;
+        flight->claimOffset = won->offset;
+        startAttempt(*flight, now);
+    } else if (const auto *repeat = std::get_if<ClaimRepeat>(&notice.verdict)) {
+        settleBudget(*flight, 0, now);
+        flight->responder->respond(repeatResponse(repeat->answer, notice.callId));
+        m_table.remove(notice.callId);
+    } else {
+        const ClaimDenied &denied = std::get<ClaimDenied>(notice.verdict);
+        refuse(*flight, {denied.error, denied.run, Duration::zero()}, now);
+    }
+}
+
 void CallRunner::startAttempt(Flight &flight, TimePoint now)
 {
     HostLink *link = m_router.choose(flight.call, flight.triedHosts);
@@ -155,6 +200,8 @@
     if (const auto *customer = m_state->customer(flight.call.caller.customer)) {
         terms.weight = customer->value.weight;
     }
+    terms.claimId = flight.claimId;
+    terms.claimOffset = flight.claimOffset;
     terms.shareEpoch = m_state->shares().epoch;
     proto::Envelope envelope;
     fillSubmit(envelope, flight.call, attempt->id, terms, now);
@@ -268,7 +315,7 @@
         if (attempt.relay.complete()) {
             m_reporter.answered(flight, end, now);
             settleBudget(flight, static_cast<double>(end.tokens_used()), now);
-            finish(flight);
+            finish(flight, now);
         } else {
             askForMissing(flight, link);
         }
@@ -293,9 +340,14 @@
     m_reporter.retried(flight);
 }
 
-void CallRunner::finish(Flight &flight)
+void CallRunner::finish(Flight &flight, TimePoint now)
 {
     Attempt &attempt = *flight.attempt;
+    if (!flight.claimId.empty()) {
+        m_claims.answered(flight.call.requestId,
+                          recordable(attempt.status, attempt.contentType, flight.wholeBody),
+                          now);
+    }
     if (flight.call.stream && attempt.status < FirstErrorStatus) {
         if (!flight.headSent) {
             flight.responder->begin(static_cast<int>(attempt.status), {{"content-type", attempt.contentType}});
@@ -317,6 +369,9 @@
     const auto worstCase = static_cast<double>(flight.call.worstCaseTokens);
     settleBudget(flight, refusal.run == RunState::NotRun ? 0.0 : worstCase, now);
     m_reporter.refused(flight, refusal);
+    if (ClaimDesk::isNeeded(flight.call)) {
+        m_claims.refused(flight.call.requestId, refusal.run, now);
+    }
     if (flight.headSent) {
         flight.responder->write(refusalEvent(refusal, flight.call.requestId));
         flight.responder->end(false);
@@ -333,6 +388,13 @@
     if (flight == nullptr) {
         return;
     }
+    // A booking under way goes on, so that its outcome is recorded for the caller's repeat.
+    if (!flight->claimId.empty()) {
+        return;
+    }
+    if (ClaimDesk::isNeeded(flight->call)) {
+        m_claims.refused(requestId, RunState::NotRun, now);
+    }
     m_reporter.callerGone(*flight);
     settleBudget(*flight, flight->attempt ? static_cast<double>(flight->call.worstCaseTokens) : 0.0, now);
     cancelAttempt(*flight);
@@ -386,6 +448,7 @@
 
 void CallRunner::tick(TimePoint now)
 {
+    takeClaimNotices(now);
     m_router.refresh(now);
     m_budget.tick(now);
     retryParked(now);
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimdesk.h"
 #include "entrybudget.h"
 #include "flightreporter.h"
 #include "flighttable.h"
@@ -45,6 +46,10 @@
     /// @brief Refuses everything in work.
     void refuseAll(const Error &error, TimePoint now);
     std::size_t flights() const;
+    /// @brief The claims of calls that may not be repeated.
+    ClaimDesk &claims();
+    /// @brief Carries out the verdicts of claims.
+    void takeClaimNotices(TimePoint now);
     /// @brief The agreed state was known to be in force at @p at.
     void confirmState(TimePoint at);
     /// @brief Takes a message of another entry; false when it is none for this class.
@@ -54,6 +59,8 @@
     void admit(Flight &flight, TimePoint now);
     void retryParked(TimePoint now);
     void settleBudget(Flight &flight, double usedTokens, TimePoint now);
+    void claimOrStart(Flight &flight, TimePoint now);
+    void carryOut(const ClaimNotice &notice, TimePoint now);
     void startAttempt(Flight &flight, TimePoint now);
     bool sendAttempt(Flight &flight, HostLink &link, TimePoint now);
     void takeHead(Flight &flight, const proto::ResponseHead &head);
@@ -62,7 +69,7 @@
     void deliver(Flight &flight, const std::string &text, TimePoint now);
     void failAttempt(Flight &flight, const Refusal &refusal, TimePoint now);
     void expire(Flight &flight, TimePoint now);
-    void finish(Flight &flight);
+    void finish(Flight &flight, TimePoint now);
     void refuse(Flight &flight, const Refusal &refusal, TimePoint now);
     void cancelAttempt(Flight &flight);
     void endAttempt(Flight &flight);
@@ -78,6 +85,7 @@
     FlightReporter m_reporter;
     std::shared_ptr<const FleetState> m_state;
     FlightTable m_table;
+    ClaimDesk m_claims;
     bool m_refusingNew = false;
 };
 
--- /dev/null
+++ b/src/entry/claimdesk.cpp
@@ -0,0 +1,131 @@
+#include "claimdesk.h"
+
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/state/newrecord.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace celeryroute {
+
+namespace {
+
+/// Left of the deadline when a call stops waiting, so that its refusal arrives in time.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
+
+ClaimNow claimNow(TimePoint now)
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return {now, std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()};
+}
+
+} // namespace
+
+ClaimDesk::ClaimDesk(std::string instance)
+    : m_instance(std::move(instance))
+    , m_coordinator(m_instance)
+{}
+
+bool ClaimDesk::isNeeded(const CallerCall &call)
+{
+    return !call.route.repeatable && call.model.empty();
+}
+
+std::optional<Refusal> ClaimDesk::begin(const CallerCall &call, TimePoint now)
+{
+    std::optional<Refusal> refusal;
+    const IdempotencyKey key = handleErrors([&call] { return parseIdempotencyKey(call.idempotencyKey); },
+                                            [&refusal](const Error &error) {
+                                                refusal = Refusal{error, RunState::NotRun, Duration::zero()};
+                                                return IdempotencyKey{};
+                                            });
+    if (!refusal) {
+        const ClaimRequest request{call.caller.customer, call.route.name, key, call.requestDigest};
+        m_coordinator.begin(call.requestId, request, call.deadline - AnswerMargin, claimNow(now));
+    }
+    return refusal;
+}
+
+void ClaimDesk::answered(const std::string &requestId, RecordedAnswer answer, TimePoint now)
+{
+    m_coordinator.ran(requestId, std::move(answer), claimNow(now));
+}
+
+void ClaimDesk::refused(const std::string &requestId, RunState run, TimePoint now)
+{
+    const ClaimNow both = claimNow(now);
+    m_coordinator.abandon(requestId, both);
+    switch (run) {
+    case RunState::NotRun:
+        m_coordinator.notRun(requestId, both);
+        break;
+    case RunState::Ran:
+        m_coordinator.ran(requestId, RecordedAnswer{0, "", "", true}, both);
+        break;
+    case RunState::Unknown:
+        m_coordinator.inDoubt(requestId, both);
+        break;
+    }
+}
+
+void ClaimDesk::setState(const FleetState &state, TimePoint now)
+{
+    m_coordinator.show(state.claims(), state.nextOffset(), claimNow(now));
+}
+
+void ClaimDesk::setLogReachable(bool reachable)
+{
+    m_coordinator.setLogReachable(reachable);
+}
+
+void ClaimDesk::settled(const std::string &recordId, BatchFate fate, std::uint64_t offset, TimePoint now)
+{
+    const auto batch = m_batches.find(recordId);
+    if (batch != m_batches.end()) {
+        m_coordinator.settle(batch->second, fate, offset, claimNow(now));
+        m_batches.erase(batch);
+    }
+}
+
+std::vector<ClaimNotice> ClaimDesk::takeNotices(TimePoint now)
+{
+    m_coordinator.tick(claimNow(now));
+    return m_coordinator.takeNotices();
+}
+
+std::vector<proto::LogRecord> ClaimDesk::takeRecords(TimePoint now)
+{
+    std::vector<proto::LogRecord> records;
+    while (std::optional<PendingBatch> pending = m_coordinator.takeBatch(now)) {
+        proto::LogRecord record = newRecord(m_instance, std::chrono::system_clock::now());
+        *record.mutable_claim_batch() = std::move(pending->batch);
+        m_batches.emplace(record.id(), pending->number);
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+bool ClaimDesk::isBusy() const
+{
+    return m_coordinator.waiting() > 0;
+}
+
+HttpResponse repeatResponse(const RecordedAnswer &answer, const std::string &requestId)
+{
+    if (answer.truncated) {
+        const std::string message = absl::StrCat("the call ran before and was answered with status ",
+                                                 answer.status,
+                                                 "; its answer was too large to be recorded (SHA-256 ",
+                                                 toHex(answer.body),
+                                                 ")");
+        return refusalResponse({{ResultCode::OutcomeTooLarge, message}, RunState::Ran, Duration::zero()}, requestId);
+    }
+    HttpResponse response;
+    response.status = static_cast<int>(answer.status);
+    response.headers = {{"content-type", answer.contentType},
+                        {"x-request-id", requestId},
+                        {"idempotent-replayed", "true"}};
+    response.body = answer.body;
+    return response;
+}
+
+} // namespace celeryroute
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr long PollIntervalMs = 20;
+constexpr long ClaimPollIntervalMs = 2;
 
 struct NewCall {
     CallerCall call;
@@ -31,7 +32,12 @@
     std::vector<HostEntry> hosts;
 };
 struct RefuseNew {};
-using Command = std::variant<NewCall, CallerGone, NewHosts, RefuseNew>;
+struct RecordSettled {
+    std::string recordId;
+    BatchFate fate = BatchFate::InDoubt;
+    std::uint64_t offset = 0;
+};
+using Command = std::variant<NewCall, CallerGone, NewHosts, RefuseNew, RecordSettled>;
 
 } // namespace
 
@@ -61,7 +67,9 @@
             answerPeers(now);
             tickLinks(now);
             planDivision(now);
+            runner.claims().setLogReachable(hooks.logReachable && hooks.logReachable());
             runner.tick(now);
+            submitClaims(now);
             publish();
         }
         runner.refuseAll({ResultCode::Stopping, "this entry has stopped"}, MonotonicClock::now());
@@ -77,7 +85,9 @@
         for (const auto &[host, link] : directory.links()) {
             items.push_back({link->peer().socket(), 0, ZMQ_POLLIN, 0});
         }
-        zmq_poll(items.data(), static_cast<int>(items.size()), PollIntervalMs);
+        zmq_poll(items.data(),
+                 static_cast<int>(items.size()),
+                 runner.claims().isBusy() ? ClaimPollIntervalMs : PollIntervalMs);
         wakeUp.clear();
     }
 
@@ -118,6 +128,21 @@
         runner.setRefusingNew(now);
     }
 
+    void apply(const RecordSettled &command, TimePoint now)
+    {
+        runner.claims().settled(command.recordId, command.fate, command.offset, now);
+    }
+
+    void submitClaims(TimePoint now)
+    {
+        for (proto::LogRecord &record : runner.claims().takeRecords(now)) {
+            const std::string id = record.id();
+            hooks.submitRecord(std::move(record), [this, id](BatchFate fate, std::uint64_t offset) {
+                commands.post(RecordSettled{id, fate, offset});
+            });
+        }
+    }
+
     void receiveFromAgents(TimePoint now)
     {
         for (const auto &[host, link] : directory.links()) {
