--- a/src/control/hostwatcher.cpp
+++ b/src/control/hostwatcher.cpp
@@ -1,30 +1,12 @@
 #include "hostwatcher.h"
 
-#include <celeryroute/detail/http/httpclient.h>
 #include <celeryroute/detail/observe/log.h>
-#include <celeryroute/detail/platform/hostlistformat.h>
+#include <celeryroute/detail/platform/hostlistclient.h>
 
 #include <absl/time/time.h>
-#include <optional>
 
 namespace celeryroute {
 
-namespace {
-
-constexpr int StatusOk = 200;
-
-Result<std::vector<HostEntry>> readHosts(HttpClient &client, const HttpCall &call)
-{
-    BOOST_LEAF_AUTO(response, client.perform(call));
-    if (response.status != StatusOk) {
-        return fail(ResultCode::PlatformUnavailable,
-                    "the host list answered with status " + std::to_string(response.status));
-    }
-    return decodeHostList(response.body);
-}
-
-} // namespace
-
 HostWatcher::HostWatcher(std::string url, Duration interval, Duration timeout, Handler handler)
     : m_url(std::move(url))
     , m_interval(interval)
@@ -41,15 +23,12 @@
 
 void HostWatcher::run()
 {
-    HttpClient client;
-    HttpCall call;
-    call.url = m_url + "/v1/hosts";
-    call.totalTimeout = m_timeout;
+    HostListClient client{HttpHostList(m_url, m_timeout)};
     bool lastFailed = false;
     do {
         const bool failed = handleErrors(
             [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(hosts, readHosts(client, call));
+                BOOST_LEAF_AUTO(hosts, client.read());
                 m_handler(std::move(hosts));
                 return false;
             },
@@ -60,8 +39,6 @@
                 return true;
             });
         lastFailed = failed;
-        // A connection that has gone silent is not used again.
-        call.freshConnection = failed;
     } while (!m_stopping.WaitForNotificationWithTimeout(absl::FromChrono(m_interval)));
 }
 
