Stop the control thread from waking itself

Cause: idle entries used a whole core each. The tick hook posts a command on every pass, the command ends the next wait, and so the loop never slept. Ruled out: the edge-triggered descriptor of the peer socket (polled through the library now all the same), HTTP and log threads (none above 1%). Change: ticks are spaced by the clock.

--- a/include/celeryroute/detail/transport/peerserver.h
+++ b/include/celeryroute/detail/transport/peerserver.h
@@ -36,6 +36,7 @@
     /// @brief Readable when receive() may have a message. Edge-triggered: after it signals, and after
     /// each send(), call receive() until it returns nothing.
     int fd() const;
+    void *socket() const; ///< The ZeroMQ socket, for zmq_poll.
     /// @brief The next message, if any; malformed ones are counted and skipped.
     std::optional<PeerMessage> receive();
     /// @brief Sends without blocking; false when the peer has gone or does not read.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -68,7 +68,7 @@
             carryOut(nextActions(now), now);
             deliverVerdicts();
             publish();
-            hooks.tick(now);
+            tickIfDue(now);
         }
     }
 
@@ -82,6 +82,15 @@
         wakeUp.clear();
     }
 
+    // Hooks may post commands, which end the next wait early, so ticks are spaced by the clock.
+    void tickIfDue(TimePoint now)
+    {
+        if (now >= nextTick) {
+            nextTick = now + std::chrono::milliseconds(TickIntervalMs);
+            hooks.tick(now);
+        }
+    }
+
     void takeCommands(TimePoint now)
     {
         for (Command &command : commands.take()) {
@@ -232,6 +241,7 @@
     StateFollower follower ABSL_GUARDED_BY(followerMutex);
     std::map<std::string, VerdictHandler> handlers; ///< By record id.
     std::uint64_t publishedOffset = 0;
+    TimePoint nextTick;
     std::atomic<bool> ready{false};
     std::atomic<bool> logReachable{false};
     std::atomic<bool> stopping{false};
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -81,7 +81,7 @@
         std::vector<zmq_pollitem_t> items;
         items.reserve(directory.links().size() + 2);
         items.push_back({nullptr, wakeUp.fd(), ZMQ_POLLIN, 0});
-        items.push_back({nullptr, server.fd(), ZMQ_POLLIN, 0});
+        items.push_back({server.socket(), 0, ZMQ_POLLIN, 0});
         for (const auto &[host, link] : directory.links()) {
             items.push_back({link->peer().socket(), 0, ZMQ_POLLIN, 0});
         }
--- a/src/transport/peerserver.cpp
+++ b/src/transport/peerserver.cpp
@@ -72,6 +72,11 @@
     return fd;
 }
 
+void *PeerServer::socket() const
+{
+    return m_private->socket;
+}
+
 std::optional<PeerMessage> PeerServer::receive()
 {
     for (;;) {
