Hand the host list to the agent

Cause: the agent plans grants only with a reading of the host list, and the daemon dropped the readings; so no host was ever granted a model and every engine request was refused with 510. Change: AgentProcess passes each reading to Agent::setHosts(). The process test of the agent is still to come.

--- a/src/daemon/agentprocess.cpp
+++ b/src/daemon/agentprocess.cpp
@@ -62,7 +62,7 @@
         });
     BOOST_LEAF_CHECK(m_server->start());
     ControlHooks hooks;
-    hooks.hostsChanged = [](const std::vector<HostEntry> &) {};
+    hooks.hostsChanged = [this](const std::vector<HostEntry> &hosts) { m_agent.setHosts(hosts); };
     hooks.stateChanged = [] {};
     hooks.tick = [](TimePoint) {};
     m_process.control().start(std::move(hooks));
