Mend lint findings in the state benchmark

Cause: clang-tidy flags range loops over a benchmark state whose variable is never read, and a copy that is never modified. Change: KeepRunning() loops and a copy that may be modified.

--- a/benchmarks/bench-state.cpp
+++ b/benchmarks/bench-state.cpp
@@ -66,7 +66,7 @@
     const int adapters = static_cast<int>(run.range(0));
     FleetState state = fleet(adapters);
     std::uint64_t number = 0;
-    for (auto step : run) {
+    while (run.KeepRunning()) {
         const FleetState published = state;
         const std::uint64_t offset = state.nextOffset();
         proto::LogRecord record = grantRecord(number++, adapters);
@@ -84,7 +84,7 @@
     const FleetState state = fleet(static_cast<int>(run.range(0)));
     std::size_t bytes = 0;
     std::size_t parts = 0;
-    for (auto step : run) {
+    while (run.KeepRunning()) {
         bytes = 0;
         const std::vector<proto::StateSnapshot> snapshot = toSnapshot(state, "snapshot");
         for (const proto::StateSnapshot &part : snapshot) {
@@ -103,7 +103,7 @@
     for (const proto::StateSnapshot &part : toSnapshot(fleet(static_cast<int>(run.range(0))), "snapshot")) {
         records.push_back(part.SerializeAsString());
     }
-    for (auto step : run) {
+    while (run.KeepRunning()) {
         std::vector<proto::StateSnapshot> parts;
         for (const std::string &bytes : records) {
             parts.emplace_back().ParseFromString(bytes);
@@ -125,9 +125,9 @@
 void copyState(benchmark::State &run)
 {
     const FleetState state = fleet(12000);
-    for (auto step : run) {
-        const FleetState copy = state;
-        benchmark::DoNotOptimize(copy.nextOffset());
+    while (run.KeepRunning()) {
+        FleetState copy = state;
+        benchmark::DoNotOptimize(copy);
     }
 }
 BENCHMARK(copyState);
