Fail readiness until an entry holds a share of the budgets

Change: readiness waits for the first share, except in a log outage, when none can be had; a call whose tokens accrue here within 250 ms waits for them.

--- a/include/celeryroute/detail/budget/budgetbook.h
+++ b/include/celeryroute/detail/budget/budgetbook.h
@@ -67,6 +67,11 @@
     /// @brief One customer's budget here; null when it is not known.
     const CustomerBudget *find(const std::string &customer) const;
 
+    /// @brief Whether the handover of the present division has ended and gave this entry a share.
+    bool holdsShare(TimePoint now) const
+    {
+        return m_term.handedOver(now) && m_term.fraction() > 0;
+    }
     std::uint64_t epoch() const
     {
         return m_term.epoch();
--- a/include/celeryroute/detail/daemon/entryprocess.h
+++ b/include/celeryroute/detail/daemon/entryprocess.h
@@ -30,6 +30,7 @@
     std::string peerEndpoint() const;
 
 private:
+    bool isReady() const;
     std::string statusJson() const;
     EntryApiHooks apiHooks();
     DispatcherHooks dispatcherHooks();
--- a/include/celeryroute/detail/entry/dispatcher.h
+++ b/include/celeryroute/detail/entry/dispatcher.h
@@ -70,6 +70,8 @@
     void refuseNew();
     /// @brief Calls in work; any thread.
     std::size_t flights() const;
+    /// @brief Whether this entry has come to hold a share of the customers' budgets; any thread.
+    bool hasHeldShare() const;
     /// @brief Failure domains of the agents that this entry keeps links to; any thread.
     std::set<std::string> linkedDomains() const;
     /// @brief Ends the thread; calls in work are refused.
--- a/src/daemon/entryprocess.cpp
+++ b/src/daemon/entryprocess.cpp
@@ -82,7 +82,7 @@
     EntryApiHooks hooks;
     hooks.state = [this] { return m_process.store().state(); };
     hooks.keyedAllowed = [this] { return m_process.store().isFresh(MonotonicClock::now()); };
-    hooks.ready = [this] { return !m_stopping && m_process.control().isReady(); };
+    hooks.ready = [this] { return isReady(); };
     hooks.metrics = [this] { return m_process.observers().metrics.exposition(); };
     hooks.refused = [this](const Error &error) {
         m_process.observers().metrics.countRefusal({}, static_cast<int>(error.code));
@@ -119,6 +119,15 @@
     return hooks;
 }
 
+// An entry without a share would refuse customers that are inside their rate. In a log outage no
+// share can be had, and open routes are served all the same.
+bool EntryProcess::isReady() const
+{
+    const Control &control = m_process.control();
+    const bool shareSettled = m_dispatcher.hasHeldShare() || !control.isLogReachable();
+    return !m_stopping && control.isReady() && shareSettled;
+}
+
 void EntryProcess::requestStop(TimePoint now)
 {
     m_stopRequested = now;
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -79,7 +79,7 @@
 }
 
 // Tokens for the worst case are set aside before a call is sent on. When other entries may hold what
-// is missing, the call waits for a loan for a moment; otherwise the customer hears at once.
+// is missing, or it accrues here at once, the call waits for a moment; otherwise the customer hears at once.
 void CallRunner::admit(Flight &flight, TimePoint now)
 {
     const std::string &customer = flight.call.caller.customer;
@@ -95,7 +95,9 @@
         return;
     }
     const BudgetRefusal refusal = std::get<BudgetRefusal>(outcome);
-    const bool mayWait = refusal.loanMayHelp && (flight.parkedUntil == TimePoint() || now < flight.parkedUntil);
+    const bool helpIsNear = refusal.loanMayHelp
+        || (refusal.retryAfter > Duration::zero() && refusal.retryAfter <= LoanWait);
+    const bool mayWait = helpIsNear && (flight.parkedUntil == TimePoint() || now < flight.parkedUntil);
     if (mayWait) {
         if (flight.parkedUntil == TimePoint()) {
             flight.parkedUntil = std::min(now + LoanWait, flight.call.deadline);
@@ -123,6 +125,11 @@
     }
 }
 
+bool CallRunner::holdsShare(TimePoint now) const
+{
+    return m_budget.holdsShare(now);
+}
+
 void CallRunner::confirmState(TimePoint at)
 {
     m_budget.confirm(at);
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -50,6 +50,8 @@
     ClaimDesk &claims();
     /// @brief Carries out the verdicts of claims.
     void takeClaimNotices(TimePoint now);
+    /// @brief Whether this entry may spend a share of the customers' budgets.
+    bool holdsShare(TimePoint now) const;
     /// @brief The agreed state was known to be in force at @p at.
     void confirmState(TimePoint at);
     /// @brief Takes a message of another entry; false when it is none for this class.
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -70,7 +70,7 @@
             runner.claims().setLogReachable(hooks.logReachable && hooks.logReachable());
             runner.tick(now);
             submitClaims(now);
-            publish();
+            publish(now);
         }
         runner.refuseAll({ResultCode::Stopping, "this entry has stopped"}, MonotonicClock::now());
         flights = 0;
@@ -228,9 +228,10 @@
         link.peer().send(envelope);
     }
 
-    void publish()
+    void publish(TimePoint now)
     {
         flights = runner.flights();
+        heldShare = heldShare || runner.holdsShare(now);
         observers.metrics.setInFlight(static_cast<std::int64_t>(flights));
     }
 
@@ -245,6 +246,7 @@
     WakeUp wakeUp;
     Mailbox<Command> commands;
     std::atomic<std::size_t> flights{0};
+    std::atomic<bool> heldShare{false};
     std::atomic<bool> stopping{false};
     mutable absl::Mutex domainsMutex;
     std::set<std::string> domains ABSL_GUARDED_BY(domainsMutex);
@@ -302,6 +304,11 @@
     return m_private->flights;
 }
 
+bool Dispatcher::hasHeldShare() const
+{
+    return m_private->heldShare;
+}
+
 std::set<std::string> Dispatcher::linkedDomains() const
 {
     absl::MutexLock lock(&m_private->domainsMutex);
--- a/src/entry/entrybudget.cpp
+++ b/src/entry/entrybudget.cpp
@@ -55,6 +55,11 @@
     m_book.settle(reservation, used, now);
 }
 
+bool EntryBudget::holdsShare(TimePoint now) const
+{
+    return m_book.holdsShare(now);
+}
+
 void EntryBudget::tick(TimePoint now)
 {
     sendAll(m_book.tick(m_directory.reachableEntries(now), now));
--- a/src/entry/entrybudget.h
+++ b/src/entry/entrybudget.h
@@ -30,6 +30,7 @@
     void confirm(TimePoint at);
     ReserveOutcome reserve(const std::string &customer, double tokens, TimePoint now);
     void settle(std::uint64_t reservation, double used, TimePoint now);
+    bool holdsShare(TimePoint now) const;
     void tick(TimePoint now);
     /// @brief Takes a lending message; false when it is none.
     bool receive(const proto::Envelope &envelope, TimePoint now);
