Do not let a peer that is cut off vouch for an agent's grants

Cause: an entry and an agent cut off together heard each other, so the agent kept its grants while the log's side expired them after 45 s and gave them on: more replicas loaded than were decided. Change: a heartbeat carries how long ago the entry knew its state to be the newest; the agent counts it as heard then, and only when it has folded as far.

--- a/include/celeryroute/detail/residency/isolationrule.h
+++ b/include/celeryroute/detail/residency/isolationrule.h
@@ -21,8 +21,8 @@
 
     explicit IsolationRule(TimePoint now);
 
-    /// @brief The log or a peer was heard.
-    void heard(TimePoint now);
+    /// @brief The log was heard, or a peer that knew its state to be the newest at @p confirmedAt.
+    void heard(TimePoint confirmedAt, TimePoint now);
     AuthorityTrust step(TimePoint now);
 
 private:
--- a/src/agent/agentloop.cpp
+++ b/src/agent/agentloop.cpp
@@ -133,7 +133,11 @@
 {
     const proto::Envelope &envelope = *message.envelope;
     const TimePoint now = MonotonicClock::now();
-    m_isolation.heard(now);
+    const bool stateIsAsNew = m_view.state && m_view.state->nextOffset() >= envelope.state_offset();
+    if (envelope.has_heartbeat() && stateIsAsNew) {
+        const Duration age = std::chrono::milliseconds(envelope.heartbeat().confirmed_age_ms());
+        m_isolation.heard(now - age, now);
+    }
     if (m_hooks.peerOffset) {
         m_hooks.peerOffset(envelope.sender(), envelope.state_offset());
     }
@@ -209,7 +213,7 @@
 void AgentLoop::stepResidency(TimePoint now)
 {
     if (!m_hooks.logReachable || m_hooks.logReachable()) {
-        m_isolation.heard(now);
+        m_isolation.heard(now, now);
     }
     m_residency.controller().setTrust(m_isolation.step(now));
     if (m_engine) {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -9,7 +9,9 @@
 
 #include <peer.pb.h>
 
+#include <algorithm>
 #include <atomic>
+#include <limits>
 #include <thread>
 #include <variant>
 #include <zmq.h>
@@ -185,6 +187,17 @@
         return reply;
     }
 
+    // The largest age stands for a state that was never known to be the newest.
+    std::uint32_t confirmedAgeMs(TimePoint now) const
+    {
+        constexpr std::uint32_t Never = std::numeric_limits<std::uint32_t>::max();
+        const TimePoint confirmed = hooks.confirmedAt();
+        if (confirmed == TimePoint::min()) {
+            return Never;
+        }
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(toMilliseconds(now - confirmed), 0, Never));
+    }
+
     void stamp(proto::Envelope &envelope)
     {
         envelope.set_sender(settings.instance);
@@ -224,6 +237,7 @@
     {
         proto::Envelope envelope;
         envelope.mutable_heartbeat()->set_sequence(link.heartbeatSequence());
+        envelope.mutable_heartbeat()->set_confirmed_age_ms(confirmedAgeMs(MonotonicClock::now()));
         stamp(envelope);
         link.peer().send(envelope);
     }
--- a/src/residency/isolationrule.cpp
+++ b/src/residency/isolationrule.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/residency/isolationrule.h>
 
+#include <algorithm>
+
 namespace celeryroute {
 
 IsolationRule::IsolationRule(TimePoint now)
@@ -8,11 +10,13 @@
     , m_revalidatedAt(now)
 {}
 
-void IsolationRule::heard(TimePoint now)
+// A peer that is cut off itself proves nothing: an entry and an agent cut off together would keep
+// each other at work while the log gives their grants to others.
+void IsolationRule::heard(TimePoint confirmedAt, TimePoint now)
 {
     // What is read right after a pause may have waited in a buffer since before it.
     if (now >= m_revalidatedAt && now - m_lastStep <= PauseLimit) {
-        m_lastHeard = now;
+        m_lastHeard = std::max(m_lastHeard, std::min(confirmedAt, now));
     }
 }
 
--- a/tests/src/unit-authority.cpp
+++ b/tests/src/unit-authority.cpp
@@ -351,20 +351,32 @@
     CHECK(AuthorityTrust::NoLoads == stepFor(2s));
     CHECK(AuthorityTrust::None == stepFor(12s));
     CHECK(IsolationRule::UnloadAfter * 2 <= MembershipView::GoneAfter);
-    rule.heard(now);
+    rule.heard(now, now);
     CHECK(AuthorityTrust::Full == rule.step(now));
 }
 
+TEST(IsolationRule, onlyAPeerThatIsCutOffItselfIsHeard_trustEndsAllTheSame)
+{
+    const TimePoint confirmedAt = now;
+    for (Duration passed = Duration::zero(); passed < IsolationRule::UnloadAfter + IsolationRule::RevalidationTime;
+         passed += std::chrono::seconds(1)) {
+        rule.step(now);
+        rule.heard(confirmedAt, now);
+        now += std::chrono::seconds(1);
+    }
+    CHECK(rule.step(now) == AuthorityTrust::None);
+}
+
 TEST(IsolationRule, pausedProcess_loadsNothingUntilItHasHeardAnew)
 {
     stepFor(1s);
-    rule.heard(now);
+    rule.heard(now, now);
     now += 60s;
-    rule.heard(now);
+    rule.heard(now, now);
     CHECK(AuthorityTrust::NoLoads == rule.step(now));
-    rule.heard(now);
+    rule.heard(now, now);
     now += IsolationRule::RevalidationTime;
     CHECK(AuthorityTrust::None == rule.step(now));
-    rule.heard(now);
+    rule.heard(now, now);
     CHECK(AuthorityTrust::Full == rule.step(now));
 }
