Carry the logical clock through agents

Cause: agents did not put the logical clock on their messages nor take it from others', so their events sorted before the entries' events that caused them. Change: the peer gateway stamps and observes through two hooks.

--- a/include/celeryroute/detail/agent/agenthooks.h
+++ b/include/celeryroute/detail/agent/agenthooks.h
@@ -28,6 +28,10 @@
     /// A peer has folded the log up to this offset.
     std::function<void(const std::string &sender, std::uint64_t offset)> peerOffset;
     std::function<void(const AgentEvent &event)> event;
+    /// The logical time for a message that is about to be sent; may be null.
+    std::function<std::uint64_t()> stampTime;
+    /// The logical time of a message that was received; may be null.
+    std::function<void(std::uint64_t logicalTime)> observeTime;
     /// Whether the log answered this process lately.
     std::function<bool()> logReachable;
 };
--- a/src/agent/agentloop.cpp
+++ b/src/agent/agentloop.cpp
@@ -34,7 +34,10 @@
 AgentLoop::AgentLoop(AgentSettings settings, AgentHooks hooks, TransportContext &context)
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
-    , m_gateway(context, m_settings.incarnation, [this] { return m_view.offset(); })
+    , m_gateway(context,
+                m_settings.incarnation,
+                [this] { return m_view.offset(); },
+                {m_hooks.stampTime, m_hooks.observeTime})
     , m_residency(
           m_settings,
           m_client,
--- a/src/daemon/agentprocess.cpp
+++ b/src/daemon/agentprocess.cpp
@@ -99,6 +99,8 @@
     hooks.event = [this](const AgentEvent &event) {
         m_process.observers().timeline.record(toTimelineEvent(event), std::chrono::system_clock::now());
     };
+    hooks.stampTime = [this] { return m_process.observers().timeline.stamp(); };
+    hooks.observeTime = [this](std::uint64_t logicalTime) { m_process.observers().timeline.observe(logicalTime); };
     hooks.logReachable = [this] { return m_process.control().isLogReachable(); };
     return hooks;
 }
