--- a/include/celeryroute/detail/entry/answers.h
+++ b/include/celeryroute/detail/entry/answers.h
@@ -8,20 +8,20 @@
 namespace celeryroute {
 
 /// A refusal or failure as the caller is told of it.
-struct Refusal {
+struct CallRefusal {
     Error error;
     RunState run = RunState::NotRun;
     Duration retryAfter = Duration::zero(); ///< Zero when there is nothing to wait for.
-    bool operator==(const Refusal &) const = default;
+    bool operator==(const CallRefusal &) const = default;
 };
 
 /// @brief The JSON object that describes @p refusal; see docs/ERRORS.md.
-std::string refusalJson(const Refusal &refusal, const std::string &requestId);
+std::string refusalJson(const CallRefusal &refusal, const std::string &requestId);
 
 /// @brief A whole answer with status, `Retry-After` and body.
-HttpResponse refusalResponse(const Refusal &refusal, const std::string &requestId);
+HttpResponse refusalResponse(const CallRefusal &refusal, const std::string &requestId);
 
 /// @brief The last event of a stream that failed after its head was sent.
-std::string refusalEvent(const Refusal &refusal, const std::string &requestId);
+std::string refusalEvent(const CallRefusal &refusal, const std::string &requestId);
 
 } // namespace celeryroute
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-std::string refusalJson(const Refusal &refusal, const std::string &requestId)
+std::string refusalJson(const CallRefusal &refusal, const std::string &requestId)
 {
     const ResultCodeInfo &info = resultCodeInfo(refusal.error.code);
     nlohmann::json error = {
@@ -42,7 +42,7 @@
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-HttpResponse refusalResponse(const Refusal &refusal, const std::string &requestId)
+HttpResponse refusalResponse(const CallRefusal &refusal, const std::string &requestId)
 {
     HttpResponse response;
     response.status = resultCodeInfo(refusal.error.code).httpStatus;
@@ -59,7 +59,7 @@
     return response;
 }
 
-std::string refusalEvent(const Refusal &refusal, const std::string &requestId)
+std::string refusalEvent(const CallRefusal &refusal, const std::string &requestId)
 {
     return "data: " + refusalJson(refusal, requestId) + "\n\n";
 }
--- a/src/entry/attemptrules.cpp
+++ b/src/entry/attemptrules.cpp
@@ -39,9 +39,9 @@
     }
 }
 
-Refusal refusalOf(const proto::ResponseEnd &end)
+CallRefusal refusalOf(const proto::ResponseEnd &end)
 {
-    Refusal refusal;
+    CallRefusal refusal;
     refusal.error = {resultCodeInfo(static_cast<ResultCode>(end.result_code())).code, end.message()};
     refusal.run = runStateOf(end.run());
     refusal.retryAfter = std::chrono::milliseconds(end.retry_after_ms());
@@ -50,7 +50,7 @@
 
 // A call is tried again only when it provably did not run or may run twice, and never after the
 // caller has received a part of an answer.
-bool mayTryAgain(const Flight &flight, const Refusal &refusal, std::uint32_t maxAttempts, TimePoint now)
+bool mayTryAgain(const Flight &flight, const CallRefusal &refusal, std::uint32_t maxAttempts, TimePoint now)
 {
     const bool harmless = refusal.run == RunState::NotRun || flight.call.route.repeatable;
     const bool timeLeft = now < flight.call.deadline;
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -69,10 +69,10 @@
     void takeChunk(Flight &flight, HostLink &link, const proto::ResponseChunk &chunk, TimePoint now);
     void takeEnd(Flight &flight, HostLink &link, const proto::ResponseEnd &end, TimePoint now);
     void deliver(Flight &flight, const std::string &text, TimePoint now);
-    void failAttempt(Flight &flight, const Refusal &refusal, TimePoint now);
+    void failAttempt(Flight &flight, const CallRefusal &refusal, TimePoint now);
     void expire(Flight &flight, TimePoint now);
     void finish(Flight &flight, TimePoint now);
-    void refuse(Flight &flight, const Refusal &refusal, TimePoint now);
+    void refuse(Flight &flight, const CallRefusal &refusal, TimePoint now);
     void cancelAttempt(Flight &flight);
     void endAttempt(Flight &flight);
     void askForMissing(Flight &flight, HostLink &link);
--- a/src/entry/claimdesk.cpp
+++ b/src/entry/claimdesk.cpp
@@ -30,12 +30,12 @@
     return !call.route.repeatable && call.model.empty();
 }
 
-std::optional<Refusal> ClaimDesk::begin(const CallerCall &call, TimePoint now)
+std::optional<CallRefusal> ClaimDesk::begin(const CallerCall &call, TimePoint now)
 {
-    std::optional<Refusal> refusal;
+    std::optional<CallRefusal> refusal;
     const IdempotencyKey key = handleErrors([&call] { return parseIdempotencyKey(call.idempotencyKey); },
                                             [&refusal](const Error &error) {
-                                                refusal = Refusal{error, RunState::NotRun, Duration::zero()};
+                                                refusal = CallRefusal{error, RunState::NotRun, Duration::zero()};
                                                 return IdempotencyKey{};
                                             });
     if (!refusal) {
--- a/src/entry/claimdesk.h
+++ b/src/entry/claimdesk.h
@@ -22,7 +22,7 @@
     /// @brief Whether @p call may be dispatched only under a claim.
     static bool isNeeded(const CallerCall &call);
     /// @brief Asks for the verdict of @p call; a refusal when its key cannot be used.
-    std::optional<Refusal> begin(const CallerCall &call, TimePoint now);
+    std::optional<CallRefusal> begin(const CallerCall &call, TimePoint now);
     /// @brief The call ended with a whole answer of its target.
     void answered(const std::string &requestId, RecordedAnswer answer, TimePoint now);
     /// @brief The call ended with a failure, dispatched or not.
--- a/src/entry/entryapi.cpp
+++ b/src/entry/entryapi.cpp
@@ -119,7 +119,7 @@
 {
     m_hooks.refused(error);
     const bool stale = error.code == ResultCode::StateStale;
-    const Refusal refusal{error, RunState::NotRun, stale ? RetryAfterStale : Duration::zero()};
+    const CallRefusal refusal{error, RunState::NotRun, stale ? RetryAfterStale : Duration::zero()};
     responder.respond(refusalResponse(refusal, randomId()));
 }
 
--- a/src/entry/flightreporter.cpp
+++ b/src/entry/flightreporter.cpp
@@ -36,7 +36,7 @@
     }
 }
 
-void FlightReporter::refused(const Flight &flight, const Refusal &refusal)
+void FlightReporter::refused(const Flight &flight, const CallRefusal &refusal)
 {
     const int code = static_cast<int>(refusal.error.code);
     record(flight, "refused", toString(refusal.run) + ": " + refusal.error.message, code);
--- a/src/entry/flightreporter.h
+++ b/src/entry/flightreporter.h
@@ -20,7 +20,7 @@
     void dispatched(const Flight &flight, const std::string &host);
     void firstPart(const Flight &flight, TimePoint now);
     void answered(const Flight &flight, const proto::ResponseEnd &end, TimePoint now);
-    void refused(const Flight &flight, const Refusal &refusal);
+    void refused(const Flight &flight, const CallRefusal &refusal);
     void retried(const Flight &flight);
     void callerGone(const Flight &flight);
 
--- a/src/entry/targetrouter.cpp
+++ b/src/entry/targetrouter.cpp
@@ -111,7 +111,7 @@
             hosts.push_back(holder.host);
         }
     }
-    chooser.setHolders(model, std::move(hosts));
+    chooser.setHolders(model, hosts);
 }
 
 void TargetRouter::noteSent(const HostLink &link, const std::string &attemptId, std::uint64_t tokens, TimePoint now)
--- a/tests/src/process-wholepath.cpp
+++ b/tests/src/process-wholepath.cpp
@@ -155,6 +155,7 @@
     startFleet();
     constexpr int Callers = 20;
     std::vector<std::thread> callers;
+    callers.reserve(Callers);
     std::atomic<int> answered = 0;
     for (int i = 0; i < Callers; ++i) {
         callers.emplace_back([this, i, &answered] {
--- a/tests/src/unit-authority.cpp
+++ b/tests/src/unit-authority.cpp
@@ -43,6 +43,7 @@
 std::vector<PlacementHost> hostsOf(int count)
 {
     std::vector<PlacementHost> hosts;
+    hosts.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         hosts.push_back({absl::StrCat("h", number), absl::StrCat("d", number % 3)});
     }
@@ -67,6 +68,7 @@
         constexpr int MaxRounds = 200;
         for (int round = 0; round < MaxRounds; ++round) {
             std::vector<proto::AuthorityChange> changes;
+            changes.reserve(hosts.size());
             for (const PlacementHost &host : hosts) {
                 changes.push_back(plan(host, hosts, gone, held));
             }
@@ -227,7 +229,7 @@
         for (const auto &[host, count] : fleet.grantsByHost()) {
             granted += count;
         }
-        CHECK_EQUAL(12U * (2 + 1 + 2), granted);
+        CHECK_EQUAL(std::size_t{12} * (2 + 1 + 2), granted);
         records += fleet.records();
     }
     std::cout << "\nplanner seeds 1.." << Seeds << ", records folded " << records << std::endl;
--- a/tests/support/samplefleet.h
+++ b/tests/support/samplefleet.h
@@ -24,7 +24,7 @@
     const std::string &entryUrl(std::size_t number = 0);
 
     /// @brief Appends a record to the log, past the command-line tool.
-    void append(const proto::LogRecord &record) const;
+    void append(const proto::LogRecord &appended) const;
     void grantKey(const std::string &key, const std::string &customer) const;
     void withdrawKey(const std::string &key) const;
     /// @brief Every byte that the targets received.
