Read the urgency of a call by its meaning, not by its number

Cause: the agent cast the message's urgency (1 to 3) to the queue's classes (0 to 2): interactive calls queued as standard ones, and bulk calls indexed past the array and ended the agent. In a mixed load of 20 s 15 of 18 agents died; their models were refused with 510 and 602 (40 of 762 chats answered). Ruled out: missing grants (145 of 145 items granted within a second) and the isolation rule (calls answered for 35 s on an idle fleet). A trace of a dying agent showed ClassQueue::serviceAhead. Change: both sides use the one conversion of the state's declarations; the copies in entry and agent are gone. The new test ends the old agent.

--- a/src/agent/attemptrunner.cpp
+++ b/src/agent/attemptrunner.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/agent/attemptrunner.h>
 #include <celeryroute/detail/agent/submitcheck.h>
+#include <celeryroute/detail/state/specconversion.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -17,12 +18,6 @@
 /// Later its id alone is kept, so that a late copy of its message does not run.
 constexpr Duration IdRetention = std::chrono::minutes(10);
 
-Urgency urgencyOf(const proto::SubmitRequest &submit)
-{
-    const int number = std::clamp<int>(submit.urgency(), proto::INTERACTIVE, proto::BULK);
-    return static_cast<Urgency>(number);
-}
-
 } // namespace
 
 AttemptRunner::AttemptRunner(AttemptServices services)
@@ -98,7 +93,7 @@
 bool AttemptRunner::admitModel(const AttemptPointer &attempt, TimePoint now)
 {
     const std::string &item = attempt->submit().model();
-    const LoadDemand demand{static_cast<int>(urgencyIndex(urgencyOf(attempt->submit()))), attempt->deadline};
+    const LoadDemand demand{static_cast<int>(urgencyIndex(fromProto(attempt->submit().urgency()))), attempt->deadline};
     switch (m_services.residency.demand(item, demand, now)) {
     case Readiness::Ready:
         m_services.residency.beginUse(item, now);
@@ -127,7 +122,7 @@
     entry.attemptId = submit.attempt_id();
     entry.customer = submit.customer();
     entry.model = isEngine() ? submit.model() : std::string();
-    entry.urgency = urgencyOf(submit);
+    entry.urgency = fromProto(submit.urgency());
     entry.weight = submit.weight() > 0 ? submit.weight() : 1;
     entry.tokens = submit.reserved_tokens();
     entry.bytes = submit.body().size();
--- a/src/entry/submitmessage.cpp
+++ b/src/entry/submitmessage.cpp
@@ -1,28 +1,13 @@
 #include "submitmessage.h"
 
+#include <celeryroute/detail/state/specconversion.h>
+
 #include <peer.pb.h>
 
 #include <algorithm>
 
 namespace celeryroute {
 
-namespace {
-
-proto::Urgency toProto(Urgency urgency)
-{
-    switch (urgency) {
-    case Urgency::Interactive:
-        return proto::INTERACTIVE;
-    case Urgency::Standard:
-        return proto::STANDARD;
-    case Urgency::Bulk:
-        break;
-    }
-    return proto::BULK;
-}
-
-} // namespace
-
 void fillSubmit(proto::Envelope &envelope,
                 const CallerCall &call,
                 const std::string &attemptId,
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -150,6 +150,24 @@
     CHECK_EQUAL(1U, target.received("/v1/orders/load").size());
 }
 
+// Bulk calls once indexed past the queue's classes and ended the agent.
+TEST(Agent, callsOfEveryUrgency_areAnswered)
+{
+    start();
+    const std::vector<proto::Urgency> urgencies = {proto::INTERACTIVE,
+                                                   proto::STANDARD,
+                                                   proto::BULK,
+                                                   proto::URGENCY_UNSPECIFIED};
+    for (const proto::Urgency urgency : urgencies) {
+        proto::SubmitRequest request = chatSubmit("u" + std::to_string(urgency));
+        request.set_urgency(urgency);
+        entry->submit(request);
+    }
+    for (const proto::Urgency urgency : urgencies) {
+        checkWhole("u" + std::to_string(urgency));
+    }
+}
+
 TEST(Agent, callToAnEngine_carriesNothingOfTheCallerButItsRequest)
 {
     start();
