Separate what serves callers on the users' machines from the standalone roles

Value types of the desired state, the registry, reports and orders are the product's own; platform/ will fill them.

--- /dev/null
+++ b/include/celeryroute/detail/node/platformtranslation.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <celeryroute/detail/feed/feedcalls.h>
+#include <celeryroute/detail/serving/headernames.h>
+#include <celeryroute/detail/serving/servingstate.h>
+#include <celeryroute/detail/serving/targetorder.h>
+#include <celeryroute/detail/serving/targetrecord.h>
+#include <celeryroute/detail/serving/targetreport.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace celeryroute {
+
+/// An HTTP call as the product's client sends it.
+struct PlainCall {
+    std::string method;
+    std::string target; ///< Path and query.
+    std::string contentType; ///< Empty without a body.
+    std::string body;
+    bool operator==(const PlainCall &) const = default;
+};
+
+/// How the product's calls, answers and records look on one platform. Parsers return nothing for
+/// text that is not what they read.
+struct PlatformTranslation {
+    HeaderNames headers;
+    std::string readinessPath;
+    std::function<std::optional<ServingState>(const std::string &)> servingState;
+    std::function<std::optional<TargetRecord>(const std::string &id, const std::string &)> targetRecord;
+    std::function<std::optional<TargetReport>(const std::string &)> targetReport;
+    PlainCall reportCall;
+    std::function<PlainCall(const TargetOrder &)> orderCall;
+    std::function<OrderOutcome(int status)> orderOutcome;
+    std::function<PlainCall(const FeedCall &)> feedCall;
+    std::function<FeedAnswer(const FeedCall &, int status, const std::string &body)> feedAnswer;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/serving/servingstate.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <celeryroute/detail/serving/enginespec.h>
+#include <celeryroute/detail/serving/servingroute.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace celeryroute {
+
+/// What capacity serves a name.
+struct ServingPool {
+    std::string name;
+    std::string healthPath;
+    std::uint32_t maxConnections = 0; ///< Per target, from all callers; 0 for no limit.
+    std::optional<EngineSpec> engine; ///< Set for pools of model engines.
+    bool operator==(const ServingPool &) const = default;
+};
+
+/// A customer with its keys and its allowance over all entries.
+struct ServingCustomer {
+    std::string name;
+    std::vector<std::string> keys;
+    std::optional<std::uint32_t> priority; ///< Goes before the route's.
+    bool countsTokens = false; ///< Otherwise the allowance counts requests.
+    double plainCost = 1; ///< Cost of a call that names no token counts.
+    double ratePerSecond = 0; ///< 0 for no limit.
+    double burst = 0;
+    bool operator==(const ServingCustomer &) const = default;
+};
+
+/// What a caller may send, and how long it may take.
+struct CallerLimits {
+    std::uint64_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    Duration headerTimeout = std::chrono::seconds(3);
+    Duration idleTimeout = std::chrono::seconds(15);
+    bool operator==(const CallerLimits &) const = default;
+};
+
+/// The operators' desired state, whole.
+struct ServingState {
+    std::uint64_t version = 0;
+    std::vector<ServingRoute> routes;
+    std::vector<ServingPool> pools;
+    std::vector<ServingCustomer> customers;
+    CallerLimits limits;
+    bool operator==(const ServingState &) const = default;
+
+    /// @brief The pool called @p name, or null.
+    const ServingPool *pool(const std::string &name) const;
+};
+
+using ServingStatePtr = std::shared_ptr<const ServingState>;
+
+} // namespace celeryroute
