Follow the platform's store and translate its records

Entries need the desired state and the registry of targets without polling: held reads are timed by the bound on withdrawn keys, and a state machine without input or output decides when to read, wait and retry.

--- /dev/null
+++ b/include/celeryroute/detail/feed/answerpatience.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <celeryroute/time.h>
+
+namespace celeryroute {
+
+/// @brief How long an answer is awaited, learnt from the slowest answers of late.
+class AnswerPatience
+{
+public:
+    AnswerPatience(Duration least, Duration most);
+
+    void answeredAfter(Duration latency);
+    void timedOut();
+    Duration patience() const;
+
+private:
+    Duration m_least;
+    Duration m_most;
+    Duration m_slowest{};
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/feed/desiredfeed.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <celeryroute/detail/feed/freshness.h>
+#include <celeryroute/detail/feed/topicfollower.h>
+#include <celeryroute/detail/serving/servingstate.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace celeryroute {
+
+/// A newer desired state is in force from now on.
+struct StateChanged {
+    ServingStatePtr state;
+    bool operator==(const StateChanged &) const = default;
+};
+
+/// The newest desired state cannot be read; the one before stays, and is no longer confirmed.
+struct StateUnreadable {
+    std::uint64_t offset = 0;
+    bool operator==(const StateUnreadable &) const = default;
+};
+
+using DesiredEvent = std::variant<StateChanged, StateUnreadable>;
+
+/// @brief Follows the operators' desired state; never steps back to an older version.
+class DesiredFeed
+{
+public:
+    using Reader = std::function<std::optional<ServingState>(const std::string &)>;
+
+    DesiredFeed(FollowingSettings settings, Duration keyRevocation, Reader reader, std::uint64_t seed);
+
+    /// @brief See TopicFollower.
+    FeedStep next(TimePoint now);
+    std::vector<DesiredEvent> answered(FeedAnswer answer, TimePoint callBegan, TimePoint now);
+    void timedOut(TimePoint now);
+
+    /// @brief The state in force; null before the first was read.
+    const ServingStatePtr &state() const;
+    const Freshness &freshness() const;
+    const TopicFollower &follower() const;
+
+private:
+    void take(const FeedRecord &record, std::vector<DesiredEvent> &events);
+
+    TopicFollower m_follower;
+    Freshness m_freshness;
+    Reader m_reader;
+    ServingStatePtr m_state;
+    bool m_readable = false; ///< The newest record is the state in force.
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/feed/desiredfeed.cpp
@@ -0,0 +1,75 @@
+#include <celeryroute/detail/feed/desiredfeed.h>
+
+#include <memory>
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+
+const std::string StateKey = "config";
+
+} // namespace
+
+DesiredFeed::DesiredFeed(FollowingSettings settings, Duration keyRevocation, Reader reader, std::uint64_t seed)
+    : m_follower(FeedTopic::Desired, settings, seed)
+    , m_freshness(keyRevocation)
+    , m_reader(std::move(reader))
+{}
+
+FeedStep DesiredFeed::next(TimePoint now)
+{
+    return m_follower.next(now);
+}
+
+std::vector<DesiredEvent> DesiredFeed::answered(FeedAnswer answer, TimePoint callBegan, TimePoint now)
+{
+    std::vector<DesiredEvent> events;
+    for (const FeedRecord &record : m_follower.answered(std::move(answer), callBegan, now)) {
+        if (record.key == StateKey) {
+            take(record, events);
+        }
+    }
+    // What cannot be read may withdraw a key.
+    if (m_readable && m_follower.confirmedAt()) {
+        m_freshness.confirm(*m_follower.confirmedAt());
+    }
+    return events;
+}
+
+void DesiredFeed::timedOut(TimePoint now)
+{
+    m_follower.timedOut(now);
+}
+
+const ServingStatePtr &DesiredFeed::state() const
+{
+    return m_state;
+}
+
+const Freshness &DesiredFeed::freshness() const
+{
+    return m_freshness;
+}
+
+const TopicFollower &DesiredFeed::follower() const
+{
+    return m_follower;
+}
+
+void DesiredFeed::take(const FeedRecord &record, std::vector<DesiredEvent> &events)
+{
+    std::optional<ServingState> state = m_reader(record.value);
+    m_readable = state.has_value();
+    if (!state) {
+        events.emplace_back(StateUnreadable{record.offset});
+        return;
+    }
+    if (m_state && state->version <= m_state->version) {
+        return;
+    }
+    m_state = std::make_shared<const ServingState>(*std::move(state));
+    events.emplace_back(StateChanged{m_state});
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/feed/targetsfeed.cpp
@@ -0,0 +1,135 @@
+#include <celeryroute/detail/feed/targetsfeed.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+
+// Targets that live have their records back so soon after an outage of the store.
+constexpr Duration ReturnGrace = std::chrono::seconds(2);
+// A record expires after three heartbeats of silence, of which one may lie before the outage.
+constexpr int HeartbeatsToExpiry = 2;
+
+} // namespace
+
+TargetsFeed::TargetsFeed(FollowingSettings settings, Duration heartbeat, Reader reader, std::uint64_t seed)
+    : m_follower(FeedTopic::Targets, settings, seed)
+    , m_reader(std::move(reader))
+    , m_leastOutage(heartbeat * HeartbeatsToExpiry)
+{}
+
+FeedStep TargetsFeed::next(TimePoint now)
+{
+    FeedStep step = m_follower.next(now);
+    if (WaitUntil *wait = std::get_if<WaitUntil>(&step); wait && nextExpiry()) {
+        wait->time = std::max(now, std::min(wait->time, *nextExpiry()));
+    }
+    return step;
+}
+
+std::vector<TargetEvent> TargetsFeed::answered(FeedAnswer answer, TimePoint callBegan, TimePoint now)
+{
+    std::vector<TargetEvent> events;
+    const std::vector<FeedRecord> changes = m_follower.answered(std::move(answer), callBegan, now);
+    if (m_follower.failing()) {
+        storeFailed();
+    } else {
+        storeServed(now);
+    }
+    for (const FeedRecord &record : changes) {
+        take(record, now, events);
+    }
+    return events;
+}
+
+void TargetsFeed::timedOut(TimePoint now)
+{
+    m_follower.timedOut(now);
+    storeFailed();
+}
+
+void TargetsFeed::storeServed(TimePoint now)
+{
+    if (m_failed && m_served && now - *m_served >= m_leastOutage) {
+        m_graceEnd = now + ReturnGrace;
+    }
+    m_failed = false;
+    m_served = now;
+}
+
+void TargetsFeed::storeFailed()
+{
+    m_failed = true;
+}
+
+std::optional<TimePoint> TargetsFeed::nextExpiry() const
+{
+    // Nothing is known of records while the store does not serve.
+    if (m_missing.empty() || m_follower.failing()) {
+        return std::nullopt;
+    }
+    return m_graceEnd;
+}
+
+std::vector<TargetEvent> TargetsFeed::expire(TimePoint now)
+{
+    std::vector<TargetEvent> events;
+    if (nextExpiry().value_or(TimePoint::max()) > now) {
+        return events;
+    }
+    const std::set<std::string> missing = std::exchange(m_missing, {});
+    for (const std::string &id : missing) {
+        drop(id, events);
+    }
+    return events;
+}
+
+const std::unordered_map<std::string, TargetRecord> &TargetsFeed::targets() const
+{
+    return m_targets;
+}
+
+const TopicFollower &TargetsFeed::follower() const
+{
+    return m_follower;
+}
+
+void TargetsFeed::take(const FeedRecord &record, TimePoint now, std::vector<TargetEvent> &events)
+{
+    if (record.value.empty()) {
+        const auto known = m_targets.find(record.key);
+        if (known != m_targets.end() && mayReturn(known->second, now)) {
+            m_missing.insert(record.key);
+        } else {
+            drop(record.key, events);
+        }
+        return;
+    }
+    m_missing.erase(record.key);
+    std::optional<TargetRecord> target = m_reader(record.key, record.value);
+    if (!target) {
+        drop(record.key, events);
+        return;
+    }
+    TargetRecord &known = m_targets[record.key];
+    if (known != *target) {
+        known = *std::move(target);
+        events.emplace_back(TargetChanged{known});
+    }
+}
+
+void TargetsFeed::drop(const std::string &id, std::vector<TargetEvent> &events)
+{
+    if (m_targets.erase(id) > 0) {
+        events.emplace_back(TargetGone{id});
+    }
+}
+
+bool TargetsFeed::mayReturn(const TargetRecord &target, TimePoint now) const
+{
+    return !target.draining && m_graceEnd && now < *m_graceEnd;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/feed/topicfollower.cpp
@@ -0,0 +1,240 @@
+#include <celeryroute/detail/feed/topicfollower.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr int CautiousParts = 2;
+
+Duration heldFor(const FeedCall &call)
+{
+    const ReadFrom *read = std::get_if<ReadFrom>(&call);
+    return read ? read->wait : Duration::zero();
+}
+
+Duration wholeMilliseconds(Duration duration)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(duration);
+}
+
+} // namespace
+
+TopicFollower::TopicFollower(FeedTopic topic, FollowingSettings settings, std::uint64_t seed)
+    : m_topic(topic)
+    , m_settings(settings)
+    , m_patience(settings.leastPatience, settings.mostPatience)
+    , m_retry(settings.leastRetry, settings.mostRetry, seed)
+    , m_after(std::string())
+{}
+
+FeedStep TopicFollower::next(TimePoint now)
+{
+    if (m_inWork) {
+        return AwaitAnswer{};
+    }
+    if (now < m_notBefore) {
+        return WaitUntil{m_notBefore};
+    }
+    m_inWork = nextCall(now);
+    return BeginCall{*m_inWork, heldFor(*m_inWork) + m_patience.patience()};
+}
+
+std::vector<FeedRecord> TopicFollower::answered(FeedAnswer answer, TimePoint callBegan, TimePoint now)
+{
+    if (!m_inWork) {
+        return {};
+    }
+    const FeedCall call = *std::exchange(m_inWork, std::nullopt);
+    if (NewestPage *newest = std::get_if<NewestPage>(&answer); newest && std::holds_alternative<ReadNewest>(call)) {
+        m_patience.answeredAfter(now - callBegan);
+        return take(std::move(*newest), callBegan, now);
+    }
+    if (RecordPage *records = std::get_if<RecordPage>(&answer); records && std::holds_alternative<ReadFrom>(call)) {
+        // An answer with records may have been held for any part of the wait.
+        m_patience.answeredAfter(std::max(Duration::zero(), now - callBegan - heldFor(call)));
+        return take(std::move(*records), callBegan, now);
+    }
+    if (std::holds_alternative<RecordsExpired>(answer) && !m_listedAgain) {
+        beginListing();
+        return {};
+    }
+    if (std::holds_alternative<RecordsExpired>(answer)) {
+        beginListing();
+    }
+    fail(now);
+    return {};
+}
+
+void TopicFollower::timedOut(TimePoint now)
+{
+    if (m_inWork) {
+        m_inWork.reset();
+        m_patience.timedOut();
+        fail(now);
+    }
+}
+
+bool TopicFollower::complete() const
+{
+    return m_confirmed.has_value();
+}
+
+std::optional<TimePoint> TopicFollower::confirmedAt() const
+{
+    return m_confirmed;
+}
+
+std::optional<TimePoint> TopicFollower::returnedAt() const
+{
+    return m_returned;
+}
+
+bool TopicFollower::failing() const
+{
+    return m_retry.failures() > 0;
+}
+
+FeedCall TopicFollower::nextCall(TimePoint now)
+{
+    if (m_after) {
+        return ReadNewest{m_topic, *m_after};
+    }
+    return ReadFrom{m_topic, m_offset, hold(now)};
+}
+
+Duration TopicFollower::hold(TimePoint now) const
+{
+    // After a failure the first answer must come at once: it says that the store is back.
+    if (failing()) {
+        return Duration::zero();
+    }
+    Duration longest = m_settings.hold;
+    if (m_lastFailure && now - *m_lastFailure < m_settings.caution) {
+        longest /= CautiousParts;
+    }
+    if (m_settings.freshFor) {
+        const Duration fresh = m_confirmed.value_or(now) + *m_settings.freshFor - now;
+        longest = std::min(longest, fresh - m_patience.patience());
+    }
+    return wholeMilliseconds(std::max(longest, Duration::zero()));
+}
+
+std::vector<FeedRecord> TopicFollower::take(NewestPage page, TimePoint callBegan, TimePoint now)
+{
+    std::vector<FeedRecord> changes;
+    // Pages are not a snapshot: what changes from the first page on is read again afterwards.
+    if (!m_listingBegan) {
+        m_listingBegan = callBegan;
+        m_listingEnd = page.end;
+    }
+    const std::string last = page.records.empty() ? std::string() : page.records.back().key;
+    if (page.more && (last.empty() || last == *m_after)) {
+        // A page that does not lead on would be read for ever.
+        beginListing();
+        fail(now);
+        return changes;
+    }
+    for (FeedRecord &record : page.records) {
+        apply(record, changes);
+    }
+    if (page.more) {
+        m_after = last;
+        m_retry.succeeded();
+        return changes;
+    }
+    dropUnlisted(changes);
+    m_after.reset();
+    m_offset = m_listingEnd;
+    succeed(*m_listingBegan, now);
+    return changes;
+}
+
+std::vector<FeedRecord> TopicFollower::take(RecordPage page, TimePoint callBegan, TimePoint now)
+{
+    std::vector<FeedRecord> changes;
+    bool gap = page.end < m_offset;
+    for (FeedRecord &record : page.records) {
+        gap = gap || record.offset > m_offset;
+        if (gap) {
+            break;
+        }
+        if (record.offset == m_offset) {
+            ++m_offset;
+            apply(record, changes);
+        }
+    }
+    const bool behind = m_offset < page.end;
+    if (gap || (behind && page.records.empty())) {
+        beginListing();
+        fail(now);
+        return changes;
+    }
+    if (behind) {
+        m_retry.succeeded();
+        return changes;
+    }
+    succeed(callBegan, now);
+    m_listedAgain = false;
+    // A store that does not hold reads must not be asked without a pause.
+    m_notBefore = page.records.empty() ? callBegan + m_settings.leastRetry : now + m_settings.pacing;
+    return changes;
+}
+
+bool TopicFollower::apply(FeedRecord &record, std::vector<FeedRecord> &changes)
+{
+    const auto known = m_known.find(record.key);
+    if (known != m_known.end() && record.offset <= known->second.offset) {
+        known->second.listing = m_listing;
+        return false;
+    }
+    if (record.value.empty()) {
+        if (known == m_known.end()) {
+            return false;
+        }
+        m_known.erase(known);
+    } else {
+        m_known[record.key] = Known{record.offset, m_listing};
+    }
+    changes.push_back(std::move(record));
+    return true;
+}
+
+void TopicFollower::dropUnlisted(std::vector<FeedRecord> &changes)
+{
+    for (auto known = m_known.begin(); known != m_known.end();) {
+        if (known->second.listing != m_listing && known->second.offset < m_listingEnd) {
+            changes.push_back(FeedRecord{known->first, std::string(), m_listingEnd});
+            known = m_known.erase(known);
+        } else {
+            ++known;
+        }
+    }
+}
+
+void TopicFollower::beginListing()
+{
+    ++m_listing;
+    m_listedAgain = true;
+    m_after = std::string();
+    m_listingBegan.reset();
+}
+
+void TopicFollower::fail(TimePoint now)
+{
+    m_lastFailure = now;
+    m_notBefore = now + m_retry.failed();
+}
+
+void TopicFollower::succeed(TimePoint callBegan, TimePoint now)
+{
+    if (m_lastFailure && (!m_returned || *m_returned < *m_lastFailure)) {
+        m_returned = now;
+    }
+    m_retry.succeeded();
+    m_confirmed = std::max(m_confirmed.value_or(callBegan), callBegan);
+}
+
+} // namespace celeryroute
