--- /dev/null
+++ b/include/celeryroute/detail/gateway/admissioncontrol.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <celeryroute/detail/serving/servingstate.h>
+#include <celeryroute/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace celeryroute {
+
+/// What an entry may spend and admit; the state of all entries stands behind it.
+class AdmissionControl
+{
+public:
+    AdmissionControl() = default;
+    virtual ~AdmissionControl() = default;
+    AdmissionControl(const AdmissionControl &) = delete;
+    AdmissionControl &operator=(const AdmissionControl &) = delete;
+
+    /// @brief Whether calls with keys may be admitted on the keys that are known.
+    virtual bool keysFresh(TimePoint now) const = 0;
+    /// @brief Spends @p cost of a customer's allowance; else the time after which it may succeed.
+    virtual std::optional<Duration> spend(const std::string &customer, double cost, TimePoint now) = 0;
+    /// @brief Gives back what a call spent that never ran.
+    virtual void refund(const std::string &customer, double cost, TimePoint now) = 0;
+    virtual void noteFirstSend(const std::string &pool, TimePoint now) = 0;
+    /// @brief Takes one further send to @p pool.
+    virtual bool takeFurtherSend(const std::string &pool, TimePoint now) = 0;
+    /// @brief Whether @p digest of a request crashed several targets.
+    virtual bool quarantined(std::uint64_t digest) const = 0;
+    /// @brief A target ended while it ran these requests.
+    virtual void noteCrash(const std::string &target, std::uint64_t digest, TimePoint now) = 0;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/gateway/call.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <celeryroute/detail/gateway/callfields.h>
+#include <celeryroute/detail/gateway/eventsplitter.h>
+#include <celeryroute/detail/gateway/routetable.h>
+#include <celeryroute/detail/http1/callerconnection.h>
+#include <celeryroute/detail/http1/targetconnection.h>
+#include <celeryroute/detail/net/eventloop.h>
+#include <celeryroute/detail/placement/enginecall.h>
+#include <celeryroute/detail/placement/targetbook.h>
+#include <celeryroute/detail/placement/verdicts.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace celeryroute {
+
+class Gateway;
+
+/// One caller's request on its way to one final answer.
+class Call final : private ExchangeUser
+{
+public:
+    /// @param number unique among the calls of this entry
+    Call(Gateway &gateway, std::uint64_t number, CallerConnection &caller, CallerRequest request);
+    ~Call() override;
+
+    /// @brief Admits the request and sends it, lets it wait, or answers it.
+    void begin();
+    /// @brief Decides anew for a call that waits; something it may concern has changed.
+    void reconsider();
+    /// @brief Gives up waiting.
+    void giveUp(std::string_view reason);
+    void callerLeft();
+    void callerDrained();
+
+    std::uint64_t number() const
+    {
+        return m_number;
+    }
+
+private:
+    enum class Phase {
+        Waiting, ///< For an item, for room, or for a decision.
+        Sent, ///< To a target; nothing of the answer went to the caller.
+        Streaming, ///< Events go to the caller.
+        Done,
+    };
+
+    /// What came of the exchange in progress so far.
+    struct Answer {
+        MessageHead head;
+        std::string body;
+        bool notRun = false; ///< The target says that it did not run the call.
+        bool signedByTarget = false;
+        bool events = false;
+    };
+
+    void exchangeHead(MessageHead head) override;
+    void exchangeBody(std::string &body) override;
+    void exchangeComplete() override;
+    void exchangeFailed(ExchangeFailure failure) override;
+
+    // AdmissionControl.
+    bool findRoute();
+    bool findCustomer();
+    bool takeAllowance();
+    void pickPool();
+    double cost() const;
+    bool stateHolds();
+
+    // Choice of target.
+    void attempt();
+    void attemptPlain();
+    void attemptEngine();
+    EngineCall engineCall() const;
+    void decide(const SendTo &verdict);
+    void decide(const WaitFor &verdict);
+    void decide(const WaitForRoom &verdict);
+    void decide(const Refuse &verdict);
+    void wait(const std::string &item, const std::string &target, Duration expected);
+    void send(const std::string &targetId);
+    std::optional<TargetRequest> targetRequest(const KnownTarget &target);
+
+    // Answers.
+    void passAnswer();
+    void beginStream();
+    void passEvents(std::string &body);
+    void finishStream();
+    bool mayRunAgain() const;
+    void endAttempt(CallEnd end);
+    void tryAgain(std::string_view reason);
+    void failFinally(std::string_view reason);
+    void armStall();
+    void stalled();
+    void limitReached();
+    void refuse(int status, std::string_view reason, Duration retryAfter);
+    void answerOwn(int status, std::optional<Duration> retryAfter);
+    void done();
+
+    Duration remaining() const;
+    /// @brief Whether events went to the caller.
+    bool begun() const
+    {
+        return m_events.events() > 0;
+    }
+
+    Gateway &m_gateway;
+    std::uint64_t m_number;
+    CallerConnection *m_caller;
+    CallerRequest m_request;
+    CallFields m_fields;
+    Phase m_phase = Phase::Waiting;
+    std::shared_ptr<const RouteTable> m_table;
+    const ServingRoute *m_route = nullptr;
+    const ServingCustomer *m_customer = nullptr;
+    std::string m_customerName;
+    std::string m_pool;
+    TimePoint m_limit;
+    double m_cost = 0;
+    bool m_charged = false;
+    bool m_asked = false;
+
+    TargetConnection *m_exchange = nullptr;
+    std::string m_target;
+    CallTicket m_ticket = 0;
+    bool m_ticketOpen = false;
+    Answer m_answer;
+    std::optional<Answer> m_failure; ///< A target's own failure, passed on when nothing better comes.
+    std::vector<std::string> m_excluded;
+    std::uint32_t m_sends = 0;
+    std::uint32_t m_arrivals = 0; ///< Sends that may have reached a target.
+    std::uint32_t m_runs = 0; ///< Sends that may have run.
+    TimePoint m_sentAt;
+    EventSplitter m_events;
+    std::string m_version; ///< Weights that the stream so far came from.
+    EventLoop::TimerId m_limitTimer = 0;
+    EventLoop::TimerId m_stallTimer = 0;
+    TimePoint m_lastProgress;
+    bool m_held = false; ///< Reading from the target is stopped.
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/gateway/callfields.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <celeryroute/detail/http1/messagehead.h>
+#include <celeryroute/detail/serving/headernames.h>
+#include <celeryroute/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace celeryroute {
+
+/// What a caller's header fields say to the entry.
+struct CallFields {
+    std::string requestId;
+    std::optional<Duration> deadline; ///< How long the caller waits.
+    std::optional<std::string> key;
+    std::string model;
+    std::string adapter;
+    bool countsTokens = false; ///< The token counts were given.
+    std::uint64_t promptTokens = 0;
+    std::uint64_t maxOutputTokens = 0;
+    std::uint64_t lengthHint = 0;
+    std::vector<std::pair<std::string, std::uint64_t>> promptParts; ///< Id and tokens, in order.
+    std::string lastEventId;
+    bool operator==(const CallFields &) const = default;
+};
+
+/// @brief Reads the fields of @p head; what cannot be read counts as not sent.
+CallFields readCallFields(const MessageHead &head, const HeaderNames &names);
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/gateway/httpstatus.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace celeryroute {
+
+/// Status codes that an entry answers with.
+struct HttpStatus {
+    static constexpr int Ok = 200;
+    static constexpr int MultipleChoices = 300; ///< The first that is no success.
+    static constexpr int Unauthorized = 401;
+    static constexpr int NotFound = 404;
+    static constexpr int Misdirected = 421;
+    static constexpr int TooManyRequests = 429;
+    static constexpr int InternalError = 500; ///< The first that blames the target.
+    static constexpr int BadGateway = 502;
+    static constexpr int ServiceUnavailable = 503;
+    static constexpr int GatewayTimeout = 504;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <celeryroute/detail/http1/messageparser.h>
+#include <celeryroute/detail/net/tcpchannel.h>
+#include <celeryroute/detail/serving/servingstate.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace celeryroute {
+
+class CallerConnection;
+
+/// A request that was read whole.
+struct CallerRequest {
+    MessageHead head;
+    std::string body;
+    TimePoint received; ///< When its last byte was read.
+};
+
+/// Start line and fields of an answer, without those that concern one connection.
+struct AnswerHead {
+    int status = 200;
+    std::string reason; ///< Empty for the usual one.
+    std::vector<HeaderField> fields;
+};
+
+/// Receives the requests of callers' connections.
+class CallerHandler
+{
+public:
+    CallerHandler() = default;
+    virtual ~CallerHandler() = default;
+    CallerHandler(const CallerHandler &) = delete;
+    CallerHandler &operator=(const CallerHandler &) = delete;
+
+    /// @brief A request arrived; it is answered through @p connection, now or later.
+    virtual void callerRequest(CallerConnection &connection, CallerRequest request) = 0;
+    /// @brief The caller left before its answer was complete; @p connection takes nothing more.
+    virtual void callerLeft(CallerConnection &connection) = 0;
+    /// @brief The caller has read what was held back by its slowness.
+    virtual void callerDrained(CallerConnection &connection) = 0;
+    /// @brief A request was refused before it was complete.
+    virtual void requestRejected(int status) = 0;
+    /// @brief Nothing more happens on @p connection; it is to be destroyed after this turn.
+    virtual void connectionEnded(CallerConnection &connection) = 0;
+    virtual const CallerLimits &callerLimits() const = 0;
+    /// @brief Whether connections are closed after their next answer.
+    virtual bool stopping() const = 0;
+};
+
+/// A caller's connection: reads one request at a time and writes its answer.
+class CallerConnection final : private ChannelUser
+{
+public:
+    CallerConnection(EventLoop &loop, int socket, CallerHandler &handler);
+    ~CallerConnection() override;
+
+    /// @brief Answers whole.
+    void answer(const AnswerHead &head, std::string_view body);
+    /// @brief Begins an answer whose length is not known; then append() and finish().
+    void begin(const AnswerHead &head);
+    void append(std::string_view bytes);
+    /// @brief Hands what was appended to the network.
+    void flush();
+    void finish();
+    /// @brief Ends the connection so that the answer shows as incomplete.
+    void cut();
+
+    /// @brief Whether the caller reads too slowly to be sent more.
+    bool congested() const;
+    bool idle() const
+    {
+        return m_phase == Phase::Idle;
+    }
+    /// @brief Closes an idle connection.
+    void closeIdle();
+
+private:
+    enum class Phase {
+        Idle, ///< Between requests.
+        Reading,
+        Answering,
+        Lingering, ///< All was said; reads and drops until the caller closes.
+        Ended,
+    };
+
+    void channelReceived() override;
+    void channelClosed(bool reset) override;
+    void channelDrained() override;
+
+    void readRequest();
+    void takeRequest();
+    void sendContinue();
+    void reject(int status);
+    void writeHead(const AnswerHead &head, const std::optional<std::size_t> &length);
+    void answerWritten();
+    void linger();
+    void end();
+    void setDeadline(Duration fromNow);
+    void clearDeadline();
+    void deadlineReached();
+
+    EventLoop &m_loop;
+    CallerHandler &m_handler;
+    TcpChannel m_channel;
+    Phase m_phase = Phase::Idle;
+    std::unique_ptr<MessageParser> m_parser;
+    bool m_keepAlive = true;
+    bool m_chunked = false;
+    bool m_withoutBody = false;
+    bool m_continued = false;
+    bool m_oldVersion = false;
+    std::optional<TimePoint> m_deadline;
+    TimePoint m_timerAt{};
+    EventLoop::TimerId m_timer = 0;
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/http1/targetconnection.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <celeryroute/detail/http1/messageparser.h>
+#include <celeryroute/detail/http1/targetexchange.h>
+#include <celeryroute/detail/net/endpoint.h>
+#include <celeryroute/detail/net/tcpchannel.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace celeryroute {
+
+/// A channel to a target that carries one exchange at a time.
+class TargetConnection final : private ChannelUser
+{
+public:
+    /// Called when nothing more can be sent over the connection; it may be destroyed after this turn.
+    using Ended = std::function<void(TargetConnection &)>;
+    /// Called when the connection can carry the next exchange.
+    using Idle = std::function<void(TargetConnection &)>;
+
+    /// Names of fields that concern the exchange.
+    struct Fields {
+        std::string requestId;
+    };
+
+    TargetConnection(EventLoop &loop, const Endpoint &endpoint, int socket, Fields fields, Idle idle, Ended ended);
+    ~TargetConnection() override;
+
+    const Endpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    /// @brief Begins an exchange on a new or idle connection.
+    void start(TargetRequest request, ExchangeUser &user);
+
+    /// @brief Leaves an exchange at once; the target sees its channel close.
+    void abandon();
+
+    /// @brief Stops or resumes reading an answer that its caller takes too slowly.
+    void setReading(bool reading);
+
+    /// @brief Whether any byte of the present request has left.
+    bool sentAny() const
+    {
+        return m_channel && m_channel->sentAny();
+    }
+
+    /// @brief Whether an idle connection may still be used for @p request at @p now.
+    bool usable(const TargetRequest &request, TimePoint now) const;
+
+    /// @brief When an idle connection is no longer usable.
+    TimePoint expiry() const
+    {
+        return m_expiry;
+    }
+
+private:
+    void channelConnected() override;
+    void channelReceived() override;
+    void channelClosed(bool reset) override;
+
+    bool answerProgress();
+    bool takeHead();
+    void completeAnswer();
+    void resetParser();
+    void fail(ExchangeFailure failure);
+    void end();
+    bool isForeign(const MessageHead &head) const;
+    void noteKeepAlive(const MessageHead &head);
+
+    EventLoop &m_loop;
+    Endpoint m_endpoint;
+    Fields m_fields;
+    Idle m_idle;
+    Ended m_ended;
+    std::optional<TcpChannel> m_channel;
+    ExchangeUser *m_user = nullptr;
+    TargetRequest m_request;
+    std::unique_ptr<MessageParser> m_parser;
+    bool m_headTaken = false;
+    bool m_foreign = false;
+    bool m_reusable = true;
+    bool m_dead = false;
+    bool m_reported = false;
+    std::uint32_t m_exchanges = 0;
+    Duration m_idleLimit{};
+    TimePoint m_expiry{};
+    EventLoop::TimerId m_connectTimer = 0;
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/http1/targetexchange.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <celeryroute/detail/http1/messagehead.h>
+
+#include <string>
+
+namespace celeryroute {
+
+/// A request as it is written to a target.
+struct TargetRequest {
+    std::string head; ///< With the empty line at its end.
+    std::string body;
+    std::string id; ///< Echoed by the target.
+    bool withoutAnswerBody = false; ///< HEAD
+    bool exclusive = false; ///< Not to be lost on a kept channel that the target is closing.
+};
+
+/// Why an exchange ended without a whole answer.
+enum class ExchangeFailure {
+    NotConnected, ///< No byte has left.
+    NotSent, ///< The channel broke before any byte of the request left.
+    NoAnswer, ///< The channel ended after bytes had left and before the answer began.
+    Torn, ///< The answer ended early.
+    Malformed, ///< What came is not an answer to this request.
+};
+
+/// Receives the answer of a target. A callback may end the exchange.
+class ExchangeUser
+{
+public:
+    ExchangeUser() = default;
+    virtual ~ExchangeUser() = default;
+    ExchangeUser(const ExchangeUser &) = delete;
+    ExchangeUser &operator=(const ExchangeUser &) = delete;
+
+    virtual void exchangeHead(MessageHead head) = 0;
+    /// @brief @p body holds new bytes; what is left in it is offered again with the next ones.
+    virtual void exchangeBody(std::string &body) = 0;
+    virtual void exchangeComplete() = 0;
+    virtual void exchangeFailed(ExchangeFailure failure) = 0;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/net/tcpchannel.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <celeryroute/detail/net/eventloop.h>
+
+#include <string>
+#include <string_view>
+
+namespace celeryroute {
+
+/// Receives what happens on a TcpChannel, which must outlive each callback.
+class ChannelUser
+{
+public:
+    ChannelUser() = default;
+    virtual ~ChannelUser() = default;
+    ChannelUser(const ChannelUser &) = delete;
+    ChannelUser &operator=(const ChannelUser &) = delete;
+
+    virtual void channelConnected() {}
+    /// @brief New bytes are at the end of the channel's input.
+    virtual void channelReceived() = 0;
+    /// @brief Nothing more comes. @p reset: the peer or the network broke the channel.
+    virtual void channelClosed(bool reset) = 0;
+    /// @brief All output was handed to the network.
+    virtual void channelDrained() {}
+};
+
+/// A buffered non-blocking TCP connection.
+class TcpChannel final : private FileHandler
+{
+public:
+    enum class Phase { Connecting, Open };
+
+    /// @param socket owned by the channel
+    TcpChannel(EventLoop &loop, int socket, Phase phase, ChannelUser &user);
+    ~TcpChannel() override;
+
+    /// @brief Bytes received and not yet consumed.
+    std::string &input()
+    {
+        return m_input;
+    }
+
+    /// @brief Appends to the output; sent by flush().
+    void write(std::string_view bytes);
+    void flush();
+
+    bool connected() const
+    {
+        return m_phase == Phase::Open;
+    }
+    /// @brief Whether any byte was handed to the network.
+    bool sentAny() const
+    {
+        return m_sent > 0;
+    }
+    std::size_t unsent() const
+    {
+        return m_output.size() - m_outputBegin;
+    }
+    /// @brief Counts the bytes sent from now on.
+    void restartSentCount()
+    {
+        m_sent = 0;
+    }
+
+    /// @brief Stops or resumes reading.
+    void setReading(bool reading);
+    /// @brief Sends what is buffered and then ends the output.
+    void finishOutput();
+    /// @brief Whether the peer has closed or sent something that was not read yet; one system call.
+    bool stirred() const;
+
+    int socket() const
+    {
+        return m_socket;
+    }
+
+private:
+    void fileReady(std::uint32_t events) override;
+    void finishConnect();
+    void receive();
+    void updateEvents();
+    void fail(bool reset);
+
+    EventLoop &m_loop;
+    ChannelUser &m_user;
+    int m_socket;
+    Phase m_phase;
+    bool m_reading = true;
+    bool m_finishing = false;
+    bool m_failed = false;
+    bool m_ended = false;
+    std::uint32_t m_events = 0;
+    std::size_t m_sent = 0;
+    std::size_t m_outputBegin = 0;
+    std::string m_input;
+    std::string m_output;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/node/feeddriver.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <celeryroute/detail/feed/feedstep.h>
+#include <celeryroute/detail/node/plaincaller.h>
+#include <celeryroute/detail/node/platformtranslation.h>
+#include <celeryroute/detail/telemetry/servingmetrics.h>
+
+#include <functional>
+#include <string_view>
+
+namespace celeryroute {
+
+/// Performs the calls that a follower of one topic asks for.
+class FeedDriver
+{
+public:
+    /// What the follower decides.
+    struct Follower {
+        std::function<FeedStep(TimePoint now)> next;
+        std::function<void(FeedAnswer answer, TimePoint callBegan, TimePoint now)> answered;
+        std::function<void(TimePoint now)> timedOut;
+    };
+
+    FeedDriver(EventLoop &loop,
+               PlainCaller &store,
+               const PlatformTranslation &translation,
+               ServingMetrics &metrics,
+               Follower follower);
+    ~FeedDriver();
+    FeedDriver(const FeedDriver &) = delete;
+    FeedDriver &operator=(const FeedDriver &) = delete;
+
+    /// @brief Does what the follower asks for now; also called when its wishes may have changed.
+    void advance();
+
+private:
+    void perform(const BeginCall &step);
+    void perform(const WaitUntil &step);
+    void perform(const AwaitAnswer &step);
+
+    EventLoop &m_loop;
+    PlainCaller &m_store;
+    const PlatformTranslation &m_translation;
+    ServingMetrics &m_metrics;
+    Follower m_follower;
+    EventLoop::TimerId m_timer = 0;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/node/plaincaller.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <celeryroute/detail/http1/targetchannels.h>
+#include <celeryroute/detail/node/platformtranslation.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace celeryroute {
+
+/// Sends small calls to one server, such as the platform's store, over kept channels.
+class PlainCaller
+{
+public:
+    /// Receives the status, 0 without a whole answer, and the body.
+    using Answered = std::function<void(int status, const std::string &body)>;
+
+    PlainCaller(EventLoop &loop, const Endpoint &server);
+    ~PlainCaller();
+    PlainCaller(const PlainCaller &) = delete;
+    PlainCaller &operator=(const PlainCaller &) = delete;
+
+    /// @brief @p answered is called once, later. A call that times out closes its channel.
+    void call(const PlainCall &call, Duration timeout, Answered answered);
+
+private:
+    class Exchange;
+
+    void finish(Exchange *exchange);
+
+    EventLoop &m_loop;
+    Endpoint m_server;
+    std::string m_host;
+    TargetChannels m_channels;
+    std::map<Exchange *, std::unique_ptr<Exchange>> m_exchanges;
+};
+
+} // namespace celeryroute
--- a/include/celeryroute/detail/serving/servingstate.h
+++ b/include/celeryroute/detail/serving/servingstate.h
@@ -33,8 +33,8 @@
 
 /// What a caller may send, and how long it may take.
 struct CallerLimits {
-    std::uint64_t headerBytes = 16 * 1024;
-    std::uint64_t bodyBytes = 4 * 1024 * 1024;
+    std::uint64_t headerBytes = std::uint64_t{16} * 1024;
+    std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024;
     Duration headerTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15);
     bool operator==(const CallerLimits &) const = default;
--- /dev/null
+++ b/src/gateway/callattempts.cpp
@@ -0,0 +1,354 @@
+#include <celeryroute/detail/gateway/call.h>
+
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/gateway/gateway.h>
+#include <celeryroute/detail/gateway/httpstatus.h>
+#include <celeryroute/detail/gateway/targethead.h>
+#include <celeryroute/detail/net/clock.h>
+#include <celeryroute/detail/placement/itemkey.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr std::uint32_t MaxSends = 4; ///< Of one call, also those that provably did not run.
+constexpr Duration RoomRetryAfter = std::chrono::milliseconds(200);
+
+} // namespace
+
+void Call::attempt()
+{
+    if (remaining() <= Duration::zero()) {
+        limitReached();
+        return;
+    }
+    m_phase = Phase::Waiting;
+    const ServingPool *pool = m_table->state().pool(m_pool);
+    if (pool != nullptr && pool->engine && !m_fields.model.empty()) {
+        attemptEngine();
+    } else {
+        attemptPlain();
+    }
+}
+
+void Call::attemptPlain()
+{
+    const PlainAsk ask{m_pool, m_excluded, m_route->repeatable()};
+    const PlainVerdict verdict = m_gateway.plainChooser().choose(ask, m_gateway.loop().now());
+    std::visit([this](const auto &chosen) { decide(chosen); }, verdict);
+}
+
+void Call::attemptEngine()
+{
+    const EngineDecision decision = m_gateway.engineChooser().choose(engineCall(), m_gateway.loop().now());
+    m_asked = true;
+    if (decision.want) {
+        m_gateway.wantSpare(*decision.want);
+    }
+    std::visit([this](const auto &chosen) { decide(chosen); }, decision.verdict);
+}
+
+EngineCall Call::engineCall() const
+{
+    EngineCall call;
+    call.pool = m_pool;
+    call.model = m_fields.model;
+    call.adapter = m_fields.adapter;
+    for (const auto &[id, tokens] : m_fields.promptParts) {
+        call.parts.push_back({id, tokens});
+    }
+    call.promptTokens = m_fields.promptTokens;
+    call.maxOutputTokens = m_fields.maxOutputTokens;
+    call.lengthHint = m_fields.lengthHint;
+    call.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+    call.remaining = remaining();
+    call.targetLatency = m_route->targetLatency;
+    call.excluded = m_excluded;
+    call.askedBefore = m_asked;
+    if (!m_version.empty() && begun()) {
+        std::uint64_t version = 0;
+        std::from_chars(m_version.data(), m_version.data() + m_version.size(), version);
+        call.weightsVersion = version;
+    }
+    return call;
+}
+
+void Call::decide(const SendTo &verdict)
+{
+    send(verdict.target);
+}
+
+void Call::decide(const WaitFor &verdict)
+{
+    wait(verdict.item, verdict.target, verdict.expected);
+}
+
+void Call::decide(const WaitForRoom &verdict)
+{
+    wait(itemKey(m_fields.model, m_fields.adapter), {}, verdict.expected);
+}
+
+void Call::decide(const Refuse &verdict)
+{
+    if (m_sends > 0) {
+        failFinally("no_further_target");
+        return;
+    }
+    refuse(HttpStatus::ServiceUnavailable,
+           verdict.reason == RefuseReason::UnknownModel    ? "unknown_model"
+               : verdict.reason == RefuseReason::NoTargets ? "no_targets"
+                                                           : "too_late",
+           verdict.retryAfter);
+}
+
+void Call::wait(const std::string &item, const std::string &target, Duration expected)
+{
+    WaitingCall waiting;
+    waiting.call = m_number;
+    waiting.pool = m_pool;
+    waiting.item = item;
+    waiting.askedTarget = target;
+    waiting.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+    waiting.since = m_request.received;
+    waiting.deadline = m_limit;
+    const WaitingCall *before = m_gateway.queue().find(m_number);
+    if (before == nullptr || before->askedTarget != target) {
+        m_gateway.log().write(DecisionEvent::RequestQueued,
+                              m_gateway.loop().now(),
+                              m_fields.requestId,
+                              {{fieldnames::Reason, target.empty() ? "room" : "load"},
+                               {fieldnames::Item, item},
+                               {fieldnames::Target, target},
+                               {"expected_ms", toMilliseconds(expected)},
+                               {"limit_ms", toMilliseconds(remaining())}});
+    }
+    m_gateway.waiting(waiting);
+}
+
+void Call::reconsider()
+{
+    if (m_phase == Phase::Waiting && stateHolds()) {
+        attempt();
+    }
+}
+
+void Call::giveUp(std::string_view reason)
+{
+    if (m_phase != Phase::Waiting) {
+        return;
+    }
+    if (m_sends > 0) {
+        failFinally(reason);
+    } else {
+        refuse(HttpStatus::ServiceUnavailable, reason, RoomRetryAfter);
+    }
+}
+
+std::optional<TargetRequest> Call::targetRequest(const KnownTarget &target)
+{
+    TargetFields fields;
+    fields.instance = target.record.id;
+    fields.customer = m_customerName;
+    fields.remaining = remaining();
+    fields.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+    fields.bodyLength = m_request.body.size();
+    if (begun()) {
+        fields.lastEventId = m_events.lastId();
+        if (!m_version.empty()) {
+            fields.weightsVersion = m_version;
+        }
+    }
+    TargetRequest request;
+    request.head = targetRequestHead(m_request.head, fields, m_gateway.names());
+    request.body = m_request.body;
+    request.id = m_fields.requestId;
+    request.withoutAnswerBody = m_request.head.method == "HEAD";
+    request.exclusive = !m_route->repeatable();
+    return request;
+}
+
+void Call::send(const std::string &targetId)
+{
+    const TimePoint now = m_gateway.loop().now();
+    m_gateway.queue().remove(m_number);
+    const KnownTarget *target = m_gateway.book().target(targetId);
+    const auto endpoint = target == nullptr ? std::nullopt : parseEndpoint(target->record.address);
+    if (!endpoint) {
+        m_excluded.push_back(targetId);
+        tryAgain("bad_address");
+        return;
+    }
+    // The process may have stood still since the call was admitted.
+    if (m_customer != nullptr && !m_gateway.admission().keysFresh(bootTimeNow())) {
+        if (m_sends > 0) {
+            failFinally("keys_stale");
+        } else {
+            refuse(HttpStatus::ServiceUnavailable, "keys_stale", RoomRetryAfter);
+        }
+        return;
+    }
+    if (m_arrivals == 0) {
+        m_gateway.admission().noteFirstSend(m_pool, now);
+    } else if (!m_gateway.admission().takeFurtherSend(m_pool, now)) {
+        m_gateway.metrics().countRetryWithheld();
+        failFinally("retry_allowance");
+        return;
+    }
+    ++m_sends;
+    ++m_arrivals;
+    m_target = targetId;
+    m_sentAt = now;
+    m_lastProgress = now;
+    m_answer = {};
+    m_phase = begun() ? Phase::Streaming : Phase::Sent;
+    const ServingPool *pool = m_table->state().pool(m_pool);
+    m_ticket = pool != nullptr && pool->engine ? m_gateway.book().noteSent(targetId, engineCall(), now)
+                                               : m_gateway.book().noteSent(targetId, now);
+    m_ticketOpen = true;
+    m_gateway.log().write(DecisionEvent::RequestSent,
+                          now,
+                          m_fields.requestId,
+                          {{fieldnames::Attempt, m_sends},
+                           {fieldnames::Target, targetId},
+                           {"kind", labelValue(m_route->kind)},
+                           {fieldnames::Customer, m_customerName},
+                           {"route", m_route->name},
+                           {fieldnames::Item, itemKey(m_fields.model, m_fields.adapter)},
+                           {"remaining_ms", toMilliseconds(remaining())},
+                           {"prompt_tokens", m_fields.promptTokens},
+                           {"in_flight", target->own.calls},
+                           {fieldnames::StateVersion, m_table->state().version}});
+    m_gateway.metrics().countSend(m_route->kind);
+    m_exchange = &m_gateway.channels().start(*endpoint, *targetRequest(*target), *this);
+    m_gateway.noteDemand(targetId, false);
+    armStall();
+}
+
+bool Call::mayRunAgain() const
+{
+    const bool resumable = !begun() || !m_events.lastId().empty();
+    return m_route->repeatable() && resumable && m_runs < m_route->maxAttempts && m_sends < MaxSends;
+}
+
+void Call::endAttempt(CallEnd end)
+{
+    m_gateway.loop().cancel(m_stallTimer);
+    m_stallTimer = 0;
+    if (m_exchange != nullptr) {
+        m_exchange->abandon();
+        m_exchange = nullptr;
+    }
+    if (m_ticketOpen) {
+        m_ticketOpen = false;
+        const ChangedModels changed = m_gateway.book().noteEnded(m_ticket, end, m_gateway.loop().now());
+        m_gateway.noteDemand(m_target, false);
+        if (!changed.empty()) {
+            m_gateway.loop().defer([&gateway = m_gateway, changed] { gateway.targetsChanged(changed); });
+        }
+    }
+}
+
+void Call::tryAgain(std::string_view reason)
+{
+    m_gateway.metrics().countRetry(reason);
+    m_gateway.log().write(DecisionEvent::RequestRepeated,
+                          m_gateway.loop().now(),
+                          m_fields.requestId,
+                          {{fieldnames::Attempt, m_sends},
+                           {fieldnames::Target, m_target},
+                           {fieldnames::Reason, reason},
+                           {"not_run", m_runs == 0}});
+    if (m_sends >= MaxSends) {
+        failFinally(reason);
+        return;
+    }
+    if (stateHolds()) {
+        attempt();
+    }
+}
+
+void Call::exchangeFailed(ExchangeFailure failure)
+{
+    m_exchange = nullptr;
+    const bool sent = failure != ExchangeFailure::NotConnected && failure != ExchangeFailure::NotSent;
+    m_arrivals -= sent ? 0 : 1;
+    if (sent && !m_answer.notRun) {
+        ++m_runs;
+        m_gateway.admission().noteCrash(m_target,
+                                        stableHash(m_request.head.target + m_request.body),
+                                        m_gateway.loop().now());
+    }
+    const bool torn = failure == ExchangeFailure::Torn || failure == ExchangeFailure::Malformed;
+    endAttempt(torn ? CallEnd::Failed : CallEnd::Unreachable);
+    m_excluded.push_back(m_target);
+    if (!sent || m_answer.notRun || mayRunAgain()) {
+        tryAgain(!sent ? "not_connected" : m_answer.notRun ? "not_run" : torn ? "torn" : "no_answer");
+        return;
+    }
+    failFinally(torn ? "torn" : "no_answer");
+}
+
+void Call::failFinally(std::string_view reason)
+{
+    const TimePoint now = m_gateway.loop().now();
+    const CallKind kind = m_route == nullptr ? CallKind::Idempotent : m_route->kind;
+    endAttempt(CallEnd::Abandoned);
+    const auto total = toMilliseconds(now - m_request.received);
+    if (begun()) {
+        m_gateway.log().write(DecisionEvent::RequestCut,
+                              now,
+                              m_fields.requestId,
+                              {{fieldnames::Attempt, m_sends},
+                               {fieldnames::Target, m_target},
+                               {fieldnames::Reason, reason},
+                               {"kind", labelValue(kind)},
+                               {fieldnames::Customer, m_customerName},
+                               {"events", m_events.events()},
+                               {"last_event", m_events.lastId()},
+                               {"total_ms", total},
+                               {"resumable", m_route->resumable}});
+        m_gateway.metrics().countRequest(kind, RequestOutcome::Cut);
+        m_caller->cut();
+        done();
+        return;
+    }
+    if (m_failure) {
+        m_answer = std::move(*m_failure);
+        passAnswer();
+        return;
+    }
+    const bool run = m_runs > 0;
+    const int status = !run      ? HttpStatus::ServiceUnavailable
+        : reason == "time_limit" ? HttpStatus::GatewayTimeout
+                                 : HttpStatus::BadGateway;
+    m_gateway.log().write(DecisionEvent::RequestFailed,
+                          now,
+                          m_fields.requestId,
+                          {{fieldnames::Attempt, m_sends},
+                           {fieldnames::Target, m_target},
+                           {"status", status},
+                           {fieldnames::Reason, reason},
+                           {"kind", labelValue(kind)},
+                           {fieldnames::Customer, m_customerName},
+                           {"sent_ms", toMilliseconds(now - m_sentAt)},
+                           {"total_ms", total},
+                           {"not_run", !run}});
+    m_gateway.metrics().countRequest(kind, RequestOutcome::Failed);
+    answerOwn(status, run ? std::nullopt : std::optional(RoomRetryAfter));
+}
+
+void Call::limitReached()
+{
+    if (m_phase == Phase::Done) {
+        return;
+    }
+    if (m_exchange != nullptr && m_exchange->sentAny() && !m_answer.notRun) {
+        ++m_runs;
+    }
+    failFinally("time_limit");
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/gateway/callfields.cpp
@@ -0,0 +1,109 @@
+#include <celeryroute/detail/gateway/callfields.h>
+
+#include <charconv>
+#include <string_view>
+
+namespace celeryroute {
+
+namespace {
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::optional<std::uint64_t> readNumber(std::string_view text)
+{
+    text = trimmed(text);
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/// Cuts the part up to @p separator off @p rest.
+std::string_view cutPart(std::string_view &rest, char separator)
+{
+    const std::size_t at = rest.find(separator);
+    const std::string_view part = rest.substr(0, at);
+    rest = at == std::string_view::npos ? std::string_view() : rest.substr(at + 1);
+    return trimmed(part);
+}
+
+std::optional<std::string> readKey(const std::string &authorization, const std::string &scheme)
+{
+    std::string_view rest = authorization;
+    const std::string_view given = cutPart(rest, ' ');
+    const std::string_view key = trimmed(rest);
+    if (!equalsIgnoringCase(given, scheme) || key.empty()) {
+        return std::nullopt;
+    }
+    return std::string(key);
+}
+
+void readModel(std::string_view text, CallFields &fields)
+{
+    fields.model = cutPart(text, '/');
+    fields.adapter = trimmed(text);
+}
+
+void readTokenCounts(std::string_view text, CallFields &fields)
+{
+    const auto prompt = readNumber(cutPart(text, ','));
+    const auto output = readNumber(text);
+    if (prompt && output) {
+        fields.countsTokens = true;
+        fields.promptTokens = *prompt;
+        fields.maxOutputTokens = *output;
+    }
+}
+
+void readPromptParts(std::string_view text, CallFields &fields)
+{
+    while (!text.empty()) {
+        std::string_view part = cutPart(text, ',');
+        const std::string_view id = cutPart(part, ':');
+        const auto tokens = readNumber(part);
+        if (!id.empty() && tokens) {
+            fields.promptParts.emplace_back(id, *tokens);
+        }
+    }
+}
+
+} // namespace
+
+CallFields readCallFields(const MessageHead &head, const HeaderNames &names)
+{
+    CallFields fields;
+    for (const HeaderField &field : head.fields) {
+        const auto is = [&field](const std::string &name) { return equalsIgnoringCase(field.name, name); };
+        if (is(names.requestId)) {
+            fields.requestId = field.value;
+        } else if (is(names.deadline)) {
+            if (const auto ms = readNumber(field.value)) {
+                fields.deadline = std::chrono::milliseconds(*ms);
+            }
+        } else if (is(names.authorization)) {
+            fields.key = readKey(field.value, names.keyScheme);
+        } else if (is(names.model)) {
+            readModel(field.value, fields);
+        } else if (is(names.tokenCounts)) {
+            readTokenCounts(field.value, fields);
+        } else if (is(names.promptParts)) {
+            readPromptParts(field.value, fields);
+        } else if (is(names.lengthHint)) {
+            fields.lengthHint = readNumber(field.value).value_or(0);
+        } else if (is(names.lastEventId)) {
+            fields.lastEventId = field.value;
+        }
+    }
+    return fields;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,179 @@
+#include <celeryroute/detail/gateway/gateway.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr Duration QueueInterval = std::chrono::milliseconds(50);
+constexpr std::size_t WakeLimit = 64; ///< Calls that one change of a target wakes.
+
+} // namespace
+
+Gateway::Gateway(const Parts &parts, std::uint64_t seed, DemandChanged demandChanged)
+    : m_parts(parts)
+    , m_demandChanged(std::move(demandChanged))
+    , m_server(parts.loop, *this)
+    , m_channels(parts.loop, {parts.names.requestId})
+    , m_plainChooser(parts.book, seed)
+    , m_engineChooser(parts.book, seed)
+{}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::listen(const Endpoint &endpoint)
+{
+    return m_server.listen(endpoint);
+}
+
+void Gateway::setState(const ServingStatePtr &state)
+{
+    m_table = std::make_shared<const RouteTable>(state);
+    m_limits = state->limits;
+    m_parts.book.setState(*state);
+}
+
+void Gateway::callerRequest(CallerConnection &connection, CallerRequest request)
+{
+    const std::uint64_t number = m_nextCall++;
+    auto call = std::make_unique<Call>(*this, number, connection, std::move(request));
+    Call *begun = call.get();
+    m_calls.emplace(number, std::move(call));
+    m_callsByCaller[&connection] = begun;
+    begun->begin();
+}
+
+void Gateway::callerLeft(CallerConnection &connection)
+{
+    const auto found = m_callsByCaller.find(&connection);
+    if (found != m_callsByCaller.end()) {
+        found->second->callerLeft();
+    }
+}
+
+void Gateway::callerDrained(CallerConnection &connection)
+{
+    const auto found = m_callsByCaller.find(&connection);
+    if (found != m_callsByCaller.end()) {
+        found->second->callerDrained();
+    }
+}
+
+void Gateway::requestRejected(int status)
+{
+    m_parts.log.write(DecisionEvent::RequestRefused,
+                      m_parts.loop.now(),
+                      {{"status", status}, {fieldnames::Reason, "unreadable"}});
+    m_parts.metrics.countRefusal("unreadable");
+}
+
+void Gateway::connectionEnded(CallerConnection &connection)
+{
+    m_callsByCaller.erase(&connection);
+    m_server.discard(connection);
+}
+
+const CallerLimits &Gateway::callerLimits() const
+{
+    return m_limits;
+}
+
+void Gateway::finished(Call &call)
+{
+    std::erase_if(m_callsByCaller, [&call](const auto &entry) { return entry.second == &call; });
+    m_parts.loop.defer([this, number = call.number()] { m_calls.erase(number); });
+}
+
+void Gateway::waiting(const WaitingCall &call)
+{
+    const WaitingCall *before = m_queue.find(call.call);
+    const std::string previous = before == nullptr ? std::string() : before->askedTarget;
+    m_queue.put(call);
+    if (!previous.empty() && previous != call.askedTarget) {
+        noteDemand(previous, false);
+    }
+    if (!call.askedTarget.empty() && previous != call.askedTarget) {
+        noteDemand(call.askedTarget, true);
+    }
+    scheduleQueue();
+}
+
+void Gateway::wantSpare(const LoadWant &want)
+{
+    m_spares[want.target] = SpareWant{want.item, m_parts.loop.now()};
+    noteDemand(want.target, true);
+}
+
+std::vector<WantedItem> Gateway::wantsAt(const std::string &target) const
+{
+    constexpr Duration SpareLifetime = std::chrono::seconds(1);
+    constexpr std::uint32_t SparePriority = 9;
+    std::vector<WantedItem> wants = m_queue.wantsAt(target);
+    const auto spare = m_spares.find(target);
+    if (spare != m_spares.end() && m_parts.loop.now() - spare->second.since < SpareLifetime) {
+        wants.push_back({spare->second.item, 0, SparePriority, spare->second.since});
+    }
+    return wants;
+}
+
+void Gateway::noteDemand(const std::string &target, bool urgent)
+{
+    m_demandChanged(target, urgent);
+}
+
+void Gateway::targetsChanged(const ChangedModels &models)
+{
+    for (const std::string &model : models) {
+        for (const ServingPool &pool : m_table == nullptr ? std::vector<ServingPool>() : m_table->state().pools) {
+            for (const std::uint64_t call : m_queue.waitingFor(pool.name, model, WakeLimit)) {
+                reconsider(call);
+            }
+        }
+    }
+}
+
+void Gateway::reconsider(std::uint64_t call)
+{
+    const auto found = m_calls.find(call);
+    if (found != m_calls.end()) {
+        found->second->reconsider();
+    }
+}
+
+void Gateway::scheduleQueue()
+{
+    if (m_queueTimer == 0 && m_queue.size() > 0) {
+        m_queueTimer = m_parts.loop.at(m_parts.loop.now() + QueueInterval, [this] {
+            m_queueTimer = 0;
+            workQueue();
+        });
+    }
+}
+
+// Room frees and health recovers without any message, so waiting calls are looked at now and then.
+void Gateway::workQueue()
+{
+    for (const WaitingCall &expired : m_queue.takeExpired(m_parts.loop.now())) {
+        const auto found = m_calls.find(expired.call);
+        if (found != m_calls.end()) {
+            found->second->giveUp("time_limit");
+        }
+    }
+    for (const std::uint64_t call : m_queue.inOrder(WakeLimit)) {
+        reconsider(call);
+    }
+    scheduleQueue();
+}
+
+void Gateway::beginStop()
+{
+    m_stopping = true;
+}
+
+void Gateway::closeIdle()
+{
+    m_server.closeIdle();
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/gateway/routetable.cpp
@@ -0,0 +1,56 @@
+#include <celeryroute/detail/gateway/routetable.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace celeryroute {
+
+namespace {
+
+std::string hostName(const std::string &host)
+{
+    std::string name = host.substr(0, host.find(':'));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::tolower(letter));
+    });
+    return name;
+}
+
+} // namespace
+
+RouteTable::RouteTable(ServingStatePtr state)
+    : m_state(std::move(state))
+{
+    for (const ServingRoute &route : m_state->routes) {
+        m_routes.emplace(hostName(route.host) + route.pathPrefix, &route);
+    }
+    for (const ServingCustomer &customer : m_state->customers) {
+        for (const std::string &key : customer.keys) {
+            m_customers.emplace(key, &customer);
+        }
+    }
+}
+
+// Every prefix begins and ends with a slash, so only these places of the path can end one.
+const ServingRoute *RouteTable::route(const std::string &host, const std::string &target) const
+{
+    const std::string name = hostName(host);
+    std::string path = target.substr(0, target.find('?'));
+    std::size_t slash = path.rfind('/');
+    while (slash != std::string::npos) {
+        const auto found = m_routes.find(name + path.substr(0, slash + 1));
+        if (found != m_routes.end()) {
+            return found->second;
+        }
+        slash = slash == 0 ? std::string::npos : path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const ServingCustomer *RouteTable::customer(const std::string &key) const
+{
+    const auto found = m_customers.find(key);
+    return found == m_customers.end() ? nullptr : found->second;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/http1/callerconnection.cpp
@@ -0,0 +1,327 @@
+#include <celeryroute/detail/http1/callerconnection.h>
+
+#include <celeryroute/detail/http1/messagewriter.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr std::size_t PipelinedBytes = 64 * 1024; ///< Read ahead while an answer is being made.
+constexpr std::size_t CongestedBytes = 256 * 1024;
+constexpr Duration LingerTime = std::chrono::seconds(1);
+constexpr int BadRequest = 400;
+constexpr int RequestTimeout = 408;
+constexpr int ContentTooLarge = 413;
+constexpr int HeaderTooLarge = 431;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
+constexpr int CurrentVersion = 11;
+
+bool hasNoBody(int status)
+{
+    return status == NoContent || status == NotModified;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(EventLoop &loop, int socket, CallerHandler &handler)
+    : m_loop(loop)
+    , m_handler(handler)
+    , m_channel(loop, socket, TcpChannel::Phase::Open, *this)
+    , m_alive(std::make_shared<bool>(true))
+{
+    setDeadline(m_handler.callerLimits().idleTimeout);
+}
+
+CallerConnection::~CallerConnection()
+{
+    *m_alive = false;
+    m_loop.cancel(m_timer);
+}
+
+void CallerConnection::channelReceived()
+{
+    switch (m_phase) {
+    case Phase::Idle:
+    case Phase::Reading:
+        readRequest();
+        break;
+    case Phase::Answering:
+        if (m_channel.input().size() > PipelinedBytes) {
+            m_channel.setReading(false);
+        }
+        break;
+    case Phase::Lingering:
+    case Phase::Ended:
+        m_channel.input().clear();
+        break;
+    }
+}
+
+void CallerConnection::channelClosed(bool)
+{
+    const bool left = m_phase == Phase::Answering;
+    end();
+    if (left) {
+        m_handler.callerLeft(*this);
+    }
+    m_handler.connectionEnded(*this);
+}
+
+void CallerConnection::channelDrained()
+{
+    if (m_phase == Phase::Answering) {
+        m_handler.callerDrained(*this);
+    }
+}
+
+void CallerConnection::readRequest()
+{
+    std::string &input = m_channel.input();
+    if (m_phase == Phase::Idle) {
+        input.erase(0, std::min(input.find_first_not_of("\r\n"), input.size()));
+        if (input.empty()) {
+            return;
+        }
+        const CallerLimits &limits = m_handler.callerLimits();
+        m_parser = std::make_unique<MessageParser>(
+            MessageKind::Request,
+            MessageLimits{static_cast<std::uint32_t>(limits.headerBytes), limits.bodyBytes});
+        m_phase = Phase::Reading;
+        m_continued = false;
+        setDeadline(limits.headerTimeout);
+    }
+    const ParseState before = m_parser->state();
+    input.erase(0, m_parser->feed(input));
+    switch (m_parser->state()) {
+    case ParseState::Head:
+        break;
+    case ParseState::Body:
+        if (before == ParseState::Head && m_parser->head().framing == BodyFraming::Length
+            && m_parser->head().bodyLength > m_handler.callerLimits().bodyBytes) {
+            reject(ContentTooLarge);
+            break;
+        }
+        setDeadline(m_handler.callerLimits().idleTimeout);
+        sendContinue();
+        break;
+    case ParseState::Complete:
+        takeRequest();
+        break;
+    case ParseState::Malformed:
+        reject(BadRequest);
+        break;
+    case ParseState::HeadTooLarge:
+        reject(HeaderTooLarge);
+        break;
+    case ParseState::BodyTooLarge:
+        reject(ContentTooLarge);
+        break;
+    }
+}
+
+void CallerConnection::sendContinue()
+{
+    const std::string *expect = m_parser->head().field("Expect");
+    if (expect != nullptr && !m_continued && equalsIgnoringCase(*expect, "100-continue")) {
+        m_continued = true;
+        m_channel.write("HTTP/1.1 100 Continue\r\n\r\n");
+        m_channel.flush();
+    }
+}
+
+void CallerConnection::takeRequest()
+{
+    CallerRequest request{std::move(m_parser->head()), std::move(m_parser->body()), m_loop.now()};
+    m_parser.reset();
+    m_phase = Phase::Answering;
+    clearDeadline();
+    m_keepAlive = request.head.keepAlive;
+    m_oldVersion = request.head.version < CurrentVersion;
+    m_withoutBody = request.head.method == "HEAD";
+    m_handler.callerRequest(*this, std::move(request));
+}
+
+void CallerConnection::reject(int status)
+{
+    m_handler.requestRejected(status);
+    m_phase = Phase::Answering;
+    m_keepAlive = false;
+    m_withoutBody = false;
+    answer({status, {}, {}}, {});
+}
+
+void CallerConnection::writeHead(const AnswerHead &head, const std::optional<std::size_t> &length)
+{
+    std::string text;
+    appendStatusLine(text, head.status, head.reason);
+    for (const HeaderField &field : head.fields) {
+        appendField(text, field.name, field.value);
+    }
+    if (m_handler.stopping()) {
+        m_keepAlive = false;
+    }
+    m_chunked = !length && !m_oldVersion;
+    if (m_chunked) {
+        appendField(text, "Transfer-Encoding", "chunked");
+    } else if (length && !hasNoBody(head.status)) {
+        appendField(text, "Content-Length", std::to_string(*length));
+    } else if (!length) {
+        m_keepAlive = false;
+    }
+    if (!m_keepAlive) {
+        appendField(text, "Connection", "close");
+    } else if (m_oldVersion) {
+        appendField(text, "Connection", "keep-alive");
+    }
+    text.append("\r\n");
+    m_channel.write(text);
+}
+
+void CallerConnection::answer(const AnswerHead &head, std::string_view body)
+{
+    if (m_phase != Phase::Answering) {
+        return;
+    }
+    writeHead(head, body.size());
+    if (!m_withoutBody && !hasNoBody(head.status)) {
+        m_channel.write(body);
+    }
+    answerWritten();
+}
+
+void CallerConnection::begin(const AnswerHead &head)
+{
+    if (m_phase == Phase::Answering) {
+        writeHead(head, std::nullopt);
+    }
+}
+
+void CallerConnection::append(std::string_view bytes)
+{
+    if (m_phase != Phase::Answering || m_withoutBody) {
+        return;
+    }
+    if (m_chunked) {
+        std::string chunk;
+        appendChunk(chunk, bytes);
+        m_channel.write(chunk);
+    } else {
+        m_channel.write(bytes);
+    }
+}
+
+void CallerConnection::flush()
+{
+    if (m_phase == Phase::Answering) {
+        m_channel.flush();
+    }
+}
+
+void CallerConnection::finish()
+{
+    if (m_phase != Phase::Answering) {
+        return;
+    }
+    if (m_chunked && !m_withoutBody) {
+        m_channel.write("0\r\n\r\n");
+    }
+    answerWritten();
+}
+
+void CallerConnection::answerWritten()
+{
+    if (!m_keepAlive) {
+        linger();
+        return;
+    }
+    m_channel.flush();
+    m_phase = Phase::Idle;
+    m_channel.setReading(true);
+    setDeadline(m_handler.callerLimits().idleTimeout);
+    if (!m_channel.input().empty()) {
+        // A pipelined request is read from the loop, since this may run inside the handler of the one before.
+        m_loop.defer([this, alive = m_alive] {
+            if (*alive && m_phase == Phase::Idle) {
+                readRequest();
+            }
+        });
+    }
+}
+
+// A channel that is closed with unread input is reset, and the answer would be lost with it.
+void CallerConnection::linger()
+{
+    m_phase = Phase::Lingering;
+    m_channel.input().clear();
+    m_channel.setReading(true);
+    m_channel.finishOutput();
+    setDeadline(LingerTime);
+}
+
+void CallerConnection::cut()
+{
+    if (m_phase == Phase::Answering) {
+        m_channel.flush();
+        end();
+        m_handler.connectionEnded(*this);
+    }
+}
+
+bool CallerConnection::congested() const
+{
+    return m_channel.unsent() > CongestedBytes;
+}
+
+void CallerConnection::closeIdle()
+{
+    if (m_phase == Phase::Idle) {
+        end();
+        m_handler.connectionEnded(*this);
+    }
+}
+
+void CallerConnection::end()
+{
+    m_phase = Phase::Ended;
+    clearDeadline();
+    m_channel.setReading(false);
+}
+
+void CallerConnection::setDeadline(Duration fromNow)
+{
+    m_deadline = m_loop.now() + fromNow;
+    if (m_timer != 0 && m_timerAt <= *m_deadline) {
+        return; // The timer looks again when it fires.
+    }
+    m_loop.cancel(m_timer);
+    m_timerAt = *m_deadline;
+    m_timer = m_loop.at(m_timerAt, [this] { deadlineReached(); });
+}
+
+void CallerConnection::clearDeadline()
+{
+    m_deadline.reset();
+}
+
+void CallerConnection::deadlineReached()
+{
+    m_timer = 0;
+    if (!m_deadline) {
+        return;
+    }
+    if (*m_deadline > m_loop.now()) {
+        setDeadline(*m_deadline - m_loop.now());
+        return;
+    }
+    if (m_phase == Phase::Reading) {
+        reject(RequestTimeout);
+        return;
+    }
+    end();
+    m_handler.connectionEnded(*this);
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/http1/callerserver.cpp
@@ -0,0 +1,64 @@
+#include <celeryroute/detail/http1/callerserver.h>
+
+#include <celeryroute/detail/net/sockets.h>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <vector>
+
+namespace celeryroute {
+
+CallerServer::CallerServer(EventLoop &loop, CallerHandler &handler)
+    : m_loop(loop)
+    , m_handler(handler)
+{}
+
+CallerServer::~CallerServer()
+{
+    stopListening();
+}
+
+Result<void> CallerServer::listen(const Endpoint &endpoint)
+{
+    BOOST_LEAF_ASSIGN(m_listener, listenTcp(endpoint));
+    m_loop.watch(m_listener, EPOLLIN, *this);
+    return {};
+}
+
+void CallerServer::stopListening()
+{
+    if (m_listener >= 0) {
+        m_loop.unwatch(m_listener);
+        close(m_listener);
+        m_listener = -1;
+    }
+}
+
+void CallerServer::discard(CallerConnection &connection)
+{
+    m_loop.defer([this, gone = &connection] { m_connections.erase(gone); });
+}
+
+void CallerServer::closeIdle()
+{
+    std::vector<CallerConnection *> idle;
+    for (const auto &[address, connection] : m_connections) {
+        if (connection->idle()) {
+            idle.push_back(address);
+        }
+    }
+    for (CallerConnection *connection : idle) {
+        connection->closeIdle();
+    }
+}
+
+void CallerServer::fileReady(std::uint32_t)
+{
+    for (int file = acceptTcp(m_listener); file >= 0; file = acceptTcp(m_listener)) {
+        auto connection = std::make_unique<CallerConnection>(m_loop, file, m_handler);
+        CallerConnection *address = connection.get();
+        m_connections.emplace(address, std::move(connection));
+    }
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/http1/messageparser.cpp
@@ -0,0 +1,248 @@
+#include <celeryroute/detail/http1/messageparser.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <variant>
+
+namespace celeryroute {
+
+namespace {
+
+namespace http = boost::beast::http;
+using BeastError = boost::beast::error_code;
+using BeastView = boost::beast::string_view;
+
+std::string_view toView(BeastView text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Collects what one Beast parser reads.
+struct Collected {
+    MessageHead head;
+    std::string body;
+    std::uint64_t bodyRead = 0;
+    std::uint64_t bodyLimit = UINT64_MAX;
+    bool smuggling = false;
+
+    std::size_t takeBody(BeastView bytes, BeastError &error)
+    {
+        bodyRead += bytes.size();
+        if (bodyRead > bodyLimit) {
+            error = http::error::body_limit;
+            return 0;
+        }
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void takeField(http::field id, BeastView name, BeastView value)
+    {
+        const std::string_view text = toView(value);
+        if (id == http::field::transfer_encoding && !equalsIgnoringCase(text, "chunked")) {
+            smuggling = true;
+        }
+        head.fields.push_back({std::string(toView(name)), std::string(text)});
+    }
+};
+
+template <bool IsRequest>
+class BeastParser final : public http::basic_parser<IsRequest>
+{
+public:
+    Collected collected;
+
+    explicit BeastParser(const MessageLimits &limits)
+    {
+        collected.bodyLimit = limits.bodyBytes;
+        this->eager(true);
+        this->header_limit(limits.headBytes);
+        this->body_limit(boost::none);
+    }
+
+private:
+    void on_request_impl(http::verb, BeastView method, BeastView target, int version, BeastError &) override
+    {
+        collected.head.method = toView(method);
+        collected.head.target = toView(target);
+        collected.head.version = version;
+    }
+
+    void on_response_impl(int status, BeastView reason, int version, BeastError &) override
+    {
+        collected.head.status = status;
+        collected.head.reason = toView(reason);
+        collected.head.version = version;
+    }
+
+    void on_field_impl(http::field id, BeastView name, BeastView value, BeastError &) override
+    {
+        collected.takeField(id, name, value);
+    }
+
+    void on_header_impl(BeastError &error) override
+    {
+        if (collected.smuggling) {
+            error = http::error::bad_transfer_encoding;
+        }
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, BeastError &) override {}
+
+    std::size_t on_body_impl(BeastView body, BeastError &error) override
+    {
+        return collected.takeBody(body, error);
+    }
+
+    void on_chunk_header_impl(std::uint64_t, BeastView, BeastError &) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, BeastError &error) override
+    {
+        return collected.takeBody(body, error);
+    }
+
+    void on_finish_impl(BeastError &) override {}
+};
+
+using AnyParser = std::variant<std::unique_ptr<BeastParser<true>>, std::unique_ptr<BeastParser<false>>>;
+
+AnyParser makeParser(MessageKind kind, const MessageLimits &limits)
+{
+    if (kind == MessageKind::Request) {
+        return std::make_unique<BeastParser<true>>(limits);
+    }
+    return std::make_unique<BeastParser<false>>(limits);
+}
+
+template <bool IsRequest>
+void readFraming(const BeastParser<IsRequest> &parser, MessageHead &head)
+{
+    head.keepAlive = parser.keep_alive();
+    if (parser.chunked()) {
+        head.framing = BodyFraming::Chunked;
+    } else if (const auto length = parser.content_length()) {
+        head.framing = *length > 0 ? BodyFraming::Length : BodyFraming::None;
+        head.bodyLength = *length;
+    } else if (!IsRequest && !parser.is_done()) {
+        head.framing = BodyFraming::UntilClose;
+    }
+}
+
+} // namespace
+
+class MessageParser::Private
+{
+public:
+    Private(MessageKind kind, const MessageLimits &limits)
+        : parser(makeParser(kind, limits))
+    {}
+
+    AnyParser parser;
+    ParseState state = ParseState::Head;
+    bool begun = false;
+
+    Collected &collected()
+    {
+        return std::visit([](auto &beast) -> Collected & { return beast->collected; }, parser);
+    }
+
+    std::size_t feed(std::string_view bytes)
+    {
+        begun = begun || !bytes.empty();
+        std::size_t consumed = 0;
+        while (consumed < bytes.size() && (state == ParseState::Head || state == ParseState::Body)) {
+            const std::size_t step = put(bytes.substr(consumed));
+            consumed += step;
+            if (step == 0) {
+                break;
+            }
+        }
+        return consumed;
+    }
+
+    std::size_t put(std::string_view bytes)
+    {
+        BeastError error;
+        const std::size_t consumed = std::visit(
+            [&](auto &beast) { return beast->put(boost::asio::const_buffer(bytes.data(), bytes.size()), error); },
+            parser);
+        update(error);
+        return consumed;
+    }
+
+    void update(const BeastError &error)
+    {
+        if (error && error != http::error::need_more) {
+            state = failure(error);
+            return;
+        }
+        std::visit(
+            [this](auto &beast) {
+                if (beast->is_header_done() && state == ParseState::Head) {
+                    readFraming(*beast, beast->collected.head);
+                    state = ParseState::Body;
+                }
+                if (beast->is_done()) {
+                    state = ParseState::Complete;
+                }
+            },
+            parser);
+    }
+
+    static ParseState failure(const BeastError &error)
+    {
+        if (error == http::error::header_limit) {
+            return ParseState::HeadTooLarge;
+        }
+        return error == http::error::body_limit ? ParseState::BodyTooLarge : ParseState::Malformed;
+    }
+};
+
+MessageParser::MessageParser(MessageKind kind, const MessageLimits &limits)
+    : m_private(std::make_unique<Private>(kind, limits))
+{}
+
+MessageParser::~MessageParser() = default;
+
+void MessageParser::expectNoBody(bool noBody)
+{
+    std::visit([noBody](auto &beast) { beast->skip(noBody); }, m_private->parser);
+}
+
+std::size_t MessageParser::feed(std::string_view bytes)
+{
+    return m_private->feed(bytes);
+}
+
+void MessageParser::feedEnd()
+{
+    BeastError error;
+    std::visit([&error](auto &beast) { beast->put_eof(error); }, m_private->parser);
+    m_private->update(error);
+    if (m_private->state != ParseState::Complete) {
+        m_private->state = ParseState::Malformed;
+    }
+}
+
+ParseState MessageParser::state() const
+{
+    return m_private->state;
+}
+
+bool MessageParser::begun() const
+{
+    return m_private->begun;
+}
+
+MessageHead &MessageParser::head()
+{
+    return m_private->collected().head;
+}
+
+std::string &MessageParser::body()
+{
+    return m_private->collected().body;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/http1/targetchannels.cpp
@@ -0,0 +1,118 @@
+#include <celeryroute/detail/http1/targetchannels.h>
+
+#include <celeryroute/detail/net/sockets.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr Duration SweepInterval = std::chrono::seconds(2);
+
+} // namespace
+
+TargetChannels::TargetChannels(EventLoop &loop, TargetConnection::Fields fields)
+    : m_loop(loop)
+    , m_fields(std::move(fields))
+{}
+
+TargetConnection &TargetChannels::start(const Endpoint &endpoint, TargetRequest request, ExchangeUser &user)
+{
+    TargetConnection *connection = takeIdle(endpoint, request);
+    if (connection == nullptr) {
+        connection = &open(endpoint);
+    }
+    connection->start(std::move(request), user);
+    return *connection;
+}
+
+TargetConnection *TargetChannels::takeIdle(const Endpoint &endpoint, const TargetRequest &request)
+{
+    const auto found = m_idle.find(endpoint);
+    while (found != m_idle.end() && !found->second.empty()) {
+        TargetConnection *connection = found->second.back();
+        found->second.pop_back();
+        if (connection->usable(request, m_loop.now())) {
+            return connection;
+        }
+        discard(connection);
+    }
+    return nullptr;
+}
+
+TargetConnection &TargetChannels::open(const Endpoint &endpoint)
+{
+    ++m_opened;
+    auto connection = std::make_unique<TargetConnection>(
+        m_loop,
+        endpoint,
+        beginConnect(endpoint),
+        m_fields,
+        [this](TargetConnection &idle) { becameIdle(idle); },
+        [this](TargetConnection &finished) { ended(finished); });
+    TargetConnection *address = connection.get();
+    m_connections.emplace(address, std::move(connection));
+    return *address;
+}
+
+void TargetChannels::becameIdle(TargetConnection &connection)
+{
+    m_idle[connection.endpoint()].push_back(&connection);
+    scheduleSweep();
+}
+
+void TargetChannels::ended(TargetConnection &connection)
+{
+    const auto found = m_idle.find(connection.endpoint());
+    if (found != m_idle.end()) {
+        std::erase(found->second, &connection);
+    }
+    discard(&connection);
+}
+
+// Destroyed after this turn: the connection may be on the call stack.
+void TargetChannels::discard(TargetConnection *connection)
+{
+    m_loop.defer([this, connection] { m_connections.erase(connection); });
+}
+
+void TargetChannels::closeIdle(const Endpoint &endpoint)
+{
+    const auto found = m_idle.find(endpoint);
+    if (found == m_idle.end()) {
+        return;
+    }
+    for (TargetConnection *connection : found->second) {
+        discard(connection);
+    }
+    m_idle.erase(found);
+}
+
+void TargetChannels::scheduleSweep()
+{
+    if (!m_sweeping) {
+        m_sweeping = true;
+        m_loop.at(m_loop.now() + SweepInterval, [this] { sweep(); });
+    }
+}
+
+void TargetChannels::sweep()
+{
+    m_sweeping = false;
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        std::erase_if(entry->second, [this](TargetConnection *connection) {
+            if (connection->expiry() > m_loop.now()) {
+                return false;
+            }
+            discard(connection);
+            return true;
+        });
+        entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+    if (!m_idle.empty()) {
+        scheduleSweep();
+    }
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/node/feeddriver.cpp
@@ -0,0 +1,89 @@
+#include <celeryroute/detail/node/feeddriver.h>
+
+#include <celeryroute/detail/net/clock.h>
+
+namespace celeryroute {
+
+namespace {
+
+struct StoreCallKindOf {
+    StoreCallKind operator()(const ReadNewest &) const
+    {
+        return StoreCallKind::ReadNewest;
+    }
+    StoreCallKind operator()(const ReadFrom &) const
+    {
+        return StoreCallKind::ReadFrom;
+    }
+    StoreCallKind operator()(const AppendRecord &) const
+    {
+        return StoreCallKind::Append;
+    }
+};
+
+StoreCallOutcome outcomeOf(const FeedAnswer &answer)
+{
+    if (std::holds_alternative<RecordsExpired>(answer)) {
+        return StoreCallOutcome::Expired;
+    }
+    if (const auto *unavailable = std::get_if<FeedUnavailable>(&answer)) {
+        return unavailable->status == 0 ? StoreCallOutcome::Lost : StoreCallOutcome::Refused;
+    }
+    return StoreCallOutcome::Answered;
+}
+
+} // namespace
+
+FeedDriver::FeedDriver(EventLoop &loop,
+                       PlainCaller &store,
+                       const PlatformTranslation &translation,
+                       ServingMetrics &metrics,
+                       Follower follower)
+    : m_loop(loop)
+    , m_store(store)
+    , m_translation(translation)
+    , m_metrics(metrics)
+    , m_follower(std::move(follower))
+{}
+
+FeedDriver::~FeedDriver()
+{
+    m_loop.cancel(m_timer);
+}
+
+void FeedDriver::advance()
+{
+    const FeedStep step = m_follower.next(m_loop.now());
+    std::visit([this](const auto &wanted) { perform(wanted); }, step);
+}
+
+void FeedDriver::perform(const BeginCall &step)
+{
+    // The turn may have taken long; what is learned counts from the moment of asking.
+    const TimePoint began = m_loop.now();
+    const FeedCall call = step.call;
+    m_store.call(m_translation.feedCall(call), step.timeout, [this, call, began](int status, const std::string &body) {
+        const FeedAnswer answer = status == 0 ? FeedAnswer(FeedUnavailable{0})
+                                              : m_translation.feedAnswer(call, status, body);
+        m_metrics.countStoreCall(std::visit(StoreCallKindOf{}, call), outcomeOf(answer));
+        if (status == 0) {
+            m_follower.timedOut(m_loop.now());
+        } else {
+            m_follower.answered(answer, began, m_loop.now());
+        }
+        advance();
+    });
+}
+
+void FeedDriver::perform(const WaitUntil &step)
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.at(step.time, [this] {
+        m_timer = 0;
+        advance();
+    });
+}
+
+void FeedDriver::perform(const AwaitAnswer &) {}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/node/plaincaller.cpp
@@ -0,0 +1,95 @@
+#include <celeryroute/detail/node/plaincaller.h>
+
+#include <celeryroute/detail/http1/messagewriter.h>
+
+namespace celeryroute {
+
+class PlainCaller::Exchange final : public ExchangeUser
+{
+public:
+    Exchange(PlainCaller &owner, Answered answered)
+        : m_owner(owner)
+        , m_answered(std::move(answered))
+    {}
+    ~Exchange() override
+    {
+        m_owner.m_loop.cancel(m_timer);
+    }
+
+    void start(TargetRequest request, Duration timeout)
+    {
+        m_timer = m_owner.m_loop.at(m_owner.m_loop.now() + timeout, [this] {
+            m_timer = 0;
+            m_connection->abandon();
+            finish(0);
+        });
+        m_connection = &m_owner.m_channels.start(m_owner.m_server, std::move(request), *this);
+    }
+
+    void exchangeHead(MessageHead head) override
+    {
+        m_status = head.status;
+    }
+    void exchangeBody(std::string &body) override
+    {
+        m_body += body;
+        body.clear();
+    }
+    void exchangeComplete() override
+    {
+        finish(m_status);
+    }
+    void exchangeFailed(ExchangeFailure) override
+    {
+        finish(0);
+    }
+
+private:
+    void finish(int status)
+    {
+        const Answered answered = std::move(m_answered);
+        const std::string body = std::move(m_body);
+        m_owner.finish(this);
+        answered(status, body);
+    }
+
+    PlainCaller &m_owner;
+    Answered m_answered;
+    TargetConnection *m_connection = nullptr;
+    EventLoop::TimerId m_timer = 0;
+    int m_status = 0;
+    std::string m_body;
+};
+
+PlainCaller::PlainCaller(EventLoop &loop, const Endpoint &server)
+    : m_loop(loop)
+    , m_server(server)
+    , m_host(toString(server))
+    , m_channels(loop, {})
+{}
+
+PlainCaller::~PlainCaller() = default;
+
+void PlainCaller::call(const PlainCall &call, Duration timeout, Answered answered)
+{
+    TargetRequest request;
+    appendRequestLine(request.head, call.method, call.target);
+    appendField(request.head, "Host", m_host);
+    if (!call.contentType.empty()) {
+        appendField(request.head, "Content-Type", call.contentType);
+        appendField(request.head, "Content-Length", std::to_string(call.body.size()));
+    }
+    request.head.append("\r\n");
+    request.body = call.body;
+    auto exchange = std::make_unique<Exchange>(*this, std::move(answered));
+    Exchange *begun = exchange.get();
+    m_exchanges.emplace(begun, std::move(exchange));
+    begun->start(std::move(request), timeout);
+}
+
+void PlainCaller::finish(Exchange *exchange)
+{
+    m_loop.defer([this, exchange] { m_exchanges.erase(exchange); });
+}
+
+} // namespace celeryroute
