Add the entry's choice of targets

An entry needs to know all targets by pool, model and health, to choose one for each call at a cost that does not grow with the fleet, and to say which agent should load a model that nobody holds.

--- /dev/null
+++ b/include/celeryroute/detail/placement/servedload.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace celeryroute {
+
+/// Load that a target names in its answers.
+struct ServedLoad {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    bool operator==(const ServedLoad &) const = default;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/placement/targetpool.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <celeryroute/detail/placement/demandmeter.h>
+#include <celeryroute/detail/placement/enginespeed.h>
+#include <celeryroute/detail/placement/prefixmemory.h>
+#include <celeryroute/detail/placement/relaxingmean.h>
+#include <celeryroute/detail/placement/targetring.h>
+#include <celeryroute/detail/serving/enginespec.h>
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace celeryroute {
+
+/// The targets of one pool, by what they hold, and what was learned of them together.
+struct TargetPool {
+    TargetPool();
+
+    std::string name;
+    std::optional<EngineSpec> engine;
+    TargetRing open; ///< That may get new calls.
+    std::unordered_map<std::string, TargetRing> holders; ///< By resident model.
+    std::unordered_map<std::string, TargetRing> loading; ///< By item.
+    std::unordered_map<std::string, TargetRing> copies; ///< By model with a local copy.
+    RelaxingMean latency; ///< Seconds of a plain answer.
+    RelaxingMean failures; ///< Failed share of all answers.
+    RelaxingMean slowness; ///< Factor on the expected time of a first event.
+    RelaxingMean duration; ///< Seconds from sending to the end of a call.
+    RelaxingMean uncached; ///< Prompt tokens that a call has to read.
+    RelaxingMean tokens; ///< Cache tokens of a call.
+    EngineSpeed speed;
+    DemandMeter demand;
+    PrefixMemory prefixes;
+
+    /// @brief Targets that hold @p model, or null.
+    const TargetRing *holdersOf(const std::string &model) const;
+    const TargetRing *loadingOf(const std::string &item) const;
+    const TargetRing *copiesOf(const std::string &model) const;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/placement/targetring.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace celeryroute {
+
+struct KnownTarget;
+
+/// @brief Spreads the bits of @p value; equal in all processes.
+std::uint64_t mixBits(std::uint64_t value);
+
+/// Set of targets in the order of their digests, the same in all entries.
+class TargetRing
+{
+public:
+    bool insert(KnownTarget *target);
+    bool erase(KnownTarget *target);
+    std::size_t size() const;
+    bool empty() const;
+    const std::vector<KnownTarget *> &all() const;
+
+    /// @brief All targets if there are at most @p limit, else @p limit of them: half where @p key
+    /// leads to, which is the same in all entries, and half where @p spread leads to.
+    void sample(std::uint64_t key, std::uint64_t spread, std::size_t limit, std::vector<KnownTarget *> &out) const;
+
+private:
+    void walk(std::uint64_t key, std::size_t count, std::vector<KnownTarget *> &out) const;
+
+    std::vector<KnownTarget *> m_targets;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/placement/targetview.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <celeryroute/detail/serving/targetrecord.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace celeryroute {
+
+/// A model or an adapter on its way to a target.
+struct LoadingItem {
+    std::string item; ///< `MODEL` or `MODEL/ADAPTER`
+    Duration remaining{}; ///< When the view was heard.
+    bool operator==(const LoadingItem &) const = default;
+};
+
+/// What a target's agent last said of it.
+struct TargetView {
+    std::int64_t bornMs = 0;
+    bool reachable = true; ///< The target answers its agent.
+    bool ordering = true; ///< The agent may give orders.
+    std::vector<ResidentModel> models;
+    std::vector<LoadingItem> loading;
+    LocalCopies copies;
+    std::uint32_t queued = 0;
+    std::uint32_t active = 0;
+    std::uint64_t cacheUsed = 0; ///< Tokens that cannot yield.
+    std::uint64_t cacheTotal = 0;
+    std::vector<std::string> declined; ///< Items that do not fit beside what is in use.
+    bool operator==(const TargetView &) const = default;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/callqueue.cpp
@@ -0,0 +1,135 @@
+#include <celeryroute/detail/placement/callqueue.h>
+
+#include <celeryroute/detail/placement/itemkey.h>
+
+#include <algorithm>
+#include <map>
+
+namespace celeryroute {
+
+std::string CallQueue::key(const std::string &pool, const std::string &item)
+{
+    return pool + '\n' + modelOfItem(item);
+}
+
+void CallQueue::put(WaitingCall call)
+{
+    const auto known = m_calls.find(call.call);
+    const std::uint64_t number = known == m_calls.end() ? ++m_numbers : known->second.number;
+    if (known != m_calls.end()) {
+        unlink(known->second);
+    }
+    m_byModel[key(call.pool, call.item)].insert({call.priority, call.deadline, number, call.call});
+    m_byDeadline.insert({call.deadline, call.call});
+    if (!call.askedTarget.empty()) {
+        m_byTarget[call.askedTarget].insert(call.call);
+    }
+    const std::uint64_t id = call.call;
+    m_calls[id] = {std::move(call), number};
+}
+
+bool CallQueue::remove(std::uint64_t call)
+{
+    const auto known = m_calls.find(call);
+    if (known == m_calls.end()) {
+        return false;
+    }
+    unlink(known->second);
+    m_calls.erase(known);
+    return true;
+}
+
+void CallQueue::unlink(const Held &held)
+{
+    const WaitingCall &call = held.call;
+    const auto model = m_byModel.find(key(call.pool, call.item));
+    model->second.erase({call.priority, call.deadline, held.number, call.call});
+    if (model->second.empty()) {
+        m_byModel.erase(model);
+    }
+    m_byDeadline.erase({call.deadline, call.call});
+    const auto target = m_byTarget.find(call.askedTarget);
+    if (target != m_byTarget.end()) {
+        target->second.erase(call.call);
+        if (target->second.empty()) {
+            m_byTarget.erase(target);
+        }
+    }
+}
+
+const WaitingCall *CallQueue::find(std::uint64_t call) const
+{
+    const auto known = m_calls.find(call);
+    return known == m_calls.end() ? nullptr : &known->second.call;
+}
+
+std::vector<std::uint64_t>
+CallQueue::waitingFor(const std::string &pool, const std::string &model, std::size_t limit) const
+{
+    std::vector<std::uint64_t> calls;
+    const auto ranks = m_byModel.find(key(pool, model));
+    if (ranks == m_byModel.end()) {
+        return calls;
+    }
+    for (const Rank &rank : ranks->second) {
+        if (calls.size() == limit) {
+            break;
+        }
+        calls.push_back(rank.call);
+    }
+    return calls;
+}
+
+bool CallQueue::standsBehind(const std::string &pool,
+                             const std::string &model,
+                             std::uint32_t priority,
+                             TimePoint deadline) const
+{
+    const auto ranks = m_byModel.find(key(pool, model));
+    return ranks != m_byModel.end() && *ranks->second.begin() < Rank{priority, deadline, m_numbers + 1, 0};
+}
+
+std::vector<WaitingCall> CallQueue::takeExpired(TimePoint now)
+{
+    std::vector<WaitingCall> expired;
+    while (!m_byDeadline.empty() && m_byDeadline.begin()->first <= now) {
+        const std::uint64_t call = m_byDeadline.begin()->second;
+        expired.push_back(m_calls.at(call).call);
+        remove(call);
+    }
+    return expired;
+}
+
+TimePoint CallQueue::nextDeadline() const
+{
+    return m_byDeadline.empty() ? TimePoint::max() : m_byDeadline.begin()->first;
+}
+
+std::vector<WantedItem> CallQueue::wantsAt(const std::string &target) const
+{
+    std::map<std::string, WantedItem> wants;
+    const auto calls = m_byTarget.find(target);
+    if (calls != m_byTarget.end()) {
+        for (const std::uint64_t number : calls->second) {
+            const WaitingCall &call = m_calls.at(number).call;
+            const auto [want, added] = wants.try_emplace(call.item,
+                                                         WantedItem{call.item, 0, call.priority, call.since});
+            ++want->second.calls;
+            want->second.priority = std::min(want->second.priority, call.priority);
+            want->second.since = std::min(want->second.since, call.since);
+        }
+    }
+    std::vector<WantedItem> list;
+    list.reserve(wants.size());
+    for (auto &[item, want] : wants) {
+        list.push_back(std::move(want));
+    }
+    return list;
+}
+
+std::size_t CallQueue::size() const
+{
+    return m_calls.size();
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/enginespeed.cpp
@@ -0,0 +1,56 @@
+#include <celeryroute/detail/placement/enginespeed.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr double FirstGuess = 1.0 / 30000; // Seconds a token.
+constexpr double SlowestFactor = 20; // Bounds of what is believed, around the first guess.
+constexpr double ObservationWeight = 0.05;
+constexpr double CertainWeight = 0.3; // Total weight from which the slope is trusted.
+constexpr double LeastSpread = 200; // Tokens; calls of one size tell no slope.
+
+} // namespace
+
+EngineSpeed::EngineSpeed()
+    : m_secondsPerToken(FirstGuess)
+{}
+
+void EngineSpeed::add(std::uint64_t uncachedTokens, double seconds)
+{
+    const auto tokens = static_cast<double>(uncachedTokens);
+    const double share = m_weight == 0 ? 1 : ObservationWeight;
+    const double tokensOff = tokens - m_meanTokens;
+    const double secondsOff = seconds - m_meanSeconds;
+    m_meanTokens += share * tokensOff;
+    m_meanSeconds += share * secondsOff;
+    if (m_weight > 0) {
+        m_varTokens = (1 - share) * (m_varTokens + share * tokensOff * tokensOff);
+        m_covariance = (1 - share) * (m_covariance + share * tokensOff * secondsOff);
+    }
+    m_weight = std::min(1.0, m_weight + ObservationWeight);
+    if (m_weight >= CertainWeight && m_varTokens > LeastSpread * LeastSpread) {
+        m_secondsPerToken = std::clamp(m_covariance / m_varTokens,
+                                       FirstGuess / SlowestFactor,
+                                       FirstGuess * SlowestFactor);
+    }
+}
+
+double EngineSpeed::firstEvent(std::uint64_t uncachedTokens) const
+{
+    return base() + prefill(static_cast<double>(uncachedTokens));
+}
+
+double EngineSpeed::prefill(double tokens) const
+{
+    return tokens * m_secondsPerToken;
+}
+
+double EngineSpeed::base() const
+{
+    return std::max(0.0, m_meanSeconds - m_meanTokens * m_secondsPerToken);
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/knowntarget.cpp
@@ -0,0 +1,90 @@
+#include <celeryroute/detail/placement/knowntarget.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace celeryroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration AgentSilence = 2s; // After which the registry's models count.
+constexpr double LoadMemory = 1; // Seconds in which a report without a successor fades.
+constexpr double LatencyWeight = 0.2;
+constexpr Duration LatencyMemory = 10s; // A slow target is tried again after about this.
+
+} // namespace
+
+KnownTarget::KnownTarget()
+    : latency(LatencyWeight, LatencyMemory)
+{}
+
+bool KnownTarget::open() const
+{
+    return registered && !record.draining;
+}
+
+bool KnownTarget::viewFresh(TimePoint now) const
+{
+    return view && now - viewHeard < AgentSilence;
+}
+
+const std::vector<ResidentModel> &KnownTarget::models(TimePoint now) const
+{
+    return viewFresh(now) ? view->models : record.models;
+}
+
+const ResidentModel *KnownTarget::model(const std::string &name, TimePoint now) const
+{
+    const std::vector<ResidentModel> &held = models(now);
+    const auto model = std::find_if(held.begin(), held.end(), [&name](const ResidentModel &resident) {
+        return resident.name == name;
+    });
+    return model == held.end() ? nullptr : &*model;
+}
+
+const LocalCopies &KnownTarget::copies(TimePoint now) const
+{
+    return viewFresh(now) ? view->copies : record.copies;
+}
+
+std::optional<Duration> KnownTarget::loadingFor(const std::string &item, TimePoint now) const
+{
+    if (!viewFresh(now)) {
+        return std::nullopt;
+    }
+    for (const LoadingItem &loading : view->loading) {
+        if (loading.item == item) {
+            return std::max(Duration::zero(), viewHeard + loading.remaining - now);
+        }
+    }
+    return std::nullopt;
+}
+
+bool KnownTarget::declines(const std::string &item, TimePoint now) const
+{
+    return viewFresh(now) && std::find(view->declined.begin(), view->declined.end(), item) != view->declined.end();
+}
+
+double KnownTarget::credit(TimePoint now) const
+{
+    return foreign.heard ? std::exp(-std::max(0.0, toSeconds(now - foreign.at)) / LoadMemory) : 0;
+}
+
+double KnownTarget::running(TimePoint now) const
+{
+    return own.calls - own.waiting + foreign.running * credit(now);
+}
+
+double KnownTarget::waiting(TimePoint now) const
+{
+    return own.waiting + foreign.waiting * credit(now);
+}
+
+double KnownTarget::cacheTokens(TimePoint now) const
+{
+    return static_cast<double>(own.cacheTokens) + foreign.cacheTokens * credit(now);
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/loadplanner.cpp
@@ -0,0 +1,297 @@
+#include <celeryroute/detail/placement/loadplanner.h>
+
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/placement/itemkey.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t SampleSize = 32;
+constexpr double TieSeconds = 0.1; // Offers that differ by less go by rendezvous.
+constexpr double Horizon = 10; // Seconds over which the loss of a model is counted.
+constexpr double UseLimit = 0.5; // Share of a target that one model's calls should take.
+constexpr double SurplusCost = 0.02; // Seconds; of a replica that the demand does not need.
+constexpr double BusyCost = 0.5; // Seconds; of waiting for the runs of a model that must go.
+constexpr double UnheardCost = 0.2; // Seconds; of an agent that was not heard yet.
+constexpr double SilentCost = 2; // Seconds; of an agent that went silent.
+constexpr double DeclinedCost = 1; // Seconds; until what is in use there has changed.
+constexpr Duration LeastPatience = 500ms; // For an agent that shows no sign of what it was asked for.
+constexpr double UnknownDuration = 1; // Seconds of a call.
+
+double loadSeconds(const EngineModel &model, LoadSource source)
+{
+    switch (source) {
+    case LoadSource::Memory:
+        return toSeconds(model.memoryLoad);
+    case LoadSource::Disk:
+        return toSeconds(model.diskLoad);
+    case LoadSource::Store:
+        break;
+    }
+    return toSeconds(model.storeLoad);
+}
+
+bool contains(const std::vector<std::string> &list, const std::string &name)
+{
+    return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+LoadSource sourceAt(const KnownTarget &target, const std::string &model, TimePoint now)
+{
+    const LocalCopies &copies = target.copies(now);
+    if (contains(copies.inMemory, model)) {
+        return LoadSource::Memory;
+    }
+    return contains(copies.onDisk, model) ? LoadSource::Disk : LoadSource::Store;
+}
+
+double sizeOf(const EngineSpec &spec, const std::string &model)
+{
+    const EngineModel *known = spec.model(model);
+    return known != nullptr ? known->memoryMb : 0;
+}
+
+} // namespace
+
+struct LoadPlanner::Offer {
+    KnownTarget *target = nullptr;
+    double ready = 0;
+    double cost = 0;
+    LoadSource source = LoadSource::Store;
+    bool declined = false;
+
+    double score() const
+    {
+        return std::floor((ready + cost) / TieSeconds);
+    }
+};
+
+LoadPlanner::LoadPlanner(TargetBook &book)
+    : m_book(book)
+{}
+
+std::optional<LoadPlan>
+LoadPlanner::plan(TargetPool &pool, const EngineModel &model, const LoadNeed &need, TimePoint now)
+{
+    if (std::optional<LoadPlan> plan = underWay(pool, model.name, need, now)) {
+        return plan;
+    }
+    std::optional<Offer> chosen;
+    if (const TargetRing *ring = pool.copiesOf(model.name)) {
+        chosen = best(pool, model, *ring, need, false, now);
+    }
+    if (!need.spare && (!chosen || chosen->ready > need.within)) {
+        const std::optional<Offer> stored = best(pool, model, pool.open, need, true, now);
+        if (stored && (!chosen || stored->ready <= need.within)) {
+            chosen = stored;
+        }
+    }
+    if (!chosen) {
+        return std::nullopt;
+    }
+    return LoadPlan{chosen->target->record.id, chosen->ready, chosen->cost, chosen->source, false};
+}
+
+std::optional<LoadPlan>
+LoadPlanner::underWay(const TargetPool &pool, const std::string &model, const LoadNeed &need, TimePoint now)
+{
+    std::optional<LoadPlan> earliest;
+    if (const TargetRing *ring = pool.loadingOf(model)) {
+        ring->sample(stableHash(model), 0, SampleSize, m_sample);
+        for (const KnownTarget *target : m_sample) {
+            const std::optional<Duration> remaining = target->loadingFor(model, now);
+            if (!remaining || !target->view->reachable || contains(*need.excluded, target->record.id)) {
+                continue;
+            }
+            const double ready = toSeconds(*remaining);
+            if (!earliest || ready < earliest->ready) {
+                earliest = LoadPlan{target->record.id, ready, 0, LoadSource::Disk, true};
+            }
+        }
+    }
+    const auto asked = m_asked.find(pool.name + '\n' + model);
+    if (earliest || asked == m_asked.end()) {
+        return earliest;
+    }
+    const KnownTarget *target = m_book.target(asked->second.target);
+    const bool stands = target != nullptr && target->open() && now < asked->second.until
+        && target->model(model, now) == nullptr && !target->declines(model, now)
+        && target->health.standing(now) != TargetHealth::Standing::Shunned;
+    if (!stands) {
+        m_asked.erase(asked);
+        return std::nullopt;
+    }
+    if (contains(*need.excluded, asked->second.target)) {
+        return std::nullopt;
+    }
+    const double ready = std::max(0.0, toSeconds(asked->second.ready - now));
+    return LoadPlan{asked->second.target, ready, 0, LoadSource::Disk, true};
+}
+
+void LoadPlanner::noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now)
+{
+    if (plan.underWay) {
+        return;
+    }
+    const Duration load = fromSeconds(plan.ready);
+    m_asked[pool.name + '\n' + model.name] = {plan.target, now, now + load, now + load * 2 + LeastPatience};
+}
+
+std::optional<LoadPlanner::Offer> LoadPlanner::best(const TargetPool &pool,
+                                                    const EngineModel &model,
+                                                    const TargetRing &ring,
+                                                    const LoadNeed &need,
+                                                    bool fromStore,
+                                                    TimePoint now)
+{
+    const std::uint64_t key = stableHash(model.name);
+    ring.sample(key, mixBits(key), SampleSize, m_sample);
+    std::optional<Offer> chosen;
+    std::uint64_t chosenRank = 0;
+    for (KnownTarget *target : m_sample) {
+        if (contains(*need.excluded, target->record.id)) {
+            continue;
+        }
+        const std::optional<Offer> offered = offer(pool, model, *target, now);
+        if (!offered || (!fromStore && offered->source == LoadSource::Store)) {
+            continue;
+        }
+        const std::uint64_t rank = mixBits(key ^ target->digest);
+        const double score = offered->score();
+        if (!chosen || score < chosen->score() || (score == chosen->score() && rank > chosenRank)) {
+            chosen = offered;
+            chosenRank = rank;
+        }
+    }
+    return chosen;
+}
+
+std::optional<LoadPlanner::Offer>
+LoadPlanner::offer(const TargetPool &pool, const EngineModel &model, KnownTarget &target, TimePoint now) const
+{
+    if (target.model(model.name, now) != nullptr || target.health.standing(now) == TargetHealth::Standing::Shunned) {
+        return std::nullopt;
+    }
+    const bool fresh = target.viewFresh(now);
+    if (fresh && (!target.view->reachable || !target.view->ordering)) {
+        return std::nullopt;
+    }
+    const double eviction = evictionCost(pool, model, target, now);
+    if (!std::isfinite(eviction)) {
+        return std::nullopt;
+    }
+    Offer offer;
+    offer.target = &target;
+    offer.source = sourceAt(target, model.name, now);
+    offer.ready = busyFor(pool, target, now) + loadSeconds(model, offer.source);
+    offer.declined = target.declines(model.name, now);
+    offer.ready += offer.declined ? DeclinedCost : 0;
+    if (!fresh) {
+        offer.ready += target.view ? SilentCost : UnheardCost;
+    }
+    offer.cost = eviction + pool.speed.prefill(static_cast<double>(target.own.waitingTokens));
+    return offer;
+}
+
+// What it loads now, and what this entry has asked it for that it does not show yet.
+double LoadPlanner::busyFor(const TargetPool &pool, const KnownTarget &target, TimePoint now) const
+{
+    double busy = 0;
+    if (target.viewFresh(now)) {
+        for (const LoadingItem &loading : target.view->loading) {
+            if (loading.item == modelOfItem(loading.item)) {
+                busy += toSeconds(*target.loadingFor(loading.item, now));
+            }
+        }
+    }
+    for (const auto &[item, asked] : m_asked) {
+        const std::string model = item.substr(pool.name.size() + 1);
+        if (asked.target == target.record.id && now < asked.until && target.model(model, now) == nullptr
+            && !target.loadingFor(model, now)) {
+            busy += std::max(0.0, toSeconds(asked.ready - asked.at));
+        }
+    }
+    return busy;
+}
+
+double LoadPlanner::evictionCost(const TargetPool &pool,
+                                 const EngineModel &model,
+                                 const KnownTarget &target,
+                                 TimePoint now) const
+{
+    const EngineSpec &spec = *pool.engine;
+    if (model.memoryMb > spec.memoryMb) {
+        return std::numeric_limits<double>::infinity();
+    }
+    double used = 0;
+    std::vector<std::pair<double, double>> losses; // Cost and size.
+    for (const ResidentModel &resident : target.models(now)) {
+        const EngineModel *known = spec.model(resident.name);
+        const double size = known == nullptr
+            ? 0
+            : known->memoryMb + known->adapterMb * static_cast<double>(resident.adapters.size());
+        used += size;
+        losses.emplace_back(lossCost(pool, resident.name, target, now), size);
+    }
+    if (target.viewFresh(now)) {
+        for (const LoadingItem &loading : target.view->loading) {
+            used += sizeOf(spec, loading.item);
+        }
+    }
+    double missing = used + model.memoryMb - spec.memoryMb;
+    double cost = 0;
+    std::sort(losses.begin(), losses.end());
+    for (const auto &[loss, size] : losses) {
+        if (missing <= 0) {
+            break;
+        }
+        missing -= size;
+        cost += loss;
+    }
+    return cost + (missing > 0 ? DeclinedCost : 0);
+}
+
+// Seconds that callers of the model are expected to wait for it when it is gone from there.
+double
+LoadPlanner::lossCost(const TargetPool &pool, const std::string &model, const KnownTarget &target, TimePoint now) const
+{
+    const EngineModel *known = pool.engine->model(model);
+    if (known == nullptr) {
+        return 0;
+    }
+    const auto inUse = std::any_of(target.own.items.begin(), target.own.items.end(), [&model](const auto &item) {
+        return modelOfItem(item.first) == model;
+    });
+    const TargetRing *holders = pool.holdersOf(model);
+    const double replicas = holders != nullptr ? static_cast<double>(holders->size()) : 0;
+    const double rate = pool.demand.rate(model, now) * m_book.entries();
+    const double busy = inUse ? BusyCost : 0;
+    if (replicas - 1 >= std::max(1.0, std::ceil(replicasNeeded(pool, model, now)))) {
+        return SurplusCost + busy + rate / replicas * SurplusCost;
+    }
+    const double reload = loadSeconds(*known, LoadSource::Disk);
+    return (1 - std::exp(-rate * Horizon)) * reload + rate * reload * reload / 2 + busy;
+}
+
+double LoadPlanner::replicasNeeded(const TargetPool &pool, const std::string &model, TimePoint now) const
+{
+    const EngineSpec &spec = *pool.engine;
+    const double rate = pool.demand.rate(model, now) * m_book.entries();
+    const double reading = rate * pool.speed.prefill(pool.uncached.value(0, now));
+    const double running = rate * pool.duration.value(UnknownDuration, now);
+    const double inSlots = running / std::max(1U, spec.slots);
+    const double inCache = spec.cacheTokens > 0
+        ? running * pool.tokens.value(0, now) / static_cast<double>(spec.cacheTokens)
+        : 0;
+    return std::max({reading, inSlots, inCache}) / UseLimit;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/plainchooser.cpp
@@ -0,0 +1,125 @@
+#include <celeryroute/detail/placement/plainchooser.h>
+
+#include <celeryroute/detail/base/digest.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr std::size_t SubsetSize = 16; // Targets of a large pool that one entry uses.
+constexpr std::uint64_t SubsetRounds = 3;
+constexpr std::size_t SmallPool = 4; // Up to which all targets are compared.
+constexpr std::size_t Choices = 2;
+constexpr double OtherDomain = 1.1; // Factor on the cost; bytes between domains are priced.
+constexpr double QueueShare = 0.25; // Of its slots that a target is believed to queue.
+constexpr double UnknownLatency = 0.01; // Seconds.
+constexpr double Doubt = 1000; // Order of the grades in the cost, far above any latency.
+
+bool contains(const std::vector<std::string> &list, const std::string &id)
+{
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+} // namespace
+
+struct PlainChooser::Candidate {
+    KnownTarget *target = nullptr;
+    double cost = std::numeric_limits<double>::infinity();
+    bool sound = false;
+    bool room = false;
+};
+
+PlainChooser::PlainChooser(TargetBook &book, std::uint64_t seed)
+    : m_book(book)
+    , m_random(seed)
+{}
+
+PlainVerdict PlainChooser::choose(const PlainAsk &ask, TimePoint now)
+{
+    const TargetPool *pool = m_book.pool(ask.pool);
+    if (pool == nullptr || pool->open.empty()) {
+        return Refuse{std::chrono::seconds(1), RefuseReason::NoTargets};
+    }
+    Candidate lastResort;
+    bool full = false;
+    const std::uint64_t rounds = pool->open.size() <= SubsetSize ? 1 : SubsetRounds;
+    for (std::uint64_t round = 0; round < rounds; ++round) {
+        gather(*pool, ask, round);
+        Candidate best;
+        std::size_t compared = 0;
+        const std::size_t compare = m_sample.size() <= SmallPool ? m_sample.size() : Choices;
+        // A random order; the first sound ones with room are compared.
+        for (std::size_t i = 0; i < m_sample.size() && compared < compare; ++i) {
+            std::swap(m_sample[i], m_sample[i + random() % (m_sample.size() - i)]);
+            const Candidate candidate = assess(*pool, *m_sample[i], ask, now);
+            if (candidate.target == nullptr) {
+                continue;
+            }
+            if (!candidate.sound) {
+                lastResort = candidate.cost < lastResort.cost ? candidate : lastResort;
+            } else if (!candidate.room) {
+                full = true;
+            } else {
+                ++compared;
+                best = candidate.cost < best.cost ? candidate : best;
+            }
+        }
+        if (best.target != nullptr) {
+            return SendTo{best.target->record.id};
+        }
+    }
+    if (full) {
+        return WaitForRoom{fromSeconds(pool->latency.value(UnknownLatency, now))};
+    }
+    if (lastResort.target != nullptr) {
+        return SendTo{lastResort.target->record.id};
+    }
+    return Refuse{std::chrono::seconds(1), RefuseReason::NoTargets};
+}
+
+// The subset is the same each time, so that channels are kept; further rounds look elsewhere.
+void PlainChooser::gather(const TargetPool &pool, const PlainAsk &ask, std::uint64_t round)
+{
+    const std::uint64_t key = stableHash(m_book.name() + '\n' + ask.pool);
+    pool.open.sample(mixBits(key + round), mixBits(~key + round), SubsetSize, m_sample);
+}
+
+PlainChooser::Candidate
+PlainChooser::assess(const TargetPool &pool, KnownTarget &target, const PlainAsk &ask, TimePoint now)
+{
+    if (contains(ask.excluded, target.record.id)) {
+        return {};
+    }
+    const double latency = target.latency.value(pool.latency.value(UnknownLatency, now), now);
+    const double slots = std::max(1U, target.slots);
+    const double load = target.running(now) + target.waiting(now);
+    const double use = (load + 1) / slots;
+    Candidate candidate;
+    candidate.target = &target;
+    candidate.cost = latency * (1 + use) * (1 + use);
+    candidate.cost *= target.record.domain == m_book.domain() ? 1 : OtherDomain;
+    candidate.room = now >= target.fullUntil && (target.slots == 0 || load < slots * (1 + QueueShare));
+    const TargetHealth::Standing standing = target.health.standing(now);
+    const double usual = pool.failures.value(0, now);
+    const double trust = target.health.trust(usual, now);
+    if (standing == TargetHealth::Standing::Good) {
+        candidate.sound = trust >= 1 || static_cast<double>(random() % 1024) < trust * 1024;
+        candidate.cost += candidate.sound ? 0 : Doubt * (1 - trust);
+    } else {
+        candidate.sound = standing == TargetHealth::Standing::Probe && ask.repeatable;
+        candidate.cost += candidate.sound ? 0 : Doubt + toSeconds(target.health.shunnedFor(now));
+        candidate.cost *= candidate.sound ? 0 : 1; // A probe that is due goes first.
+    }
+    return candidate;
+}
+
+std::uint64_t PlainChooser::random()
+{
+    m_random += 1;
+    return mixBits(m_random);
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/prefixguess.cpp
@@ -0,0 +1,39 @@
+#include <celeryroute/detail/placement/prefixguess.h>
+
+#include <celeryroute/detail/placement/knowntarget.h>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr double KeptShare = 0.7; // Of the capacity; running calls use the rest.
+
+} // namespace
+
+PrefixGuess::PrefixGuess(const PrefixMemory &memory, const PrefixChain &chain)
+{
+    for (auto link = chain.links.rbegin(); link != chain.links.rend(); ++link) {
+        if (const PrefixMemory::Places *places = memory.places(link->digest)) {
+            m_known.push_back({places, link->tokens});
+        }
+    }
+}
+
+// Least recently used parts yield, so a part is gone once the target has read its capacity anew.
+std::uint64_t PrefixGuess::keptTokens(const KnownTarget &target, std::uint64_t capacity, std::uint32_t entries) const
+{
+    for (const Known &known : m_known) {
+        for (const PrefixMemory::Place &place : *known.places) {
+            if (place.lifetime != target.lifetime) {
+                continue;
+            }
+            const auto readSince = static_cast<double>(target.clock - place.clock) * entries;
+            if (capacity == 0 || readSince < KeptShare * static_cast<double>(capacity)) {
+                return known.tokens;
+            }
+        }
+    }
+    return 0;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/prefixmemory.cpp
@@ -0,0 +1,80 @@
+#include <celeryroute/detail/placement/prefixmemory.h>
+
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/placement/itemkey.h>
+#include <celeryroute/detail/placement/targetring.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+// Calls of one session or subject differ in their last part at most.
+PrefixChain prefixChain(const EngineCall &call)
+{
+    PrefixChain chain;
+    chain.links.reserve(call.parts.size());
+    std::uint64_t digest = stableHash(call.pool + '\n' + itemKey(call.model, call.adapter));
+    chain.home = digest;
+    std::uint64_t tokens = 0;
+    for (const PromptPart &part : call.parts) {
+        digest = mixBits(digest ^ stableHash(part.id));
+        tokens += part.tokens;
+        chain.links.push_back({digest, tokens});
+    }
+    if (chain.links.size() == 1) {
+        chain.home = chain.links.front().digest;
+    } else if (chain.links.size() > 1) {
+        const PrefixChain::Link &shared = chain.links[chain.links.size() - 2];
+        chain.home = shared.digest;
+        chain.sharedTokens = shared.tokens;
+    }
+    return chain;
+}
+
+PrefixMemory::PrefixMemory(std::size_t capacity)
+    : m_capacity(capacity)
+{}
+
+void PrefixMemory::note(const PrefixChain &chain, std::uint32_t lifetime, std::uint64_t clock)
+{
+    for (const PrefixChain::Link &link : chain.links) {
+        const auto [entry, added] = m_entries.try_emplace(link.digest);
+        if (added) {
+            m_uses.push_front(link.digest);
+            entry->second.use = m_uses.begin();
+        } else {
+            m_uses.splice(m_uses.begin(), m_uses, entry->second.use);
+        }
+        put(entry->second.places, {lifetime, clock});
+        if (m_entries.size() > m_capacity) {
+            m_entries.erase(m_uses.back());
+            m_uses.pop_back();
+        }
+    }
+}
+
+// The newest place is kept first.
+void PrefixMemory::put(Places &places, Place place)
+{
+    auto at = std::find_if(places.begin(), places.end(), [&place](const Place &other) {
+        return other.lifetime == place.lifetime;
+    });
+    if (at == places.end()) {
+        at = places.end() - 1;
+    }
+    std::move_backward(places.begin(), at, at + 1);
+    places.front() = place;
+}
+
+const PrefixMemory::Places *PrefixMemory::places(std::uint64_t digest) const
+{
+    const auto entry = m_entries.find(digest);
+    return entry == m_entries.end() ? nullptr : &entry->second.places;
+}
+
+std::size_t PrefixMemory::size() const
+{
+    return m_entries.size();
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/placement/targetbook.cpp
@@ -0,0 +1,539 @@
+#include <celeryroute/detail/placement/targetbook.h>
+
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/placement/itemkey.h>
+#include <celeryroute/detail/placement/prefixguess.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace celeryroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration ReportLag = 50ms; // Calls sent just before a report are not in it.
+constexpr Duration LongestFull = 200ms;
+constexpr Duration ShortestFull = 10ms;
+constexpr double OutlierFactor = 3; // A first event later than this tells of the target, not of the pool.
+constexpr double LeastPrediction = 0.001;
+
+void sortUnique(std::vector<std::string> &list)
+{
+    std::sort(list.begin(), list.end());
+    list.erase(std::unique(list.begin(), list.end()), list.end());
+}
+
+void append(std::vector<std::string> &list, const std::vector<std::string> &more)
+{
+    list.insert(list.end(), more.begin(), more.end());
+}
+
+std::vector<std::string> modelNames(const KnownTarget &target)
+{
+    std::vector<std::string> names;
+    for (const ResidentModel &model : target.record.models) {
+        names.push_back(model.name);
+    }
+    if (target.view) {
+        for (const ResidentModel &model : target.view->models) {
+            names.push_back(model.name);
+        }
+    }
+    sortUnique(names);
+    return names;
+}
+
+std::vector<std::string> loadingItems(const KnownTarget &target)
+{
+    std::vector<std::string> items;
+    if (target.view) {
+        for (const LoadingItem &loading : target.view->loading) {
+            items.push_back(loading.item);
+        }
+    }
+    sortUnique(items);
+    return items;
+}
+
+std::vector<std::string> copyNames(const KnownTarget &target)
+{
+    std::vector<std::string> names = target.record.copies.inMemory;
+    append(names, target.record.copies.onDisk);
+    if (target.view) {
+        append(names, target.view->copies.inMemory);
+        append(names, target.view->copies.onDisk);
+    }
+    sortUnique(names);
+    return names;
+}
+
+/// Brings the rings that name @p target from @p before to @p after.
+void move(std::unordered_map<std::string, TargetRing> &rings,
+          KnownTarget &target,
+          std::vector<std::string> &before,
+          std::vector<std::string> after)
+{
+    for (const std::string &name : before) {
+        if (!std::binary_search(after.begin(), after.end(), name)) {
+            const auto ring = rings.find(name);
+            ring->second.erase(&target);
+            if (ring->second.empty()) {
+                rings.erase(ring);
+            }
+        }
+    }
+    for (const std::string &name : after) {
+        if (!std::binary_search(before.begin(), before.end(), name)) {
+            rings[name].insert(&target);
+        }
+    }
+    before = std::move(after);
+}
+
+ChangedModels concerned(const KnownTarget &target)
+{
+    ChangedModels models = target.indexedModels;
+    for (const std::string &item : target.indexedLoading) {
+        models.push_back(modelOfItem(item));
+    }
+    if (target.view) {
+        for (const std::string &item : target.view->declined) {
+            models.push_back(modelOfItem(item));
+        }
+    }
+    return models;
+}
+
+bool sameHoldings(const TargetView &left, const TargetView &right)
+{
+    return left.models == right.models && left.loading == right.loading && left.copies == right.copies;
+}
+
+bool eraseItem(std::vector<ResidentModel> &models, const std::string &item)
+{
+    const std::string model = modelOfItem(item);
+    const auto held = std::find_if(models.begin(), models.end(), [&model](const ResidentModel &resident) {
+        return resident.name == model;
+    });
+    if (held == models.end()) {
+        return false;
+    }
+    if (model == item) {
+        models.erase(held);
+        return true;
+    }
+    return std::erase(held->adapters, item.substr(model.size() + 1)) > 0;
+}
+
+} // namespace
+
+struct TargetBook::PlacedCall {
+    std::string target;
+    std::uint32_t lifetime = 0;
+    std::string item; ///< Empty for a plain service.
+    std::uint64_t cacheTokens = 0;
+    std::uint64_t uncached = 0;
+    TimePoint sent;
+    double predicted = 0; ///< Seconds to the first event.
+    bool quiet = false; ///< It found no backlog.
+    bool started = false;
+};
+
+TargetBook::TargetBook(std::string name, std::string domain)
+    : m_name(std::move(name))
+    , m_domain(std::move(domain))
+{}
+
+TargetBook::~TargetBook() = default;
+
+void TargetBook::setState(const ServingState &state)
+{
+    for (const auto &[name, pool] : m_pools) {
+        const ServingPool *declared = state.pool(name);
+        pool->engine = declared != nullptr ? declared->engine : std::nullopt;
+    }
+    for (const ServingPool &declared : state.pools) {
+        poolOf(declared.name).engine = declared.engine;
+    }
+}
+
+void TargetBook::setEntries(std::uint32_t entries)
+{
+    m_entries = std::max(1U, entries);
+}
+
+ChangedModels TargetBook::setRecord(const TargetRecord &record, TimePoint now)
+{
+    KnownTarget &target = find(record.id);
+    const bool reborn = record.bornMs != target.bornMs && record.bornMs != target.record.bornMs;
+    if (target.lifetime == 0 || reborn) {
+        beginLifetime(target, record.bornMs);
+    }
+    ChangedModels changed = concerned(target);
+    if (target.registered && target.record.pool != record.pool) {
+        unindex(target);
+    }
+    m_registered += target.registered ? 0 : 1;
+    target.registered = true;
+    target.record = record;
+    if (record.bornMs != target.bornMs) {
+        target.record.models.clear(); // Of a lifetime that the agent knows to be over.
+    }
+    target.slots = record.slots > 0 ? record.slots : target.slots;
+    append(changed, reindex(target, now));
+    sortUnique(changed);
+    return changed;
+}
+
+ChangedModels TargetBook::dropRecord(const std::string &id, TimePoint now)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end() || !known->second->registered) {
+        return {};
+    }
+    KnownTarget &target = *known->second;
+    ChangedModels changed = concerned(target);
+    sortUnique(changed);
+    target.registered = false;
+    --m_registered;
+    reindex(target, now);
+    forgetIfGone(id);
+    return changed;
+}
+
+ChangedModels TargetBook::setView(const std::string &id, const TargetView &view, TimePoint now)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end()) {
+        return {};
+    }
+    KnownTarget &target = *known->second;
+    if (view.bornMs != 0 && target.bornMs != 0 && view.bornMs != target.bornMs) {
+        if (view.bornMs < target.bornMs) {
+            return {};
+        }
+        beginLifetime(target, view.bornMs);
+        target.record.models.clear();
+    } else if (view.bornMs != 0) {
+        target.bornMs = view.bornMs;
+    }
+    ChangedModels changed = concerned(target);
+    const bool same = target.view && target.viewFresh(now) && *target.view == view;
+    const bool moved = !target.view || !sameHoldings(*target.view, view);
+    target.view = view;
+    target.viewHeard = now;
+    std::uint64_t waiting = 0;
+    std::uint64_t running = 0;
+    std::uint64_t tokens = 0;
+    for (const CallTicket ticket : target.own.tickets) {
+        const PlacedCall &call = m_calls.at(ticket);
+        if (call.sent + ReportLag <= now) {
+            ++(call.started ? running : waiting);
+            tokens += call.started ? call.cacheTokens : 0;
+        }
+    }
+    target.foreign.running = view.active > running ? static_cast<double>(view.active - running) : 0;
+    target.foreign.waiting = view.queued > waiting ? static_cast<double>(view.queued - waiting) : 0;
+    target.foreign.cacheTokens = view.cacheUsed > tokens ? static_cast<double>(view.cacheUsed - tokens) : 0;
+    target.foreign.at = now;
+    target.foreign.heard = true;
+    if (moved) {
+        append(changed, reindex(target, now));
+    } else if (same) {
+        return {};
+    }
+    sortUnique(changed);
+    return changed;
+}
+
+void TargetBook::noteLoad(const std::string &id, const ServedLoad &load, TimePoint now)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end()) {
+        return;
+    }
+    KnownTarget &target = *known->second;
+    if (target.slots == 0) {
+        target.slots = load.slots;
+    }
+    if (target.viewFresh(now)) {
+        return;
+    }
+    const double all = static_cast<double>(load.running) + load.waiting;
+    const double others = std::max(0.0, all - target.own.calls);
+    target.foreign.waiting = std::min<double>(others, load.waiting);
+    target.foreign.running = others - target.foreign.waiting;
+    target.foreign.cacheTokens = others * poolOf(target.record.pool).tokens.value(0, now);
+    target.foreign.at = now;
+    target.foreign.heard = true;
+}
+
+CallTicket TargetBook::noteSent(const std::string &id, TimePoint now)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end()) {
+        return 0;
+    }
+    PlacedCall call;
+    call.sent = now;
+    return open(*known->second, std::move(call));
+}
+
+CallTicket TargetBook::noteSent(const std::string &id, const EngineCall &engineCall, TimePoint now)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end()) {
+        return 0;
+    }
+    KnownTarget &target = *known->second;
+    TargetPool &pool = poolOf(target.record.pool);
+    const PrefixChain chain = prefixChain(engineCall);
+    const std::uint64_t capacity = pool.engine ? pool.engine->cacheTokens : 0;
+    const std::uint64_t kept = PrefixGuess(pool.prefixes, chain).keptTokens(target, capacity, m_entries);
+    PlacedCall call;
+    call.item = itemKey(engineCall.model, engineCall.adapter);
+    call.cacheTokens = engineCall.promptTokens + engineCall.expectedOutput();
+    call.uncached = engineCall.promptTokens - std::min(kept, engineCall.promptTokens);
+    call.sent = now;
+    call.quiet = target.waiting(now) < 1 && target.running(now) * 4 < std::max(1U, target.slots);
+    const double ahead = static_cast<double>(target.own.waitingTokens)
+        + (target.waiting(now) - target.own.waiting) * pool.uncached.value(static_cast<double>(call.uncached), now);
+    call.predicted = pool.speed.firstEvent(call.uncached) + pool.speed.prefill(ahead);
+    target.clock += call.uncached;
+    pool.prefixes.note(chain, target.lifetime, target.clock);
+    pool.uncached.add(static_cast<double>(call.uncached), static_cast<double>(call.uncached), now);
+    pool.tokens.add(static_cast<double>(call.cacheTokens), static_cast<double>(call.cacheTokens), now);
+    return open(target, std::move(call));
+}
+
+CallTicket TargetBook::open(KnownTarget &target, PlacedCall call)
+{
+    const CallTicket ticket = ++m_tickets;
+    call.target = target.record.id;
+    call.lifetime = target.lifetime;
+    OwnLoad &own = target.own;
+    ++own.calls;
+    ++own.waiting;
+    own.waitingTokens += call.uncached;
+    own.cacheTokens += call.cacheTokens;
+    if (!call.item.empty()) {
+        ++own.items[call.item];
+    }
+    own.tickets.push_back(ticket);
+    target.health.noteSent(call.sent);
+    m_calls.emplace(ticket, std::move(call));
+    return ticket;
+}
+
+void TargetBook::noteFirstEvent(CallTicket ticket, TimePoint now)
+{
+    const auto known = m_calls.find(ticket);
+    if (known == m_calls.end() || known->second.started) {
+        return;
+    }
+    PlacedCall &call = known->second;
+    call.started = true;
+    const auto target = m_targets.find(call.target);
+    if (target == m_targets.end() || target->second->lifetime != call.lifetime) {
+        return;
+    }
+    --target->second->own.waiting;
+    target->second->own.waitingTokens -= call.uncached;
+    observe(poolOf(target->second->record.pool), *target->second, call, now);
+}
+
+void TargetBook::observe(TargetPool &pool, KnownTarget &target, const PlacedCall &call, TimePoint now)
+{
+    const double seconds = toSeconds(now - call.sent);
+    if (call.item.empty()) {
+        target.latency.add(seconds, pool.latency.value(seconds, now), now);
+        pool.latency.add(seconds, seconds, now);
+        return;
+    }
+    const double factor = seconds / std::max(call.predicted, LeastPrediction);
+    const double usual = pool.slowness.value(factor, now);
+    target.latency.add(factor, usual, now);
+    pool.slowness.add(factor, factor, now);
+    if (call.quiet && factor < OutlierFactor * usual) {
+        pool.speed.add(call.uncached, seconds);
+    }
+}
+
+ChangedModels TargetBook::noteEnded(CallTicket ticket, CallEnd end, TimePoint now)
+{
+    const auto known = m_calls.find(ticket);
+    if (known == m_calls.end()) {
+        return {};
+    }
+    if (end == CallEnd::Answered) {
+        noteFirstEvent(ticket, now);
+    }
+    const PlacedCall call = std::move(known->second);
+    m_calls.erase(known);
+    const auto found = m_targets.find(call.target);
+    if (found == m_targets.end() || found->second->lifetime != call.lifetime) {
+        return {};
+    }
+    KnownTarget &target = *found->second;
+    OwnLoad &own = target.own;
+    --own.calls;
+    own.waiting -= call.started ? 0 : 1;
+    own.waitingTokens -= call.started ? 0 : call.uncached;
+    own.cacheTokens -= call.cacheTokens;
+    if (!call.item.empty() && --own.items[call.item] == 0) {
+        own.items.erase(call.item);
+    }
+    std::erase(own.tickets, ticket);
+    judge(poolOf(target.record.pool), target, call, end, now);
+    ChangedModels changed = concerned(target);
+    if (end == CallEnd::Misplaced) {
+        eraseItem(target.record.models, call.item);
+        if (target.view) {
+            eraseItem(target.view->models, call.item);
+        }
+        reindex(target, now);
+    }
+    forgetIfGone(call.target);
+    sortUnique(changed);
+    return changed;
+}
+
+void TargetBook::judge(TargetPool &pool, KnownTarget &target, const PlacedCall &call, CallEnd end, TimePoint now)
+{
+    switch (end) {
+    case CallEnd::Answered:
+    case CallEnd::Failed: {
+        const bool failed = end == CallEnd::Failed;
+        target.health.noteAnswer(failed, pool.failures.value(0, now), now);
+        pool.failures.add(failed ? 1 : 0, 0, now);
+        const double seconds = toSeconds(now - call.sent);
+        if (!failed) {
+            pool.duration.add(seconds, seconds, now);
+        }
+        return;
+    }
+    case CallEnd::Unreachable:
+        target.health.noteUnreachable(now);
+        return;
+    case CallEnd::Full: {
+        target.health.noteAbandoned();
+        const double calls = target.running(now) + target.waiting(now);
+        const Duration pause = fromSeconds(pool.duration.value(0, now) / std::max(1.0, calls));
+        target.fullUntil = now + std::clamp(pause, ShortestFull, LongestFull);
+        return;
+    }
+    case CallEnd::Misplaced:
+    case CallEnd::Abandoned:
+        target.health.noteAbandoned();
+        return;
+    }
+}
+
+const KnownTarget *TargetBook::target(const std::string &id) const
+{
+    const auto target = m_targets.find(id);
+    return target == m_targets.end() ? nullptr : target->second.get();
+}
+
+const TargetPool *TargetBook::pool(const std::string &name) const
+{
+    const auto pool = m_pools.find(name);
+    return pool == m_pools.end() ? nullptr : pool->second.get();
+}
+
+TargetPool *TargetBook::pool(const std::string &name)
+{
+    const auto pool = m_pools.find(name);
+    return pool == m_pools.end() ? nullptr : pool->second.get();
+}
+
+const std::string &TargetBook::name() const
+{
+    return m_name;
+}
+
+const std::string &TargetBook::domain() const
+{
+    return m_domain;
+}
+
+std::uint32_t TargetBook::entries() const
+{
+    return m_entries;
+}
+
+std::size_t TargetBook::size() const
+{
+    return m_registered;
+}
+
+KnownTarget &TargetBook::find(const std::string &id)
+{
+    std::unique_ptr<KnownTarget> &target = m_targets[id];
+    if (!target) {
+        target = std::make_unique<KnownTarget>();
+        target->record.id = id;
+        target->digest = stableHash(id);
+    }
+    return *target;
+}
+
+TargetPool &TargetBook::poolOf(const std::string &name)
+{
+    std::unique_ptr<TargetPool> &pool = m_pools[name];
+    if (!pool) {
+        pool = std::make_unique<TargetPool>();
+        pool->name = name;
+    }
+    return *pool;
+}
+
+// Calls of the lifetime before count no more; their ends are ignored.
+void TargetBook::beginLifetime(KnownTarget &target, std::int64_t bornMs)
+{
+    const KnownTarget fresh;
+    target.lifetime = ++m_lifetimes;
+    target.bornMs = bornMs;
+    target.view.reset();
+    target.health = fresh.health;
+    target.latency = fresh.latency;
+    target.own = fresh.own;
+    target.foreign = fresh.foreign;
+    target.clock = 0;
+    target.fullUntil = fresh.fullUntil;
+}
+
+void TargetBook::unindex(KnownTarget &target)
+{
+    TargetPool &pool = poolOf(target.record.pool);
+    pool.open.erase(&target);
+    move(pool.holders, target, target.indexedModels, {});
+    move(pool.loading, target, target.indexedLoading, {});
+    move(pool.copies, target, target.indexedCopies, {});
+}
+
+ChangedModels TargetBook::reindex(KnownTarget &target, TimePoint /*now*/)
+{
+    if (!target.open()) {
+        unindex(target);
+        return {};
+    }
+    TargetPool &pool = poolOf(target.record.pool);
+    pool.open.insert(&target);
+    move(pool.holders, target, target.indexedModels, modelNames(target));
+    move(pool.loading, target, target.indexedLoading, loadingItems(target));
+    move(pool.copies, target, target.indexedCopies, copyNames(target));
+    return concerned(target);
+}
+
+void TargetBook::forgetIfGone(const std::string &id)
+{
+    const auto target = m_targets.find(id);
+    if (target != m_targets.end() && !target->second->registered && target->second->own.calls == 0) {
+        m_targets.erase(target);
+    }
+}
+
+} // namespace celeryroute
