--- a/include/celeryroute/detail/placement/callqueue.h
+++ b/include/celeryroute/detail/placement/callqueue.h
@@ -44,6 +44,8 @@
 
     /// @brief Calls for @p model of @p pool or its adapters, at most @p limit, in their order.
     std::vector<std::uint64_t> waitingFor(const std::string &pool, const std::string &model, std::size_t limit) const;
+    /// @brief All calls, the most urgent first, at most @p limit.
+    std::vector<std::uint64_t> inOrder(std::size_t limit) const;
     /// @brief Whether a call of @p priority and @p deadline has others before it that wait for the same model.
     bool
     standsBehind(const std::string &pool, const std::string &model, std::uint32_t priority, TimePoint deadline) const;
--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -10,7 +10,7 @@
 namespace celeryroute {
 
 /// Where a model would come from.
-enum class LoadSource {
+enum class CopyPlace {
     Memory,
     Disk,
     Store,
@@ -21,7 +21,7 @@
     std::string target;
     double ready = 0; ///< Seconds until it is there.
     double cost = 0; ///< What it costs other calls, in seconds.
-    LoadSource source = LoadSource::Store;
+    CopyPlace source = CopyPlace::Store;
     bool underWay = false; ///< Already loading or asked for.
     bool operator==(const LoadPlan &) const = default;
 };
--- a/src/placement/callqueue.cpp
+++ b/src/placement/callqueue.cpp
@@ -80,6 +80,22 @@
     return calls;
 }
 
+std::vector<std::uint64_t> CallQueue::inOrder(std::size_t limit) const
+{
+    std::vector<Rank> ranks;
+    ranks.reserve(m_calls.size());
+    for (const auto &[call, held] : m_calls) {
+        ranks.push_back({held.call.priority, held.call.deadline, held.number, call});
+    }
+    const std::size_t count = std::min(limit, ranks.size());
+    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(count), ranks.end());
+    std::vector<std::uint64_t> calls;
+    for (std::size_t i = 0; i < count; ++i) {
+        calls.push_back(ranks[i].call);
+    }
+    return calls;
+}
+
 bool CallQueue::standsBehind(const std::string &pool,
                              const std::string &model,
                              std::uint32_t priority,
