Add the agent's decisions on load and unload orders

A ModelKeeper keeps the ledger of one target, takes the entries' wants and calls in flight and says which order to give next, when to read the report and what to decline.

--- /dev/null
+++ b/include/celeryroute/detail/keeper/demandbook.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <celeryroute/detail/keeper/entrydemand.h>
+#include <celeryroute/detail/keeper/itemname.h>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace celeryroute {
+
+/// What all entries together want of one item.
+struct ItemDemand {
+    ItemName item;
+    std::uint32_t calls = 0;
+    std::uint32_t priority = 0;
+    Duration age{};
+    bool operator==(const ItemDemand &) const = default;
+};
+
+/// Demand of all entries at one target, and how much each item was used.
+class DemandBook
+{
+public:
+    /// @brief Takes the newest value of @p entry.
+    void note(const std::string &entry, EntryDemand demand, TimePoint now);
+
+    /// @brief Wants of entries that were heard lately, one per item.
+    std::vector<ItemDemand> wants(TimePoint now) const;
+
+    /// @brief Calls in flight by item; calls of an adapter count for its model too.
+    std::unordered_map<std::string, std::uint32_t> inFlight(TimePoint now) const;
+
+    /// @brief Whether any entry that was heard lately has calls in flight or waiting.
+    bool active(TimePoint now) const;
+
+    /// @brief Mean calls in flight of @p item over the last while.
+    double useOf(const std::string &item, TimePoint now) const;
+
+    /// @brief When @p item was last seen in use; the distant past if it never was.
+    TimePoint lastUsed(const std::string &item) const;
+
+    /// @brief Targets of the pool, the most that any entry knows; 0 before any said so.
+    std::uint32_t poolTargets() const
+    {
+        return m_poolTargets;
+    }
+
+    /// @brief Drops entries that fell silent and items long out of use.
+    void prune(TimePoint now);
+
+private:
+    struct Entry {
+        EntryDemand demand;
+        TimePoint heard;
+    };
+    struct Use {
+        double callSeconds = 0; ///< Fading.
+        TimePoint updated;
+        TimePoint last;
+    };
+
+    void addUse(const std::string &item, double callSeconds, TimePoint now);
+    void countTargets();
+
+    std::unordered_map<std::string, Entry> m_entries;
+    std::unordered_map<std::string, Use> m_uses;
+    std::uint32_t m_poolTargets = 0;
+    TimePoint m_nextPrune;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/keeper/roomplan.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <celeryroute/detail/keeper/itemname.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace celeryroute {
+
+/// An adapter in a RoomPlan.
+struct RoomAdapter {
+    std::string name;
+    double memoryMb = 0;
+    bool evictable = false;
+    double worth = 0; ///< Of keeping it.
+};
+
+/// A model in a RoomPlan, with its adapters.
+struct RoomModel {
+    std::string name;
+    double memoryMb = 0; ///< Of the weights.
+    bool evictable = false;
+    double worth = 0; ///< Of keeping it.
+    std::vector<RoomAdapter> adapters;
+};
+
+/// What a target would hold after a series of orders, and what to unload for the next load.
+class RoomPlan
+{
+public:
+    RoomPlan(double memoryMb, std::uint32_t adapterSlots);
+
+    void add(RoomModel model);
+    void addAdapter(const std::string &model, RoomAdapter adapter);
+
+    /// @brief Removes what is worth least until @p memoryMb and @p slots are free.
+    /// @return what was removed, or nothing, without a change, when there cannot be enough room.
+    std::optional<std::vector<ItemName>> makeRoom(double memoryMb, std::uint32_t slots);
+
+    double freeMb() const;
+    std::int64_t freeSlots() const;
+
+private:
+    void evictAdapters(double memoryMb, std::uint32_t slots, std::vector<ItemName> &removed);
+    void evictModels(double memoryMb, std::vector<ItemName> &removed);
+    double evictableAdapterMb() const;
+    bool removeAdapter(std::vector<ItemName> &removed);
+    bool spare(const RoomModel &model, double memoryMb) const;
+
+    double m_memoryMb;
+    std::uint32_t m_adapterSlots;
+    std::vector<RoomModel> m_models;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/keeper/roomplan.cpp
@@ -0,0 +1,141 @@
+#include <celeryroute/detail/keeper/roomplan.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+RoomPlan::RoomPlan(double memoryMb, std::uint32_t adapterSlots)
+    : m_memoryMb(memoryMb)
+    , m_adapterSlots(adapterSlots)
+{}
+
+void RoomPlan::add(RoomModel model)
+{
+    m_models.push_back(std::move(model));
+}
+
+void RoomPlan::addAdapter(const std::string &model, RoomAdapter adapter)
+{
+    const auto found = std::find_if(m_models.begin(), m_models.end(), [&](const RoomModel &held) {
+        return held.name == model;
+    });
+    if (found != m_models.end()) {
+        found->adapters.push_back(std::move(adapter));
+    }
+}
+
+double RoomPlan::freeMb() const
+{
+    double free = m_memoryMb;
+    for (const RoomModel &model : m_models) {
+        free -= model.memoryMb;
+        for (const RoomAdapter &adapter : model.adapters) {
+            free -= adapter.memoryMb;
+        }
+    }
+    return free;
+}
+
+std::int64_t RoomPlan::freeSlots() const
+{
+    std::int64_t free = m_adapterSlots;
+    for (const RoomModel &model : m_models) {
+        free -= static_cast<std::int64_t>(model.adapters.size());
+    }
+    return free;
+}
+
+std::optional<std::vector<ItemName>> RoomPlan::makeRoom(double memoryMb, std::uint32_t slots)
+{
+    const std::vector<RoomModel> before = m_models;
+    std::vector<ItemName> removed;
+    evictAdapters(memoryMb, slots, removed);
+    evictModels(memoryMb, removed);
+    if (freeMb() < memoryMb || freeSlots() < static_cast<std::int64_t>(slots)) {
+        m_models = before;
+        return std::nullopt;
+    }
+    return removed;
+}
+
+// Adapters go for memory only where that is enough, since a model that goes takes its own along.
+void RoomPlan::evictAdapters(double memoryMb, std::uint32_t slots, std::vector<ItemName> &removed)
+{
+    const bool enough = freeMb() + evictableAdapterMb() >= memoryMb;
+    while (freeSlots() < static_cast<std::int64_t>(slots) || (enough && freeMb() < memoryMb)) {
+        if (!removeAdapter(removed)) {
+            return;
+        }
+    }
+}
+
+double RoomPlan::evictableAdapterMb() const
+{
+    double sum = 0;
+    for (const RoomModel &model : m_models) {
+        for (const RoomAdapter &adapter : model.adapters) {
+            sum += adapter.evictable ? adapter.memoryMb : 0;
+        }
+    }
+    return sum;
+}
+
+bool RoomPlan::removeAdapter(std::vector<ItemName> &removed)
+{
+    RoomModel *holder = nullptr;
+    std::size_t least = 0;
+    for (RoomModel &model : m_models) {
+        for (std::size_t i = 0; i < model.adapters.size(); ++i) {
+            const RoomAdapter &adapter = model.adapters[i];
+            if (adapter.evictable && (holder == nullptr || adapter.worth < holder->adapters[least].worth)) {
+                holder = &model;
+                least = i;
+            }
+        }
+    }
+    if (holder == nullptr) {
+        return false;
+    }
+    removed.push_back({holder->name, holder->adapters[least].name});
+    holder->adapters.erase(holder->adapters.begin() + static_cast<std::ptrdiff_t>(least));
+    return true;
+}
+
+// Takes the models that are worth least until there is room, then gives back those, dearest first,
+// that were not needed.
+void RoomPlan::evictModels(double memoryMb, std::vector<ItemName> &removed)
+{
+    std::vector<RoomModel> taken;
+    while (freeMb() < memoryMb) {
+        auto least = m_models.end();
+        for (auto model = m_models.begin(); model != m_models.end(); ++model) {
+            if (model->evictable && (least == m_models.end() || model->worth < least->worth)) {
+                least = model;
+            }
+        }
+        if (least == m_models.end()) {
+            break;
+        }
+        taken.push_back(std::move(*least));
+        m_models.erase(least);
+    }
+    for (auto model = taken.rbegin(); model != taken.rend(); ++model) {
+        if (spare(*model, memoryMb)) {
+            m_models.push_back(std::move(*model));
+        } else {
+            removed.push_back({model->name, {}});
+        }
+    }
+}
+
+bool RoomPlan::spare(const RoomModel &model, double memoryMb) const
+{
+    double needed = model.memoryMb;
+    for (const RoomAdapter &adapter : model.adapters) {
+        needed += adapter.memoryMb;
+    }
+    const auto slots = static_cast<std::int64_t>(model.adapters.size());
+    return freeMb() - needed >= memoryMb && freeSlots() >= slots;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/keeper/storeloadshare.cpp
@@ -0,0 +1,91 @@
+#include <celeryroute/detail/keeper/storeloadshare.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr double Slack = 2; ///< Loads in a window beside the store's rate.
+constexpr double Deviations = 4; ///< Of the number of turns that meet in one window, below the limit.
+constexpr double TurnShare = 0.25; ///< Of a window in which a turn can be taken.
+
+} // namespace
+
+StoreLoadShare::StoreLoadShare(std::uint64_t seed)
+    : m_seed(seed)
+{}
+
+void StoreLoadShare::useLimits(double loadsPerSecond, const ServingBounds &bounds)
+{
+    m_window = bounds.loadWindow;
+    m_limit = loadsPerSecond * toSeconds(bounds.loadWindow) * bounds.loadOverage + Slack;
+}
+
+void StoreLoadShare::useTargets(std::uint32_t targets)
+{
+    m_targets = targets;
+}
+
+void StoreLoadShare::noteUnknownPast(TimePoint now)
+{
+    m_unknownUntil = std::max(m_unknownUntil, now);
+}
+
+void StoreLoadShare::noteBegan(TimePoint now)
+{
+    m_began.push_back(now);
+    while (now - m_began.front() > m_window + cycle()) {
+        m_began.pop_front();
+    }
+}
+
+std::uint32_t StoreLoadShare::perWindow() const
+{
+    return m_targets == 0 ? 0 : static_cast<std::uint32_t>(m_limit / m_targets);
+}
+
+// Turns fall at random, so the mean in a window is kept the given deviations below the limit:
+// mean + Deviations * sqrt(mean) = limit.
+Duration StoreLoadShare::cycle() const
+{
+    if (m_targets == 0 || perWindow() > 0) {
+        return m_window;
+    }
+    const double half = Deviations / 2;
+    const double root = std::sqrt(m_limit + half * half) - half;
+    const double mean = std::max(root * root / (1 + TurnShare), 0.01);
+    return fromSeconds(toSeconds(m_window) * m_targets / mean);
+}
+
+bool StoreLoadShare::permits(TimePoint now, std::uint32_t pending) const
+{
+    if (m_targets == 0 || m_limit <= Slack) {
+        return false;
+    }
+    if (m_unknownUntil != TimePoint::min() && now - m_unknownUntil <= cycle()) {
+        return false;
+    }
+    return perWindow() > 0 ? permitsByCount(now, pending) : permitsByTurn(now, pending);
+}
+
+bool StoreLoadShare::permitsByCount(TimePoint now, std::uint32_t pending) const
+{
+    const auto recent = std::count_if(m_began.begin(), m_began.end(), [&](TimePoint began) {
+        return now - began <= m_window;
+    });
+    return static_cast<std::uint32_t>(recent) + pending < perWindow();
+}
+
+bool StoreLoadShare::permitsByTurn(TimePoint now, std::uint32_t pending) const
+{
+    const Duration length = cycle();
+    const auto ticks = static_cast<std::uint64_t>(length.count());
+    const Duration phase{static_cast<Duration::rep>(m_seed % ticks)};
+    const Duration intoTurn = (now.time_since_epoch() + phase) % length;
+    const bool taken = !m_began.empty() && now - m_began.back() <= length / 2;
+    return pending == 0 && !taken && intoTurn < fromSeconds(toSeconds(m_window) * TurnShare);
+}
+
+} // namespace celeryroute
