Share customers' allowances and retries between entries

Every entry uses the shares of all entries that it is in touch with both ways, and is charged with what they report. What is spent before others have acknowledged it is limited by amount, so that a cut, a freeze or a restart is found by its cost and not only by time.

--- /dev/null
+++ b/include/celeryroute/detail/allowance/retryallowance.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <celeryroute/detail/allowance/memberview.h>
+#include <celeryroute/detail/serving/servingbounds.h>
+#include <celeryroute/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace celeryroute {
+
+/// Limits further sends of requests, for each pool, as a part of the first sends.
+///
+/// Over all entries no window holds more than retryRatio * first sends + retrySlack.
+class RetryAllowance
+{
+public:
+    /// @param members must outlive this
+    RetryAllowance(const ServingBounds &bounds, const MemberView &members);
+
+    /// @brief Notes that a request is sent to a target of @p pool for the first time.
+    void noteFirstSend(const std::string &pool, TimePoint now);
+
+    /// @brief Takes a further send to a target of @p pool; false when none is left.
+    bool take(const std::string &pool, TimePoint now);
+
+private:
+    /// Sends within one slice of the window.
+    struct Slice {
+        TimePoint start;
+        std::uint32_t first = 0;
+        std::uint32_t further = 0;
+    };
+    /// Sends of one pool, oldest first.
+    struct Sends {
+        std::deque<Slice> slices;
+        std::uint64_t first = 0;
+        std::uint64_t further = 0;
+    };
+
+    Slice &present(Sends &sends, TimePoint now) const;
+    void expire(Sends &sends, TimePoint now) const;
+
+    const ServingBounds m_bounds;
+    const MemberView &m_members;
+    std::unordered_map<std::string, Sends> m_pools;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/allowance/allowanceterms.cpp
@@ -0,0 +1,32 @@
+#include <celeryroute/detail/allowance/allowanceterms.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+// The slack is meant for the size of one installation's requests. Where it is large against the
+// allowance, no more of it is counted on than the allowance itself.
+std::optional<AllowanceTerms> allowanceTerms(const ServingCustomer &customer, const ServingBounds &bounds)
+{
+    if (customer.ratePerSecond <= 0) {
+        return std::nullopt;
+    }
+    AllowanceTerms terms;
+    terms.rate = customer.ratePerSecond;
+    terms.burst = customer.burst;
+    terms.window = bounds.quotaWindow;
+    const double perWindow = terms.rate * toSeconds(terms.window) + terms.burst;
+    terms.slack = std::min(bounds.quotaSlack, perWindow);
+    terms.tolerance = bounds.quotaOverage * perWindow + terms.slack;
+    return terms;
+}
+
+double requestCost(const ServingCustomer &customer, std::optional<double> tokens)
+{
+    if (!customer.countsTokens) {
+        return 1;
+    }
+    return std::max(0.0, tokens.value_or(customer.plainCost));
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/allowance/customeraccount.cpp
@@ -0,0 +1,227 @@
+#include <celeryroute/detail/allowance/customeraccount.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+/// Parts of the tolerance. What entries spend before the others have heard of it, over all entries:
+constexpr double AheadPart = 0.5;
+/// What a request may take beyond the level, so that large ones fare like small ones:
+constexpr double DebtPart = 0.25;
+/// What entries spend that start and do not know each other:
+constexpr double StartPart = 0.25;
+
+/// Peers that come back within this time were in touch with each other.
+constexpr Duration ReturnEpisode = std::chrono::seconds(1);
+/// Time in which an acknowledgement usually arrives.
+constexpr Duration AcknowledgementWait = std::chrono::milliseconds(100);
+constexpr Duration LongestQueue = std::chrono::seconds(2);
+constexpr std::size_t KeptReports = 128;
+
+} // namespace
+
+CustomerAccount::CustomerAccount(TimePoint now)
+    : m_bucket(now)
+{}
+
+void CustomerAccount::setTerms(const std::optional<AllowanceTerms> &terms, TimePoint now)
+{
+    m_bucket.accrue(now);
+    m_terms = terms;
+    reshape(1);
+}
+
+// Who leaves takes its part of the level along, tokens as well as debt; who comes brings none.
+void CustomerAccount::setPart(const PoolPart &part, TimePoint now)
+{
+    if (part == m_part) {
+        return;
+    }
+    m_bucket.accrue(now);
+    const double scale = std::min(1.0, part.fraction / m_part.fraction);
+    m_part = part;
+    reshape(scale);
+}
+
+void CustomerAccount::reshape(double scale)
+{
+    if (!m_terms) {
+        m_bucket.reshape(0, 0, 0, 0);
+        return;
+    }
+    double rate = m_terms->rate * m_part.fraction;
+    if (m_part.discovery > Duration::zero()) {
+        rate = std::min(rate, m_terms->tolerance * StartPart / toSeconds(m_part.discovery));
+    }
+    // A debt of more than a window is nothing that the rule still sees.
+    const double floor = -rate * toSeconds(m_terms->window);
+    m_bucket.reshape(rate, m_terms->burst * m_part.fraction, floor, scale);
+}
+
+std::optional<Duration> CustomerAccount::take(double cost, TimePoint now)
+{
+    if (!m_terms) {
+        return std::nullopt;
+    }
+    m_bucket.accrue(now);
+    if (m_bucket.level() < needed(cost)) {
+        return queueUp(cost, now);
+    }
+    if (ahead() > aheadLimit()) {
+        return AcknowledgementWait;
+    }
+    m_bucket.charge(cost);
+    m_total += cost;
+    return std::nullopt;
+}
+
+void CustomerAccount::refund(double cost, TimePoint takenAt, TimePoint now)
+{
+    if (m_terms) {
+        m_bucket.accrue(now);
+        m_total -= m_bucket.refund(cost, takenAt);
+    }
+}
+
+void CustomerAccount::empty(TimePoint now)
+{
+    m_bucket.accrue(now);
+    m_bucket.empty();
+}
+
+double CustomerAccount::hear(const std::string &peer, double total, TimePoint now)
+{
+    Peer &entry = m_peers[peer];
+    entry.heard = total;
+    if (!entry.pooled) {
+        return 0;
+    }
+    const double charge = total - entry.charged;
+    entry.charged = total;
+    if (m_terms && charge != 0) {
+        m_bucket.accrue(now);
+        m_bucket.charge(charge);
+    }
+    return charge;
+}
+
+void CustomerAccount::meet(const std::string &peer, double total)
+{
+    m_peers[peer] = Peer{total, total, 0, false};
+}
+
+void CustomerAccount::forget(const std::string &peer)
+{
+    leave(peer);
+    m_peers.erase(peer);
+}
+
+void CustomerAccount::join(const std::string &peer, Duration absence, std::uint64_t acknowledged, TimePoint now)
+{
+    Peer &entry = m_peers[peer];
+    if (!entry.pooled) {
+        entry.pooled = true;
+        entry.acknowledged = reportedBy(acknowledged);
+        m_acknowledgedSum += entry.acknowledged;
+        ++m_pooled;
+    }
+    const double spent = entry.heard - entry.charged;
+    entry.charged = entry.heard;
+    if (m_terms && absence < m_terms->window) {
+        const double share = m_terms->rate / static_cast<double>(m_part.members);
+        settleReturn(share * toSeconds(absence) - spent, now);
+    }
+}
+
+void CustomerAccount::leave(const std::string &peer)
+{
+    const auto found = m_peers.find(peer);
+    if (found != m_peers.end() && found->second.pooled) {
+        found->second.pooled = false;
+        m_acknowledgedSum -= found->second.acknowledged;
+        --m_pooled;
+    }
+}
+
+void CustomerAccount::acknowledge(const std::string &peer, std::uint64_t sequence)
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || !found->second.pooled || found->second.acknowledged == m_total) {
+        return;
+    }
+    const double total = reportedBy(sequence);
+    m_acknowledgedSum += total - found->second.acknowledged;
+    found->second.acknowledged = total;
+}
+
+void CustomerAccount::reported(std::uint64_t sequence)
+{
+    if (m_total == (m_reports.empty() ? m_reportedBefore : m_reports.back().total)) {
+        return;
+    }
+    m_reports.push_back({sequence, m_total});
+    if (m_reports.size() > KeptReports) {
+        m_reportedBefore = m_reports.front().total;
+        m_reports.pop_front();
+    }
+}
+
+bool CustomerAccount::urgent(double tokens) const
+{
+    return m_terms && tokens > m_terms->tolerance * AheadPart / static_cast<double>(m_part.members) / 2;
+}
+
+// What the entry has spent beyond what its peers, on average, have heard of.
+double CustomerAccount::ahead() const
+{
+    return m_pooled == 0 ? 0 : m_total - m_acknowledgedSum / static_cast<double>(m_pooled);
+}
+
+double CustomerAccount::aheadLimit() const
+{
+    return m_terms->tolerance * AheadPart / static_cast<double>(m_part.members) + std::max(0.0, m_bucket.level()) / 2;
+}
+
+double CustomerAccount::needed(double cost) const
+{
+    const double debt = m_terms->tolerance * DebtPart * m_part.fraction;
+    return std::min(m_bucket.capacity(), std::max(0.0, cost - debt));
+}
+
+// Those that were refused come back one after the other, not all at the moment at which the level
+// suffices for one of them.
+Duration CustomerAccount::queueUp(double cost, TimePoint now)
+{
+    const TimePoint soonest = now + m_bucket.timeUntil(needed(cost));
+    const TimePoint due = std::min(std::max(soonest, m_queueEnd), now + LongestQueue);
+    m_queueEnd = due + fromSeconds(cost / m_bucket.rate());
+    return std::max(due, soonest) - now;
+}
+
+double CustomerAccount::reportedBy(std::uint64_t sequence) const
+{
+    const auto after = std::upper_bound(
+        m_reports.begin(),
+        m_reports.end(),
+        sequence,
+        [](std::uint64_t number, const Reported &report) { return number < report.sequence; });
+    return after == m_reports.begin() ? m_reportedBefore : std::prev(after)->total;
+}
+
+// Peers that were out of reach together may have used each other's shares, so their accounts are
+// settled together: what they spent beyond all their shares is charged, what is left is not credited.
+void CustomerAccount::settleReturn(double balance, TimePoint now)
+{
+    m_bucket.accrue(now);
+    if (now - m_returnedAt > ReturnEpisode) {
+        m_returnBalance = 0;
+    }
+    m_returnedAt = now;
+    const double before = std::min(0.0, m_returnBalance);
+    m_returnBalance += balance;
+    m_bucket.charge(before - std::min(0.0, m_returnBalance));
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/allowance/memberview.cpp
@@ -0,0 +1,250 @@
+#include <celeryroute/detail/allowance/memberview.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace celeryroute {
+
+namespace {
+
+bool sameAddresses(const std::vector<MemberMark> &left, const std::vector<MemberMark> &right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](const auto &a, const auto &b) {
+        return a.address == b.address;
+    });
+}
+
+} // namespace
+
+MemberView::MemberView(std::string address, std::uint64_t incarnation, TimePoint now, AllowanceTiming timing)
+    : m_address(std::move(address))
+    , m_incarnation(incarnation)
+    , m_timing(timing)
+    , m_started(now)
+    , m_advanced(now)
+    , m_nextCheck(now)
+{}
+
+void MemberView::expect(std::size_t members)
+{
+    m_expected = std::max<std::size_t>(members, 1);
+    countMembers();
+}
+
+// After a stall the reports that wait in the socket are old: only an acknowledgement of what is sent
+// from now on shows that a peer is there.
+bool MemberView::advance(TimePoint now)
+{
+    const TimePoint before = std::exchange(m_advanced, std::max(m_advanced, now));
+    const bool stalled = now - before > m_timing.stall;
+    if (stalled) {
+        m_freshFrom = m_sequence + 1;
+        for (auto &[address, peer] : m_peers) {
+            leave(address, peer, before);
+        }
+        updateFraction();
+    }
+    if (now >= m_nextCheck) {
+        m_nextCheck = now + m_timing.urgent;
+        dropSilent(now);
+        forgetGone(now);
+    }
+    return stalled;
+}
+
+bool MemberView::hear(const EntryReport &report, TimePoint now)
+{
+    Peer *peer = admitReport(report, now);
+    if (!peer) {
+        return false;
+    }
+    const bool sameMembers = sameAddresses(peer->marks, report.members);
+    peer->marks = report.members;
+    for (const MemberMark &mark : peer->marks) {
+        if (mark.address == m_address && mark.incarnation == m_incarnation && mark.sequence <= m_sequence) {
+            peer->acknowledged = std::max(peer->acknowledged, mark.sequence);
+        }
+    }
+    if (!sameMembers) {
+        countMembers();
+    }
+    confirm(report.sender, *peer, now);
+    const std::size_t hidden = hiddenUsers(*peer);
+    if (std::exchange(peer->hidden, hidden) != hidden) {
+        updateFraction();
+    }
+    return true;
+}
+
+std::uint64_t MemberView::nextSequence(TimePoint now)
+{
+    while (!m_sent.empty() && now - m_sent.front().sentAt > m_timing.silence) {
+        m_sent.pop_front();
+    }
+    m_sent.push_back({++m_sequence, now});
+    return m_sequence;
+}
+
+std::vector<MemberMark> MemberView::marks() const
+{
+    std::vector<MemberMark> marks;
+    marks.reserve(m_peers.size());
+    for (const auto &[address, peer] : m_peers) {
+        marks.push_back({address, peer.incarnation, peer.sequence, peer.pooled});
+    }
+    return marks;
+}
+
+std::vector<PeerChange> MemberView::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+bool MemberView::undiscovered(TimePoint now) const
+{
+    return m_peers.empty() && now - m_started < m_timing.discovery;
+}
+
+std::uint64_t MemberView::acknowledged(const std::string &address) const
+{
+    const auto found = m_peers.find(address);
+    return found == m_peers.end() ? 0 : found->second.acknowledged;
+}
+
+std::vector<std::string> MemberView::pooledPeers() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.pooled) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
+MemberView::Peer *MemberView::admitReport(const EntryReport &report, TimePoint now)
+{
+    if (report.sender == m_address || report.sender.empty()) {
+        return nullptr;
+    }
+    const auto [position, isNew] = m_peers.try_emplace(report.sender);
+    Peer &peer = position->second;
+    if (isNew) {
+        peer.absentSince = now;
+        m_changes.push_back({report.sender, PeerEvent::Met, {}});
+    } else if (report.incarnation > peer.incarnation) {
+        leave(report.sender, peer, now);
+        peer.acknowledged = 0;
+        m_changes.push_back({report.sender, PeerEvent::Restarted, {}});
+    } else if (report.incarnation < peer.incarnation || report.sequence <= peer.sequence) {
+        return nullptr;
+    }
+    peer.incarnation = report.incarnation;
+    peer.sequence = report.sequence;
+    peer.heardAt = now;
+    if (isNew) {
+        countMembers();
+    }
+    return &peer;
+}
+
+void MemberView::confirm(const std::string &address, Peer &peer, TimePoint now)
+{
+    if (peer.acknowledged < m_freshFrom) {
+        return;
+    }
+    const auto sent = std::lower_bound(
+        m_sent.begin(),
+        m_sent.end(),
+        peer.acknowledged,
+        [](const SentReport &report, std::uint64_t sequence) { return report.sequence < sequence; });
+    if (sent == m_sent.end() || now - sent->sentAt > m_timing.silence) {
+        return;
+    }
+    peer.confirmedAt = sent->sentAt;
+    if (!peer.pooled) {
+        peer.pooled = true;
+        m_changes.push_back({address, PeerEvent::Joined, now - peer.absentSince});
+        updateFraction();
+    }
+}
+
+void MemberView::leave(const std::string &address, Peer &peer, TimePoint since)
+{
+    if (!peer.pooled) {
+        return;
+    }
+    peer.pooled = false;
+    peer.absentSince = since;
+    m_changes.push_back({address, PeerEvent::Left, {}});
+}
+
+void MemberView::dropSilent(TimePoint now)
+{
+    bool dropped = false;
+    for (auto &[address, peer] : m_peers) {
+        if (peer.pooled && now - peer.confirmedAt > m_timing.silence) {
+            leave(address, peer, now);
+            dropped = true;
+        }
+    }
+    if (dropped) {
+        updateFraction();
+    }
+}
+
+void MemberView::forgetGone(TimePoint now)
+{
+    const std::size_t forgotten = std::erase_if(m_peers, [&](const auto &peer) {
+        return !peer.second.pooled && now - peer.second.heardAt > m_timing.memberMemory;
+    });
+    if (forgotten > 0) {
+        countMembers();
+    }
+}
+
+// A peer lists only what it has heard itself: lists of lists would keep a dead entry known for ever.
+void MemberView::countMembers()
+{
+    std::set<std::string> addresses{m_address};
+    for (const auto &[address, peer] : m_peers) {
+        addresses.insert(address);
+        for (const MemberMark &mark : peer.marks) {
+            addresses.insert(mark.address);
+        }
+    }
+    m_memberCount = std::max(addresses.size(), m_expected);
+    updateFraction();
+}
+
+// Entries that use the peer's share and are alive, as their sequence shows, but not heard here.
+std::size_t MemberView::hiddenUsers(const Peer &peer) const
+{
+    return static_cast<std::size_t>(std::count_if(peer.marks.begin(), peer.marks.end(), [&](const MemberMark &mark) {
+        if (!mark.pooled || mark.address == m_address) {
+            return false;
+        }
+        const auto known = m_peers.find(mark.address);
+        return known == m_peers.end()
+            || (!known->second.pooled
+                && std::pair(mark.incarnation, mark.sequence)
+                    > std::pair(known->second.incarnation, known->second.sequence));
+    }));
+}
+
+// Entries that do not hear each other must not both use the whole share of a third one that hears
+// both: each takes one part of it. See docs/design/allowances.md for the proof.
+void MemberView::updateFraction()
+{
+    double shares = 1;
+    for (auto &[address, peer] : m_peers) {
+        if (peer.pooled) {
+            peer.hidden = hiddenUsers(peer);
+            shares += 1.0 / static_cast<double>(1 + peer.hidden);
+        }
+    }
+    m_poolFraction = std::min(1.0, shares / static_cast<double>(m_memberCount));
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/allowance/refundroom.cpp
@@ -0,0 +1,48 @@
+#include <celeryroute/detail/allowance/refundroom.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+/// Longest time after which a request that did not run is refunded.
+constexpr Duration RefundMemory = std::chrono::seconds(30);
+
+} // namespace
+
+void RefundRoom::note(double room, TimePoint now)
+{
+    while (!m_minima.empty() && m_minima.back().room >= room) {
+        m_minima.pop_back();
+    }
+    m_minima.push_back({now, room});
+    while (now - m_minima.front().at > RefundMemory) {
+        m_forgotten = m_minima.front().at;
+        m_minima.pop_front();
+    }
+}
+
+double RefundRoom::least(TimePoint since) const
+{
+    const auto found = std::lower_bound(m_minima.begin(),
+                                        m_minima.end(),
+                                        since,
+                                        [](const Minimum &minimum, TimePoint at) { return minimum.at < at; });
+    return found == m_minima.end() || since <= m_forgotten ? 0 : std::max(0.0, found->room);
+}
+
+void RefundRoom::lower(TimePoint since, double tokens)
+{
+    for (auto minimum = m_minima.rbegin(); minimum != m_minima.rend() && minimum->at >= since; ++minimum) {
+        minimum->room -= tokens;
+    }
+    // What the earlier minima hid is not known any more; they stay valid as lower bounds.
+    double least = m_minima.empty() ? 0 : m_minima.back().room;
+    for (auto minimum = m_minima.rbegin(); minimum != m_minima.rend(); ++minimum) {
+        least = std::min(least, minimum->room);
+        minimum->room = least;
+    }
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/allowance/retryallowance.cpp
@@ -0,0 +1,63 @@
+#include <celeryroute/detail/allowance/retryallowance.h>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr int SlicesPerWindow = 40;
+/// Part of the ratio that is used: first sends that one entry still counts may just have left the
+/// window of another observer.
+constexpr double RatioPart = 0.9;
+/// Part of the slack that is used: an entry that restarts takes its share once more.
+constexpr double SlackPart = 0.5;
+
+} // namespace
+
+RetryAllowance::RetryAllowance(const ServingBounds &bounds, const MemberView &members)
+    : m_bounds(bounds)
+    , m_members(members)
+{}
+
+void RetryAllowance::noteFirstSend(const std::string &pool, TimePoint now)
+{
+    Sends &sends = m_pools[pool];
+    ++present(sends, now).first;
+    ++sends.first;
+}
+
+bool RetryAllowance::take(const std::string &pool, TimePoint now)
+{
+    Sends &sends = m_pools[pool];
+    expire(sends, now);
+    const double slack = m_bounds.retrySlack * SlackPart / static_cast<double>(m_members.memberCount());
+    const double allowed = m_bounds.retryRatio * RatioPart * static_cast<double>(sends.first) + slack;
+    if (static_cast<double>(sends.further) + 1 > allowed) {
+        return false;
+    }
+    ++present(sends, now).further;
+    ++sends.further;
+    return true;
+}
+
+RetryAllowance::Slice &RetryAllowance::present(Sends &sends, TimePoint now) const
+{
+    expire(sends, now);
+    const Duration length = m_bounds.retryWindow / SlicesPerWindow;
+    if (sends.slices.empty() || now - sends.slices.back().start >= length) {
+        sends.slices.push_back({now});
+    }
+    return sends.slices.back();
+}
+
+// Further sends are kept for one slice longer than a window: a slice counts from its start.
+void RetryAllowance::expire(Sends &sends, TimePoint now) const
+{
+    const Duration kept = m_bounds.retryWindow + m_bounds.retryWindow / SlicesPerWindow;
+    while (!sends.slices.empty() && now - sends.slices.front().start > kept) {
+        sends.first -= sends.slices.front().first;
+        sends.further -= sends.slices.front().further;
+        sends.slices.pop_front();
+    }
+}
+
+} // namespace celeryroute
