Write decisions as bounded JSON lines and count what a process does

An on-call engineer has only logs and metrics. Counters and latency histograms are exposed in the Prometheus text format.

--- /dev/null
+++ b/include/celeryroute/detail/telemetry/decisionfield.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <string_view>
+#include <variant>
+
+namespace celeryroute {
+
+/// A named value of one line of the log; refers to its texts and does not own them.
+class DecisionField
+{
+public:
+    using Value = std::variant<std::string_view, std::int64_t, std::uint64_t, double, bool>;
+
+    DecisionField(std::string_view key, std::string_view text)
+        : m_key(key)
+        , m_value(text)
+    {}
+    DecisionField(std::string_view key, const char *text)
+        : DecisionField(key, std::string_view(text))
+    {}
+    DecisionField(std::string_view key, std::same_as<bool> auto flag)
+        : m_key(key)
+        , m_value(flag)
+    {}
+    DecisionField(std::string_view key, std::signed_integral auto number)
+        : m_key(key)
+        , m_value(static_cast<std::int64_t>(number))
+    {}
+    template <std::unsigned_integral T>
+    requires(!std::same_as<T, bool>) DecisionField(std::string_view key, T number)
+        : m_key(key)
+        , m_value(static_cast<std::uint64_t>(number))
+    {}
+    DecisionField(std::string_view key, std::floating_point auto number)
+        : m_key(key)
+        , m_value(static_cast<double>(number))
+    {}
+
+    std::string_view key() const
+    {
+        return m_key;
+    }
+    const Value &value() const
+    {
+        return m_value;
+    }
+
+private:
+    std::string_view m_key; ///< Lower case with underscores; needs no escapes.
+    Value m_value;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/telemetry/eventnames.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace celeryroute {
+
+/// What a line of the log is about; see describe().
+enum class DecisionEvent {
+    ProcessStart,
+    ProcessStop,
+    ProcessReady,
+    ProcessUnready,
+    SettingsReloaded,
+    SettingsRejected,
+    StoreLost,
+    StoreRegained,
+    KeysStale,
+    KeysFresh,
+    PeerLost,
+    PeerRegained,
+    StateApplied,
+    StateRejected,
+    AllowanceChanged,
+    TargetAdded,
+    TargetRemoved,
+    TargetDraining,
+    TargetShunned,
+    TargetRestored,
+    TargetLost,
+    TargetRegained,
+    RequestRefused,
+    RequestQueued,
+    RequestSent,
+    RequestRepeated,
+    RequestResumed,
+    RequestAnswered,
+    RequestFailed,
+    RequestCut,
+    RequestAbandoned,
+    RequestSuspected,
+    AgentFenced,
+    AgentOrder,
+    AgentOutcome,
+    AgentDeclined,
+};
+
+/// How many lines of one event a process may write.
+enum class LineVolume {
+    Sampled, ///< What goes well.
+    Decision,
+    Failure, ///< The end of a request that failed.
+    Dependency, ///< Starts, stops, and what the process depends on.
+};
+
+/// What one event means.
+struct EventDescription {
+    DecisionEvent event;
+    std::string_view name;
+    LineVolume volume;
+    std::string_view inputs; ///< Fields beside those of every line.
+    std::string_view meaning;
+};
+
+/// Fields whose meaning is the same in every line.
+namespace fieldnames {
+inline constexpr std::string_view Attempt = "attempt"; ///< Number of a send, 1 for the first.
+inline constexpr std::string_view Target = "target"; ///< Instance, as the registry names it.
+inline constexpr std::string_view Customer = "customer";
+inline constexpr std::string_view Item = "item"; ///< `MODEL` or `MODEL/ADAPTER`
+inline constexpr std::string_view Reason = "reason";
+inline constexpr std::string_view StateVersion = "state_version"; ///< Of the desired state in force.
+inline constexpr std::string_view Message = "msg"; ///< Number of the sender's first datagram that tells this.
+inline constexpr std::string_view HeardIncarnation = "heard_inc"; ///< Sender of the newest datagram used.
+inline constexpr std::string_view HeardMessage = "heard_msg"; ///< Number of that datagram.
+} // namespace fieldnames
+
+// clang-format off
+inline constexpr std::array EventDescriptions{
+    EventDescription{DecisionEvent::ProcessStart, "process.start", LineVolume::Dependency, "version settings pid", "the process runs"},
+    EventDescription{DecisionEvent::ProcessStop, "process.stop", LineVolume::Dependency, "reason in_work cut uptime_ms", "the process ends"},
+    EventDescription{DecisionEvent::ProcessReady, "process.ready", LineVolume::Dependency, "after_ms state_version targets", "the balancer is told to send callers here"},
+    EventDescription{DecisionEvent::ProcessUnready, "process.unready", LineVolume::Dependency, "reason", "the balancer is told to send no new callers"},
+    EventDescription{DecisionEvent::SettingsReloaded, "settings.reloaded", LineVolume::Dependency, "changed", "new settings are in force"},
+    EventDescription{DecisionEvent::SettingsRejected, "settings.rejected", LineVolume::Dependency, "reason", "new settings have mistakes; the old ones stay in force"},
+    EventDescription{DecisionEvent::StoreLost, "store.lost", LineVolume::Dependency, "topic status silent_ms", "a held read of the store has failed"},
+    EventDescription{DecisionEvent::StoreRegained, "store.regained", LineVolume::Dependency, "topic lost_ms offset", "the store answers reads again"},
+    EventDescription{DecisionEvent::KeysStale, "keys.stale", LineVolume::Dependency, "age_ms bound_ms state_version", "keyed requests are refused until the keys have been read again"},
+    EventDescription{DecisionEvent::KeysFresh, "keys.fresh", LineVolume::Dependency, "age_ms stale_ms state_version", "keyed requests are admitted"},
+    EventDescription{DecisionEvent::PeerLost, "peer.lost", LineVolume::Dependency, "peer peer_role peer_inc silent_ms", "no datagram of a peer has come for too long"},
+    EventDescription{DecisionEvent::PeerRegained, "peer.regained", LineVolume::Dependency, "peer peer_role peer_inc lost_ms", "a peer is heard, for the first time or again"},
+    EventDescription{DecisionEvent::StateApplied, "state.applied", LineVolume::Dependency, "state_version offset routes pools customers", "a desired state is in force"},
+    EventDescription{DecisionEvent::StateRejected, "state.rejected", LineVolume::Dependency, "offset reason", "a desired state could not be read; the one before stays in force"},
+    EventDescription{DecisionEvent::AllowanceChanged, "allowance.changed", LineVolume::Decision, "customer share entries rate burst state_version heard_inc heard_msg", "this entry's part of an allowance"},
+    EventDescription{DecisionEvent::TargetAdded, "target.added", LineVolume::Decision, "target pool address born_ms offset", "the registry names a target for the first time"},
+    EventDescription{DecisionEvent::TargetRemoved, "target.removed", LineVolume::Decision, "target pool offset reason", "the registry names a target no longer"},
+    EventDescription{DecisionEvent::TargetDraining, "target.draining", LineVolume::Decision, "target pool offset remaining_ms", "the registry says that a target leaves"},
+    EventDescription{DecisionEvent::TargetShunned, "target.shunned", LineVolume::Decision, "target reason failures of window_ms until_ms", "a target gets no requests for a time"},
+    EventDescription{DecisionEvent::TargetRestored, "target.restored", LineVolume::Decision, "target shunned_ms reason", "a target gets requests again"},
+    EventDescription{DecisionEvent::TargetLost, "target.lost", LineVolume::Dependency, "target silent_ms msg", "an agent's target does not answer it"},
+    EventDescription{DecisionEvent::TargetRegained, "target.regained", LineVolume::Dependency, "target born_ms lost_ms msg", "an agent's target answers it"},
+    EventDescription{DecisionEvent::RequestRefused, "request.refused", LineVolume::Failure, "status reason kind customer route state_version keys_age_ms retry_after_ms held_ms level cost share item targets heard_inc heard_msg", "final answer: not run, and never will be"},
+    EventDescription{DecisionEvent::RequestQueued, "request.queued", LineVolume::Decision, "reason item target expected_ms limit_ms heard_inc heard_msg", "the request waits for a load or a free slot"},
+    EventDescription{DecisionEvent::RequestSent, "request.sent", LineVolume::Decision, "attempt target kind customer route item remaining_ms cached_tokens prompt_tokens in_flight target_age_ms state_version heard_inc heard_msg", "bytes of the request go to a target"},
+    EventDescription{DecisionEvent::RequestRepeated, "request.repeated", LineVolume::Decision, "attempt target reason not_run allowance", "the send to a target came to nothing, and another may follow"},
+    EventDescription{DecisionEvent::RequestResumed, "request.resumed", LineVolume::Decision, "attempt target from_target last_event weights reason", "a stream goes on at another target"},
+    EventDescription{DecisionEvent::RequestAnswered, "request.answered", LineVolume::Sampled, "attempt target status first_ms total_ms events", "the whole answer went to the caller"},
+    EventDescription{DecisionEvent::RequestFailed, "request.failed", LineVolume::Failure, "attempt target status reason kind customer route sent_ms total_ms not_run state_version", "final answer: a failure that promises nothing, or the target's own"},
+    EventDescription{DecisionEvent::RequestCut, "request.cut", LineVolume::Failure, "attempt target reason kind customer route events last_event total_ms resumable", "the answer broke off after its head"},
+    EventDescription{DecisionEvent::RequestAbandoned, "request.abandoned", LineVolume::Decision, "attempt target total_ms events", "the caller has gone; the request is cancelled at its target"},
+    EventDescription{DecisionEvent::RequestSuspected, "request.suspected", LineVolume::Decision, "target crashes alone heard_inc heard_msg msg", "the request was running when a target died"},
+    EventDescription{DecisionEvent::AgentFenced, "agent.fenced", LineVolume::Dependency, "target fence msg", "the agent may order its target under this fence"},
+    EventDescription{DecisionEvent::AgentOrder, "agent.order", LineVolume::Decision, "order target operation item source sequence fence wanted_by waiting memory_mb msg heard_inc heard_msg", "the agent orders a load or an unload"},
+    EventDescription{DecisionEvent::AgentOutcome, "agent.outcome", LineVolume::Decision, "order target operation item outcome took_ms msg", "what became of an order"},
+    EventDescription{DecisionEvent::AgentDeclined, "agent.declined", LineVolume::Decision, "target item reason msg heard_inc heard_msg", "an item that is wanted is not loaded"},
+};
+// clang-format on
+
+/// @brief The description of @p event.
+constexpr const EventDescription &describe(DecisionEvent event)
+{
+    return EventDescriptions[static_cast<std::size_t>(event)];
+}
+
+/// @brief The description of the event called @p name, or null.
+constexpr const EventDescription *describeEventNamed(std::string_view name)
+{
+    for (const EventDescription &description : EventDescriptions) {
+        if (description.name == name) {
+            return &description;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/telemetry/expositiontext.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace celeryroute {
+
+enum class MetricType {
+    Counter,
+    Gauge,
+    Histogram,
+};
+
+/// A label of one sample.
+struct MetricLabel {
+    std::string_view name;
+    std::string_view value;
+};
+
+/// @brief Text of all metrics in the Prometheus exposition format.
+class ExpositionText
+{
+public:
+    /// @brief Begins a family; the samples that follow belong to it.
+    void family(std::string_view name, MetricType type, std::string_view help);
+    void sample(std::initializer_list<MetricLabel> labels, std::uint64_t value);
+    void sample(std::initializer_list<MetricLabel> labels, double value);
+    /// @brief A sample of the current family's histogram; @p suffix is `_bucket`, `_sum` or `_count`.
+    void part(std::string_view suffix, std::initializer_list<MetricLabel> labels, std::uint64_t value);
+    void part(std::string_view suffix, std::initializer_list<MetricLabel> labels, double value);
+    const std::string &text() const
+    {
+        return m_text;
+    }
+
+private:
+    void appendName(std::string_view suffix, std::initializer_list<MetricLabel> labels);
+
+    std::string_view m_name;
+    std::string m_text;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/telemetry/servingmetrics.cpp
@@ -0,0 +1,156 @@
+#include <celeryroute/detail/telemetry/servingmetrics.h>
+
+#include <algorithm>
+#include <variant>
+
+namespace celeryroute {
+
+namespace {
+
+// Counts are written as whole numbers, all else with a fraction.
+using GaugeValue = std::variant<std::uint64_t, double>;
+
+void exposeGauge(ExpositionText &text, std::string_view name, std::string_view help, const GaugeValue &value)
+{
+    text.family(name, MetricType::Gauge, help);
+    std::visit([&text](auto number) { text.sample({}, number); }, value);
+}
+
+void exposeGauge(ExpositionText &text,
+                 std::string_view name,
+                 std::string_view help,
+                 const std::optional<std::uint64_t> &count)
+{
+    if (count) {
+        exposeGauge(text, name, help, GaugeValue(*count));
+    }
+}
+
+void exposeAge(ExpositionText &text, std::string_view name, std::string_view help, const std::optional<Duration> &age)
+{
+    if (age) {
+        exposeGauge(text, name, help, GaugeValue(toSeconds(*age)));
+    }
+}
+
+void exposeAllowances(ExpositionText &text, const std::vector<AllowanceGauge> &allowances)
+{
+    const std::size_t count = std::min(allowances.size(), ServingMetrics::MaxCustomers);
+    text.family("celeryroute_allowance_share_ratio", MetricType::Gauge, "This entry's part of an allowance.");
+    for (std::size_t i = 0; i < count; ++i) {
+        text.sample({{"customer", allowances[i].customer}}, allowances[i].share);
+    }
+    text.family("celeryroute_allowance_level", MetricType::Gauge, "Requests or tokens that may be spent at once.");
+    for (std::size_t i = 0; i < count; ++i) {
+        text.sample({{"customer", allowances[i].customer}}, allowances[i].level);
+    }
+}
+
+void exposeState(ExpositionText &text, const ServingGauges &gauges)
+{
+    if (gauges.ready) {
+        exposeGauge(text,
+                    "celeryroute_ready",
+                    "Whether it takes new callers.",
+                    GaugeValue(std::uint64_t{*gauges.ready}));
+    }
+    exposeGauge(text, "celeryroute_state_version", "Version of the desired state in force.", gauges.stateVersion);
+    exposeAge(text, "celeryroute_state_age_seconds", "Since the newest answered read of it began.", gauges.stateAge);
+    exposeAge(text, "celeryroute_registry_age_seconds", "The same for the registry of targets.", gauges.targetsAge);
+    exposeGauge(text, "celeryroute_targets", "Targets in the registry.", gauges.targets);
+    exposeGauge(text, "celeryroute_targets_shunned", "Targets that get no requests for a time.", gauges.shunnedTargets);
+    exposeGauge(text, "celeryroute_peers", "Processes heard from.", GaugeValue(gauges.peers));
+}
+
+void exposeLoad(ExpositionText &text, const ServingGauges &gauges)
+{
+    exposeGauge(text,
+                "celeryroute_requests_queued",
+                "Requests that wait for a load or a slot.",
+                GaugeValue(gauges.queuedRequests));
+    exposeGauge(text, "celeryroute_requests_running", "Requests at targets.", GaugeValue(gauges.runningRequests));
+    text.family("celeryroute_connections", MetricType::Gauge, "Open connections.");
+    text.sample({{"peer", "caller"}}, gauges.callerConnections);
+    text.sample({{"peer", "target"}}, gauges.targetConnections);
+    text.sample({{"peer", "store"}}, gauges.storeConnections);
+}
+
+void exposeProcess(ExpositionText &text, const ServingGauges &gauges)
+{
+    text.family("celeryroute_log_lines_total", MetricType::Counter, "Lines of the log by what became of them.");
+    text.sample({{"outcome", "written"}}, gauges.logLinesWritten);
+    text.sample({{"outcome", "left_out"}}, gauges.logLinesLeftOut);
+    text.sample({{"outcome", "dropped"}}, gauges.logLinesDropped);
+    exposeGauge(text, "process_resident_memory_bytes", "Resident memory.", gauges.usage.residentBytes);
+    text.family("process_cpu_seconds_total", MetricType::Counter, "Processor time.");
+    text.sample({}, gauges.usage.processorSeconds);
+    text.family("celeryroute_build_info", MetricType::Gauge, "Version of the program.");
+    text.sample({{"version", CELERYROUTE_VERSION}}, std::uint64_t{1});
+}
+
+template <typename Histograms>
+void exposeHistograms(ExpositionText &text, std::string_view name, std::string_view help, const Histograms &histograms)
+{
+    text.family(name, MetricType::Histogram, help);
+    for (std::size_t i = 0; i < histograms.size(); ++i) {
+        histograms[i].expose(text, {"kind", labelValues(CallKind{})[i]});
+    }
+}
+
+} // namespace
+
+std::string ServingMetrics::exposition(const ServingGauges &gauges) const
+{
+    ExpositionText text;
+    exposeRequests(text);
+    exposeSends(text, gauges);
+    exposeOrders(text);
+    exposeState(text, gauges);
+    exposeAllowances(text, gauges.allowances);
+    exposeLoad(text, gauges);
+    exposeProcess(text, gauges);
+    return text.text();
+}
+
+void ServingMetrics::exposeRequests(ExpositionText &text) const
+{
+    text.family("celeryroute_requests_total", MetricType::Counter, "Requests by kind of route and outcome.");
+    m_requests.expose(text, "kind", "outcome");
+    text.family("celeryroute_refusals_total", MetricType::Counter, "Refused requests by reason.");
+    m_refusals.expose(text, "reason");
+    exposeHistograms(text,
+                     "celeryroute_first_byte_seconds",
+                     "From a request's arrival to the first byte of its answer, or the first event of a stream.",
+                     m_firstByte);
+    exposeHistograms(text,
+                     "celeryroute_request_seconds",
+                     "From a request's arrival to the end of its answer.",
+                     m_total);
+}
+
+void ServingMetrics::exposeSends(ExpositionText &text, const ServingGauges &gauges) const
+{
+    text.family("celeryroute_sends_total", MetricType::Counter, "Sends to targets, the first ones and further ones.");
+    m_sends.expose(text, "kind");
+    text.family("celeryroute_retries_total", MetricType::Counter, "Further sends by what made them necessary.");
+    m_retries.expose(text, "reason");
+    text.family("celeryroute_retries_withheld_total", MetricType::Counter, "Further sends beyond the allowance.");
+    text.sample({}, m_retriesWithheld);
+    if (gauges.retryAllowance) {
+        exposeGauge(text, "celeryroute_retry_allowance", "Further sends left.", GaugeValue(*gauges.retryAllowance));
+    }
+    text.family("celeryroute_prompt_tokens_total", MetricType::Counter, "Tokens of prompts, expected at the send.");
+    m_promptTokens.expose(text, "source");
+}
+
+void ServingMetrics::exposeOrders(ExpositionText &text) const
+{
+    text.family("celeryroute_store_calls_total", MetricType::Counter, "Calls to the platform's store.");
+    m_storeCalls.expose(text, "call", "outcome");
+    text.family("celeryroute_orders_total", MetricType::Counter, "Orders to model engines.");
+    m_orders.expose(text, "operation", "outcome");
+    text.family("celeryroute_loads_total", MetricType::Counter, "Loads by where the weights come from.");
+    m_loads.expose(text, "source");
+}
+
+} // namespace celeryroute
