--- a/src/telemetry/decisionlog.cpp
+++ b/src/telemetry/decisionlog.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t MaxPendingBytes = 64 * 1024;
+constexpr std::size_t MaxPendingBytes = std::size_t{64} * 1024;
 
 std::string originText(const DecisionOrigin &origin)
 {
--- a/tests/src/unit-telemetry.cpp
+++ b/tests/src/unit-telemetry.cpp
@@ -109,7 +109,7 @@
             CHECK(read.size() <= MaxLoggedText);
         }
     }
-    const std::string umlauts = "\xC3\xA4" + std::string(250, 'x') + "\xC3\xA4\xC3\xA4";
+    const std::string umlauts = "\xC3\xA4" + std::string(250, 'x') + "\xC3\xA4\xC3\xA4\xC3\xA4";
     LONGS_EQUAL(MaxLoggedText - 1, loggedText(umlauts).size());
 }
 
