Tell the story of a request from the logs of several processes

celeryctl explain gathers the lines about a request and those that say what its decisions rested on, keeps each process's own order, puts causes before effects, and tells how far clocks contradict them.

--- a/include/celeryroute/detail/telemetry/eventnames.h
+++ b/include/celeryroute/detail/telemetry/eventnames.h
@@ -134,4 +134,12 @@
     return nullptr;
 }
 
+/// @brief Whether @p event is the last one of a request.
+constexpr bool endsRequest(DecisionEvent event)
+{
+    return event == DecisionEvent::RequestRefused || event == DecisionEvent::RequestAnswered
+        || event == DecisionEvent::RequestFailed || event == DecisionEvent::RequestCut
+        || event == DecisionEvent::RequestAbandoned;
+}
+
 } // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/telemetry/reasonnames.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace celeryroute {
+
+/// Values of the field `reason`, in lines about requests and in the refusals' metric.
+namespace reasons {
+inline constexpr std::string_view NoState = "no_state";
+inline constexpr std::string_view KeysStale = "keys_stale";
+inline constexpr std::string_view KeyMissing = "key_missing";
+inline constexpr std::string_view KeyUnknown = "key_unknown";
+inline constexpr std::string_view KeyWithdrawn = "key_withdrawn";
+inline constexpr std::string_view RouteUnknown = "route_unknown";
+inline constexpr std::string_view Malformed = "malformed";
+inline constexpr std::string_view TooLarge = "too_large";
+inline constexpr std::string_view CallerSlow = "caller_slow";
+inline constexpr std::string_view Stopping = "stopping";
+inline constexpr std::string_view Allowance = "allowance";
+inline constexpr std::string_view BeyondBurst = "beyond_burst";
+inline constexpr std::string_view QueueFull = "queue_full";
+inline constexpr std::string_view NoTarget = "no_target";
+inline constexpr std::string_view NotLoaded = "not_loaded";
+inline constexpr std::string_view TooLate = "too_late";
+inline constexpr std::string_view Timeout = "timeout";
+inline constexpr std::string_view Suspect = "suspect";
+inline constexpr std::string_view RetryAllowance = "retry_allowance";
+inline constexpr std::string_view MaxAttempts = "max_attempts";
+inline constexpr std::string_view TargetRefused = "target_refused";
+inline constexpr std::string_view TargetFailed = "target_failed";
+inline constexpr std::string_view TargetSilent = "target_silent";
+inline constexpr std::string_view ConnectionLost = "connection_lost";
+inline constexpr std::string_view AnswerGarbled = "answer_garbled";
+inline constexpr std::string_view WrongInstance = "wrong_instance";
+inline constexpr std::string_view NoSuccessor = "no_successor";
+} // namespace reasons
+
+/// What one reason means, and where to look next.
+struct ReasonDescription {
+    std::string_view name;
+    std::string_view meaning;
+    std::string_view look; ///< Lines and metrics that say more.
+};
+
+// clang-format off
+inline constexpr std::array ReasonDescriptions{
+    ReasonDescription{reasons::NoState, "the process had read no desired state yet", "process.start, store.lost"},
+    ReasonDescription{reasons::KeysStale, "no read of the keys that began recently enough had been answered", "store.lost, keys.stale; keys_age_ms"},
+    ReasonDescription{reasons::KeyMissing, "the route needs a key and the request had none", "state.applied"},
+    ReasonDescription{reasons::KeyUnknown, "no customer of the desired state in force holds the key", "state.applied; state_version"},
+    ReasonDescription{reasons::KeyWithdrawn, "the key was withdrawn while the request was in work", "state.applied"},
+    ReasonDescription{reasons::RouteUnknown, "no route of the desired state in force matches", "state.applied; state_version"},
+    ReasonDescription{reasons::Malformed, "the request was not valid or not unambiguous", "the request itself"},
+    ReasonDescription{reasons::TooLarge, "head or body beyond the limits of the desired state", "state.applied"},
+    ReasonDescription{reasons::CallerSlow, "the caller did not send its head in time", "the caller"},
+    ReasonDescription{reasons::Stopping, "the process was stopping", "process.unready, process.stop"},
+    ReasonDescription{reasons::Allowance, "this entry's part of the allowance was spent", "allowance.changed; level, share, cost"},
+    ReasonDescription{reasons::BeyondBurst, "the request costs more than the allowance can ever hold", "cost; the customer's burst"},
+    ReasonDescription{reasons::QueueFull, "as many requests waited as may", "request.queued; celeryroute_requests_queued"},
+    ReasonDescription{reasons::NoTarget, "no target of the pool may be used", "target.shunned, target.draining, target.removed"},
+    ReasonDescription{reasons::NotLoaded, "no target holds the item, and a load would have come too late", "agent.order, agent.declined"},
+    ReasonDescription{reasons::TooLate, "the answer could not have come within the caller's time", "held_ms, remaining_ms"},
+    ReasonDescription{reasons::Timeout, "the caller's time or the route's was over", "sent_ms, total_ms"},
+    ReasonDescription{reasons::Suspect, "targets died while they ran this request", "request.suspected"},
+    ReasonDescription{reasons::RetryAllowance, "a further send was beyond the allowance for them", "celeryroute_retry_allowance"},
+    ReasonDescription{reasons::MaxAttempts, "as many targets were tried as the route permits", "request.repeated"},
+    ReasonDescription{reasons::TargetRefused, "the target said that it did not run the request", "request.repeated; target_age_ms"},
+    ReasonDescription{reasons::TargetFailed, "the target ran the request and failed", "the target's own log"},
+    ReasonDescription{reasons::TargetSilent, "the target did not go on in time", "target.shunned, target.lost"},
+    ReasonDescription{reasons::ConnectionLost, "the connection to the target ended; the request may have run", "target.lost, target.removed, target.shunned"},
+    ReasonDescription{reasons::AnswerGarbled, "what came was not the answer to this request", "target.shunned"},
+    ReasonDescription{reasons::WrongInstance, "another target has the address now", "target.removed"},
+    ReasonDescription{reasons::NoSuccessor, "no other target could go on with the stream", "request.resumed, target.shunned; weights"},
+};
+// clang-format on
+
+/// @brief The description of the reason called @p name, or null.
+constexpr const ReasonDescription *describeReason(std::string_view name)
+{
+    for (const ReasonDescription &description : ReasonDescriptions) {
+        if (description.name == name) {
+            return &description;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace celeryroute
--- a/src/programs/celeryctl.cpp
+++ b/src/programs/celeryctl.cpp
@@ -1,4 +1,5 @@
 #include <celeryroute/detail/cli/command.h>
+#include <celeryroute/detail/cli/explaincommand.h>
 #include <celeryroute/detail/cli/observecommands.h>
 #include <celeryroute/detail/settings/settingsparser.h>
 #include <celeryroute/detail/settings/startup.h>
@@ -69,6 +70,28 @@
     return static_cast<int>(command(options, std::cout, std::cerr));
 }
 
+bool isExplainCommand(const std::vector<std::string> &words)
+{
+    return !words.empty() && words.front() == "explain";
+}
+
+int runExplainCommand(const ParsedSettings &parsed)
+{
+    SettingReader reader(parsed);
+    ExplainOptions options;
+    options.json = reader.flag("json");
+    if (const std::optional<ExitCode> code = answerCheck(parsed, reader)) {
+        return static_cast<int>(*code);
+    }
+    if (parsed.arguments.size() < 3) {
+        std::cerr << "usage: celeryctl explain ID FILE...\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
+    options.request = parsed.arguments[1];
+    options.files.assign(parsed.arguments.begin() + 2, parsed.arguments.end());
+    return static_cast<int>(runExplain(options, std::cout, std::cerr));
+}
+
 int run(int argc, char **argv)
 {
     const SettingsParser parser("celeryctl", "COMMAND [ARGUMENT...]", settingSpecs());
@@ -76,6 +99,7 @@
     parsed.helpText += "\n" + commandHelp()
         + "  status                    show every process of the fleet\n"
           "  timeline                  show the events of all processes, ordered by cause\n"
+          "  explain ID FILE...        tell the story of a request from the logs of processes; - is standard input\n"
         + "\nExit codes: 0 done, 1 refused, 2 wrong use, 3 log unreachable, 4 not known yet.\n";
     if (const std::optional<ExitCode> code = answerHelp("celeryctl", parsed)) {
         return static_cast<int>(*code);
@@ -83,6 +107,9 @@
     if (isObserveCommand(parsed.arguments)) {
         return runObserveCommand(parsed);
     }
+    if (isExplainCommand(parsed.arguments)) {
+        return runExplainCommand(parsed);
+    }
     SettingReader reader(parsed);
     CommandOptions options;
     options.words = parsed.arguments;
