--- a/src/cli/explainselection.cpp
+++ b/src/cli/explainselection.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/cli/explainselection.h>
 
+#include <celeryroute/detail/telemetry/reasonnames.h>
+
 #include <algorithm>
 #include <array>
 #include <map>
@@ -96,6 +98,7 @@
             }
             m_chosen[process][i] = true;
             m_mentioned.add(line);
+            m_allowanceSpent = m_allowanceSpent || line.text("reason") == reasons::Allowance;
             noteHeard(line);
             m_span = m_handlers.empty()
                 ? WallSpan{line.wallMs, line.wallMs}
@@ -184,6 +187,12 @@
         }
     }
 
+    // Whether the line says who held the rest of an allowance that was spent here.
+    bool holdsSpentAllowance(const ExplainLine &line) const
+    {
+        return m_allowanceSpent && line.event.starts_with("allowance.") && line.wallMs <= m_span.last + ClockMarginMs;
+    }
+
     void takeForeignContext(std::size_t process)
     {
         const auto heard = m_heard.find(m_processes[process].incarnation);
@@ -194,7 +203,8 @@
                 continue;
             }
             const auto message = line.number("msg");
-            if (heard != m_heard.end() && message && *message <= heard->second) {
+            const bool wasHeard = heard != m_heard.end() && message && *message <= heard->second;
+            if (wasHeard || holdsSpentAllowance(line)) {
                 newest[subject(line)] = i;
             }
             if (m_span.contains(line.wallMs)) {
@@ -229,6 +239,7 @@
     Mentioned m_mentioned;
     HeardMessages m_heard;
     WallSpan m_span;
+    bool m_allowanceSpent = false;
 };
 
 } // namespace
--- a/tests/src/unit-explain.cpp
+++ b/tests/src/unit-explain.cpp
@@ -185,6 +185,21 @@
     CHECK(text.find("no line tells the end: the newest line of front-a (entry) came 40 ms after") != std::string::npos);
 }
 
+TEST(Explain, allowanceSpentHere_showsWhoHeldTheRest)
+{
+    ProcessLog entry("front-a", "entry", 17);
+    ProcessLog other("front-b", "entry", 18);
+    other.add(0, "allowance.changed", "", {{"customer", "yard"}, {"share", 0.5}});
+    other.add(10, "allowance.changed", "", {{"customer", "yard"}, {"share", 0.9}});
+    other.add(20, "allowance.changed", "", {{"customer", "else"}, {"share", 0.9}});
+    entry.add(60'000, "request.refused", "r", {{"reason", "allowance"}, {"customer", "yard"}});
+    entry.add(60'001, "request.refused", "r2", {{"reason", "no_target"}, {"customer", "yard"}});
+    const std::vector<std::string> logs{entry.text(), other.text()};
+    STRCMP_EQUAL("front-b allowance.changed\nfront-a request.refused\n", joined(explain("r", logs)).c_str());
+    LONGS_EQUAL(1, story.lines[0].selected.line);
+    STRCMP_EQUAL("front-a request.refused\n", joined(explain("r2", logs)).c_str());
+}
+
 TEST(Explain, text_marksRequestLinesAndExplainsTheEnd)
 {
     (void)explain("r1", threeProcesses(-1500, 0));
