Run entries and agents on the users' machines

Cause: reading an answer looped without end when an incomplete chunk size was left in the input, which took all of the entry's processor (33.97 s of 34.2). Ruled out: timers that set themselves to the present time; those now wait for the next turn all the same.

--- a/include/celeryroute/detail/gateway/admissioncontrol.h
+++ b/include/celeryroute/detail/gateway/admissioncontrol.h
@@ -22,15 +22,11 @@
     virtual bool keysFresh(TimePoint now) const = 0;
     /// @brief Spends @p cost of a customer's allowance; else the time after which it may succeed.
     virtual std::optional<Duration> spend(const std::string &customer, double cost, TimePoint now) = 0;
-    /// @brief Gives back what a call spent that never ran.
-    virtual void refund(const std::string &customer, double cost, TimePoint now) = 0;
+    /// @brief Gives back what a call spent at @p spentAt that never ran.
+    virtual void refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now) = 0;
     virtual void noteFirstSend(const std::string &pool, TimePoint now) = 0;
     /// @brief Takes one further send to @p pool.
     virtual bool takeFurtherSend(const std::string &pool, TimePoint now) = 0;
-    /// @brief Whether @p digest of a request crashed several targets.
-    virtual bool quarantined(std::uint64_t digest) const = 0;
-    /// @brief A target ended while it ran these requests.
-    virtual void noteCrash(const std::string &target, std::uint64_t digest, TimePoint now) = 0;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/keeper/keeperview.h
+++ b/include/celeryroute/detail/keeper/keeperview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celeryroute/detail/serving/loadingitem.h>
 #include <celeryroute/detail/serving/targetrecord.h>
 #include <celeryroute/time.h>
 
@@ -9,13 +10,6 @@
 
 namespace celeryroute {
 
-/// An item that will be resident after a while.
-struct LoadingItem {
-    std::string item; ///< `MODEL` or `MODEL/ADAPTER`
-    Duration remaining{};
-    bool operator==(const LoadingItem &) const = default;
-};
-
 /// What an agent tells the entries of its target.
 struct KeeperView {
     std::string instance;
--- /dev/null
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <celeryroute/detail/feed/desiredfeed.h>
+#include <celeryroute/detail/feed/retrydelay.h>
+#include <celeryroute/detail/keeper/modelkeeper.h>
+#include <celeryroute/detail/node/feeddriver.h>
+#include <celeryroute/detail/node/nodecore.h>
+#include <celeryroute/detail/node/peerroster.h>
+#include <celeryroute/detail/node/peersocket.h>
+#include <celeryroute/detail/node/plaincaller.h>
+
+#include <optional>
+#include <string>
+
+namespace celeryroute {
+
+/// The process beside one target: its orders, its report, and the news of it for the entries.
+class AgentNode
+{
+public:
+    explicit AgentNode(NodeCore &core);
+    ~AgentNode();
+    AgentNode(const AgentNode &) = delete;
+    AgentNode &operator=(const AgentNode &) = delete;
+
+    Result<void> start();
+    void beginStop();
+    void reload(const NodeSettings &settings);
+
+private:
+    void takeDesired(const std::vector<DesiredEvent> &events);
+    void acquireFence();
+    void received(const wire::Envelope &envelope);
+
+    void advance();
+    void scheduleReport();
+    void readReport();
+    void reportRead(int status, const std::string &body, TimePoint began);
+    void sendOrder(const TargetOrder &order);
+    void orderAnswered(const TargetOrder &order, int status);
+    void publish(bool urgent);
+    void broadcast();
+
+    NodeCore &m_core;
+    PlainCaller m_store;
+    PlainCaller m_target;
+    DesiredFeed m_desired;
+    FeedDriver m_desiredDriver;
+    ModelKeeper m_keeper;
+    PeerSocket m_peers;
+    PeerRoster m_entries;
+    RetryDelay m_fenceDelay;
+    std::string m_instance;
+    bool m_reading = false;
+    EventLoop::TimerId m_reportTimer = 0;
+    TimePoint m_reportAt;
+    TimePoint m_broadcastAt;
+    std::uint64_t m_publishedVersion = 0;
+    KeeperView m_published;
+};
+
+} // namespace celeryroute
--- /dev/null
+++ b/include/celeryroute/detail/node/entryadmission.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <celeryroute/detail/allowance/allowancepool.h>
+#include <celeryroute/detail/allowance/retryallowance.h>
+#include <celeryroute/detail/feed/freshness.h>
+#include <celeryroute/detail/gateway/admissioncontrol.h>
+
+namespace celeryroute {
+
+/// The rules of admission over what this entry shares with the others.
+class EntryAdmission final : public AdmissionControl
+{
+public:
+    EntryAdmission(const Freshness &freshness, AllowancePool &pool, RetryAllowance &retries);
+
+    bool keysFresh(TimePoint now) const override;
+    std::optional<Duration> spend(const std::string &customer, double cost, TimePoint now) override;
+    void refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now) override;
+    void noteFirstSend(const std::string &pool, TimePoint now) override;
+    bool takeFurtherSend(const std::string &pool, TimePoint now) override;
+
+private:
+    const Freshness &m_freshness;
+    AllowancePool &m_pool;
+    RetryAllowance &m_retries;
+};
+
+} // namespace celeryroute
--- a/include/celeryroute/detail/node/nodesettings.h
+++ b/include/celeryroute/detail/node/nodesettings.h
@@ -32,6 +32,7 @@
     std::uint32_t maxDescriptors = 0; ///< 0 for no known limit.
     double cpuShare = 1;
     Duration heartbeat = std::chrono::seconds(1); ///< Targets renew their records about so often.
+    bool firstStart = false; ///< The whole system starts for the first time.
     ServingBounds bounds;
     bool operator==(const NodeSettings &) const = default;
 };
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -17,7 +17,6 @@
 constexpr Duration UnlimitedCall = std::chrono::minutes(10);
 constexpr Duration NoStateRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration StaleKeysRetryAfter = std::chrono::milliseconds(500);
-constexpr Duration QuarantineRetryAfter = std::chrono::seconds(5);
 
 } // namespace
 
@@ -211,7 +210,7 @@
         head.fields.push_back({"Retry-After", std::move(text)});
     }
     if (m_charged && m_runs == 0) {
-        m_gateway.admission().refund(m_customerName, m_cost, m_gateway.loop().now());
+        m_gateway.admission().refund(m_customerName, m_cost, m_request.received, m_gateway.loop().now());
         m_charged = false;
     }
     if (m_caller != nullptr) {
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -1,6 +1,5 @@
 #include <celeryroute/detail/gateway/call.h>
 
-#include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/gateway/gateway.h>
 #include <celeryroute/detail/gateway/httpstatus.h>
 #include <celeryroute/detail/gateway/targethead.h>
@@ -277,9 +276,6 @@
     m_arrivals -= sent ? 0 : 1;
     if (sent && !m_answer.notRun) {
         ++m_runs;
-        m_gateway.admission().noteCrash(m_target,
-                                        stableHash(m_request.head.target + m_request.body),
-                                        m_gateway.loop().now());
     }
     const bool torn = failure == ExchangeFailure::Torn || failure == ExchangeFailure::Malformed;
     endAttempt(torn ? CallEnd::Failed : CallEnd::Unreachable);
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -129,9 +129,11 @@
     if (input.empty()) {
         return false;
     }
-    input.erase(0, m_parser->feed(input));
+    const std::size_t consumed = m_parser->feed(input);
+    input.erase(0, consumed);
     const ParseState state = m_parser->state();
-    if (state == ParseState::Head) {
+    // Nothing is consumed of a head or a chunk's size that is not complete.
+    if (state == ParseState::Head || (consumed == 0 && state == ParseState::Body)) {
         return false;
     }
     if (state != ParseState::Body && state != ParseState::Complete) {
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -142,13 +142,24 @@
     }
 }
 
+// Only what was due when the turn began: a timer that is set to the present time waits for the next one.
 void EventLoop::runTimers()
 {
-    while (!m_timers.empty() && m_timers.begin()->first <= m_now) {
-        const auto first = m_timers.begin();
-        const Action action = std::move(first->second.action);
-        m_timersById.erase(first->second.id);
-        m_timers.erase(first);
+    std::vector<TimerId> due;
+    for (const auto &[when, timer] : m_timers) {
+        if (when > m_now) {
+            break;
+        }
+        due.push_back(timer.id);
+    }
+    for (const TimerId id : due) {
+        const auto found = m_timersById.find(id);
+        if (found == m_timersById.end()) {
+            continue; // Cancelled by one before it.
+        }
+        const Action action = std::move(found->second->second.action);
+        m_timers.erase(found->second);
+        m_timersById.erase(found);
         action();
     }
 }
--- /dev/null
+++ b/src/node/entryadmission.cpp
@@ -0,0 +1,40 @@
+#include <celeryroute/detail/node/entryadmission.h>
+
+namespace celeryroute {
+
+EntryAdmission::EntryAdmission(const Freshness &freshness, AllowancePool &pool, RetryAllowance &retries)
+    : m_freshness(freshness)
+    , m_pool(pool)
+    , m_retries(retries)
+{}
+
+bool EntryAdmission::keysFresh(TimePoint now) const
+{
+    return m_freshness.keyedCallsAllowed(now);
+}
+
+std::optional<Duration> EntryAdmission::spend(const std::string &customer, double cost, TimePoint now)
+{
+    const AllowanceOutcome outcome = m_pool.admit(customer, cost, now);
+    if (const auto *refusal = std::get_if<AllowanceRefusal>(&outcome)) {
+        return refusal->retryAfter;
+    }
+    return std::nullopt;
+}
+
+void EntryAdmission::refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now)
+{
+    m_pool.refund({customer, cost, spentAt}, now);
+}
+
+void EntryAdmission::noteFirstSend(const std::string &pool, TimePoint now)
+{
+    m_retries.noteFirstSend(pool, now);
+}
+
+bool EntryAdmission::takeFurtherSend(const std::string &pool, TimePoint now)
+{
+    return m_retries.take(pool, now);
+}
+
+} // namespace celeryroute
--- /dev/null
+++ b/src/node/gossipmessages.cpp
@@ -0,0 +1,81 @@
+#include <celeryroute/detail/node/gossipmessages.h>
+
+#include <celeryroute/time.h>
+
+#include <serving.pb.h>
+
+namespace celeryroute {
+
+void writeReport(const EntryReport &report, wire::EntryGossip &gossip)
+{
+    gossip.set_report(report.sequence);
+    for (const CustomerSpending &spent : report.spent) {
+        wire::EntryGossip::Spent &out = *gossip.add_spent();
+        out.set_customer(spent.customer);
+        out.set_total(spent.total);
+    }
+    for (const MemberMark &mark : report.members) {
+        wire::EntryGossip::Member &out = *gossip.add_members();
+        out.set_address(mark.address);
+        out.set_incarnation(mark.incarnation);
+        out.set_report(mark.sequence);
+        out.set_pooled(mark.pooled);
+    }
+}
+
+EntryReport readReport(const wire::Envelope &envelope)
+{
+    const wire::EntryGossip &gossip = envelope.gossip();
+    EntryReport report;
+    report.sender = envelope.sender();
+    report.incarnation = envelope.incarnation();
+    report.sequence = gossip.report();
+    for (const wire::EntryGossip::Spent &spent : gossip.spent()) {
+        report.spent.push_back({spent.customer(), spent.total()});
+    }
+    for (const wire::EntryGossip::Member &member : gossip.members()) {
+        report.members.push_back({member.address(), member.incarnation(), member.report(), member.pooled()});
+    }
+    return report;
+}
+
+void writeView(const KeeperView &view, wire::AgentState &state)
+{
+    state.set_instance(view.instance);
+    state.set_born_ms(view.bornMs);
+    state.set_reachable(view.reachable);
+    state.set_ordering(view.ordering);
+    for (const ResidentModel &model : view.models) {
+        wire::ResidentModel &out = *state.add_models();
+        out.set_name(model.name);
+        out.set_version(model.version);
+        out.mutable_adapters()->Add(model.adapters.begin(), model.adapters.end());
+    }
+    for (const LoadingItem &loading : view.loading) {
+        wire::AgentState::Loading &out = *state.add_loading();
+        out.set_item(loading.item);
+        out.set_remaining_ms(static_cast<std::uint32_t>(toMilliseconds(loading.remaining)));
+    }
+    state.mutable_in_memory()->Add(view.copies.inMemory.begin(), view.copies.inMemory.end());
+    state.mutable_on_disk()->Add(view.copies.onDisk.begin(), view.copies.onDisk.end());
+    state.mutable_declined()->Add(view.declined.begin(), view.declined.end());
+    state.set_queued(view.queued);
+    state.set_active(view.active);
+    state.set_cache_used(view.cacheUsed);
+    state.set_cache_total(view.cacheTotal);
+}
+
+EntryDemand readDemand(const wire::EntryUsage &usage)
+{
+    EntryDemand demand;
+    demand.poolTargets = usage.pool_targets();
+    for (const wire::EntryUsage::InFlight &calls : usage.in_flight()) {
+        demand.inFlight.push_back({calls.item(), calls.calls()});
+    }
+    for (const wire::EntryUsage::Want &want : usage.wants()) {
+        demand.wants.push_back({want.item(), want.calls(), want.priority(), std::chrono::milliseconds(want.age_ms())});
+    }
+    return demand;
+}
+
+} // namespace celeryroute
--- a/src/node/nodemain.cpp
+++ b/src/node/nodemain.cpp
@@ -1,10 +1,96 @@
 #include <celeryroute/detail/node/nodemain.h>
 
+#include <celeryroute/detail/node/agentnode.h>
+#include <celeryroute/detail/node/entrynode.h>
+#include <celeryroute/detail/node/nodecore.h>
+#include <celeryroute/detail/node/signalpipe.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+#include <variant>
+
 namespace celeryroute {
 
-int runNode(const std::string &, const PlatformTranslation &)
+namespace {
+
+constexpr int RefusedExit = 2;
+
+using Role = std::variant<std::unique_ptr<EntryNode>, std::unique_ptr<AgentNode>>;
+
+Role makeRole(NodeCore &core)
+{
+    if (core.settings.role == NodeRole::Agent) {
+        return std::make_unique<AgentNode>(core);
+    }
+    return std::make_unique<EntryNode>(core);
+}
+
+Result<NodeSettings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return fail(ResultCode::SettingMissing, "cannot read the settings file " + path);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return readNodeSettings(text.str());
+}
+
+void reload(NodeCore &core, Role &role, const std::string &path)
+{
+    handleErrors(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(settings, loadSettings(path));
+            std::visit([&settings = settings](auto &node) { node->reload(settings); }, role);
+            core.log.write(DecisionEvent::SettingsReloaded, core.loop.now(), {});
+            return true;
+        },
+        [&core](const Error &error) {
+            core.log.write(DecisionEvent::SettingsRejected,
+                           core.loop.now(),
+                           {{fieldnames::Reason, std::string_view(error.message)}});
+            return false;
+        });
+}
+
+Result<bool> serve(const std::string &path, const PlatformTranslation &translation)
+{
+    BOOST_LEAF_AUTO(settings, loadSettings(path));
+    EventLoop loop;
+    NodeCore core(loop, settings, translation);
+    core.log.write(DecisionEvent::ProcessStart,
+                   loop.now(),
+                   {{"version", CELERYROUTE_VERSION}, {"pid", static_cast<int>(getpid())}});
+    Role role = makeRole(core);
+    const SignalPipe signals(loop, [&](int signal) {
+        if (signal == SIGHUP) {
+            reload(core, role, path);
+        } else {
+            std::visit([](auto &node) { node->beginStop(); }, role);
+        }
+    });
+    BOOST_LEAF_CHECK(std::visit([](auto &node) { return node->start(); }, role));
+    loop.run();
+    core.log.flush();
+    return true;
+}
+
+} // namespace
+
+int runNode(const std::string &settingsFile, const PlatformTranslation &translation)
 {
-    return 0;
+    return handleErrors(
+        [&]() -> Result<int> {
+            BOOST_LEAF_CHECK(serve(settingsFile, translation));
+            return 0;
+        },
+        [](const Error &error) {
+            std::fprintf(stderr, "%s\n", toString(error).c_str());
+            return RefusedExit;
+        });
 }
 
 } // namespace celeryroute
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -242,12 +242,17 @@
     if (!role.empty() && role != "agent" && role != "entry") {
         file.addInvalid("role", "entry or agent");
     }
-    file.need(settings.role == NodeRole::Agent ? "target-address" : "listen-address");
+    if (settings.role == NodeRole::Agent) {
+        file.need("target-address");
+    } else {
+        file.need("listen-address");
+        file.need("readiness-address");
+    }
 }
 
 void readPlace(SettingsFile &file, NodeSettings &settings)
 {
-    for (const char *name : {"name", "ip", "readiness-address", "store-address"}) {
+    for (const char *name : {"name", "ip", "store-address"}) {
         file.need(name);
     }
     file.read("name", settings.name);
@@ -258,6 +263,7 @@
     file.readAddress("store-address", settings.storeAddress);
     file.readAddress("target-address", settings.targetAddress);
     file.read("pool", settings.pool);
+    file.read("first-start", settings.firstStart);
 }
 
 void readLimits(SettingsFile &file, NodeSettings &settings)
--- /dev/null
+++ b/src/node/readinessserver.cpp
@@ -0,0 +1,38 @@
+#include <celeryroute/detail/node/readinessserver.h>
+
+#include <celeryroute/detail/gateway/httpstatus.h>
+
+namespace celeryroute {
+
+ReadinessServer::ReadinessServer(EventLoop &loop, std::string path, std::function<bool()> ready, OtherPath otherPath)
+    : m_path(std::move(path))
+    , m_ready(std::move(ready))
+    , m_otherPath(std::move(otherPath))
+    , m_server(loop, *this)
+{}
+
+Result<void> ReadinessServer::listen(const Endpoint &endpoint)
+{
+    return m_server.listen(endpoint);
+}
+
+void ReadinessServer::callerRequest(CallerConnection &connection, CallerRequest request)
+{
+    if (request.head.target == m_path) {
+        connection.answer({m_ready() ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, {}, {}}, {});
+        return;
+    }
+    const auto body = m_otherPath(request.head.target);
+    if (!body) {
+        connection.answer({HttpStatus::NotFound, {}, {}}, {});
+        return;
+    }
+    connection.answer({HttpStatus::Ok, {}, {{"Content-Type", "text/plain; version=0.0.4"}}}, *body);
+}
+
+void ReadinessServer::connectionEnded(CallerConnection &connection)
+{
+    m_server.discard(connection);
+}
+
+} // namespace celeryroute
