Leave within the time that the balancer needs; discard what an abandoned call has not sent

It now stops accepting after the two refusals that the balancer needs, and leaves when its calls are answered. Ruled out: late handling of the caller's close. An abandoned channel is now reset.

--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -46,10 +46,10 @@
     /// @brief Calls that wait for one of @p models may go on.
     void targetsChanged(const ChangedModels &models);
 
-    /// @brief Takes no new connections after those that come now, and closes each after its answer.
+    /// @brief Closes each connection after its next answer.
     void beginStop();
-    /// @brief Closes connections that wait for nothing.
-    void closeIdle();
+    /// @brief Takes no new connections and closes those that wait for nothing; what is in work goes on.
+    void stopAccepting();
     std::size_t callsInWork() const
     {
         return m_calls.size();
--- a/include/celeryroute/detail/net/tcpchannel.h
+++ b/include/celeryroute/detail/net/tcpchannel.h
@@ -64,6 +64,8 @@
         m_sent = 0;
     }
 
+    /// @brief Output that the peer has not received when the channel is destroyed is not delivered later.
+    void discardOnClose();
     /// @brief Stops or resumes reading.
     void setReading(bool reading);
     /// @brief Sends what is buffered and then ends the output.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -171,8 +171,9 @@
     m_stopping = true;
 }
 
-void Gateway::closeIdle()
+void Gateway::stopAccepting()
 {
+    m_server.stopListening();
     m_server.closeIdle();
 }
 
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -88,6 +88,9 @@
 void TargetConnection::abandon()
 {
     m_user = nullptr;
+    if (m_channel) {
+        m_channel->discardOnClose();
+    }
     end();
 }
 
--- a/src/net/tcpchannel.cpp
+++ b/src/net/tcpchannel.cpp
@@ -83,6 +83,13 @@
     updateEvents();
 }
 
+// Otherwise the system goes on sending what it holds after the close, for as long as a broken link lasts.
+void TcpChannel::discardOnClose()
+{
+    const linger reset{1, 0};
+    setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 bool TcpChannel::stirred() const
 {
     char byte = 0;
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr Duration AgentMemory = std::chrono::seconds(30);
-/// Kept channels may still bring requests until their callers learn that the entry leaves.
-constexpr Duration LeastStopTime = std::chrono::milliseconds(2500);
+/// The balancer asks once a second and stops sending callers after two refusals.
+constexpr Duration LeaveRotationTime = std::chrono::milliseconds(2200);
 constexpr Duration StopPoll = std::chrono::milliseconds(50);
 constexpr Duration StopReserve = std::chrono::milliseconds(400); ///< Before the process is killed.
 
@@ -312,10 +312,11 @@
 {
     const Duration since = m_core.loop.now() - *m_stopBegan;
     const bool late = since >= m_core.settings.bounds.stopGrace - StopReserve;
-    if (since >= LeastStopTime) {
-        m_gateway.closeIdle();
+    const bool outOfRotation = since >= LeaveRotationTime;
+    if (outOfRotation) {
+        m_gateway.stopAccepting();
     }
-    if ((since >= LeastStopTime && m_gateway.callsInWork() == 0 && m_gateway.callersConnected() == 0) || late) {
+    if ((outOfRotation && m_gateway.callsInWork() == 0 && m_gateway.callersConnected() == 0) || late) {
         m_core.log.write(DecisionEvent::ProcessStop,
                          m_core.loop.now(),
                          {{fieldnames::Reason, "signal"}, {"in_work", m_gateway.callsInWork()}});
