Count the lines that no reader takes any more

A log whose reader has gone must not end the process or grow: what is pending is dropped and counted.

--- a/include/celeryroute/detail/telemetry/decisionlog.h
+++ b/include/celeryroute/detail/telemetry/decisionlog.h
@@ -23,7 +23,7 @@
 public:
     using ClockReader = LogClock (*)();
 
-    /// @brief Makes @p descriptor non-blocking until this object ends. Writers to pipes ignore SIGPIPE.
+    /// @brief Makes @p descriptor non-blocking until this object ends; the process must ignore SIGPIPE.
     DecisionLog(const DecisionOrigin &origin, int descriptor, ClockReader clock = readLogClock);
     ~DecisionLog();
     DecisionLog(const DecisionLog &) = delete;
--- a/tests/src/unit-telemetry.cpp
+++ b/tests/src/unit-telemetry.cpp
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/telemetry/servingmetrics.h>
 
 #include <array>
+#include <csignal>
 #include <fcntl.h>
 #include <fstream>
 #include <iostream>
@@ -168,6 +169,16 @@
     LONGS_EQUAL(log->dropped(), lines.back()["dropped"].get<std::uint64_t>());
 }
 
+TEST(DecisionLog, readerGone_linesAreCountedAsDropped)
+{
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    (void)close(pipe[0]);
+    refuse("one");
+    refuse("two");
+    log->flush();
+    LONGS_EQUAL(2, log->dropped());
+}
+
 TEST(DecisionLog, cost_isPrinted)
 {
     constexpr int Lines = 100'000;
