Tell agents that their target is a successor, so that they may order at once

A target that was born with or after its agent and whose address had another instance before cannot have got such an order. Ruled out: slow discovery, missing fence. Also a timeout and an answer in one turn no longer end a call twice, which had ended an agent once.

--- a/include/celeryroute/detail/keeper/modelkeeper.h
+++ b/include/celeryroute/detail/keeper/modelkeeper.h
@@ -31,8 +31,9 @@
     /// target has refused one until a higher one comes.
     void useFence(std::uint64_t fence);
 
-    /// @brief Orders are for the target called @p instance.
-    void useInstance(const std::string &instance);
+    /// @brief Orders are for the target called @p instance. @p successor: another instance had its
+    /// address shortly before, so that orders to that one are not for it.
+    void useInstance(const std::string &instance, bool successor = false);
 
     void noteReport(const TargetReport &report, TimePoint readBegan, TimePoint now);
 
@@ -109,6 +110,7 @@
     std::optional<std::uint64_t> m_fence;
     bool m_fenced = false; ///< The target has refused the fence.
     std::string m_instance;
+    bool m_successor = false;
     bool m_reachable = false;
     TimePoint m_unreachableAt;
     TargetReport m_report; ///< Newest, for load figures and copies.
--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -51,6 +51,7 @@
     PeerRoster m_entries;
     RetryDelay m_fenceDelay;
     std::string m_instance;
+    bool m_successor = false; ///< Another instance had the target's address before.
     bool m_reading = false;
     EventLoop::TimerId m_reportTimer = 0;
     TimePoint m_reportAt;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -37,6 +37,7 @@
         std::string target;
         Endpoint endpoint;
         std::string pool;
+        bool successor = false; ///< Another target had the address before.
     };
 
     void takeDesired(const std::vector<DesiredEvent> &events);
@@ -44,6 +45,7 @@
     void take(const TargetChanged &event);
     void take(const TargetGone &event);
     void updateAgents();
+    void markSuccessors();
     void expireTargets();
 
     void received(const wire::Envelope &envelope);
--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration OrderLife = 15s; ///< In which an order without an answer may be carried out.
 constexpr std::int64_t ClockDoubtMs = 10'000; ///< Between the clocks of a host and of its target.
+constexpr std::int64_t LeastRestartMs = 300; ///< From the end of a process to the start of the next.
 constexpr Duration FreshReport = 2s; ///< Age of a report on which an order may rest.
 constexpr Duration FreshLoad = 1s; ///< A model that was loaded and not used is kept this long.
 constexpr Duration UnloadTime = 20ms;
@@ -90,8 +91,9 @@
     m_fenced = false;
 }
 
-void ModelKeeper::useInstance(const std::string &instance)
+void ModelKeeper::useInstance(const std::string &instance, bool successor)
 {
+    m_successor = successor;
     if (instance != m_instance) {
         m_instance = instance;
         m_blocks.clear();
@@ -419,6 +421,10 @@
     if (m_settings.firstStart || now >= m_settings.started + OrderLife) {
         return false;
     }
+    // A predecessor had ended before this agent started, and gave no orders to an instance born since.
+    if (m_successor && m_ledger.bornMs() + LeastRestartMs >= m_settings.startedMs && m_settings.startedMs != 0) {
+        return false;
+    }
     const std::int64_t oldestMs = m_settings.startedMs - toMilliseconds(OrderLife) - ClockDoubtMs;
     return m_ledger.bornMs() == 0 || m_settings.startedMs == 0 || m_ledger.bornMs() >= oldestMs;
 }
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -120,9 +120,10 @@
     if (!envelope.has_usage() || !m_entries.hear(envelope.sender(), envelope.incarnation(), envelope.sequence(), now)) {
         return;
     }
-    if (envelope.usage().instance() != m_instance) {
+    if (envelope.usage().instance() != m_instance || envelope.usage().successor() != m_successor) {
         m_instance = envelope.usage().instance();
-        m_keeper.useInstance(m_instance);
+        m_successor = envelope.usage().successor();
+        m_keeper.useInstance(m_instance, m_successor);
     }
     m_keeper.noteUsage(envelope.sender(), readDemand(envelope.usage()), now);
     advance();
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -189,9 +189,28 @@
         if (pool == nullptr || !pool->engine || !endpoint) {
             continue;
         }
-        m_agents[id] = {id, {endpoint->ip, m_core.settings.firstPeerPort}, record.pool};
+        KnownAgent &agent = m_agents[id];
+        agent.target = id;
+        agent.endpoint = {endpoint->ip, m_core.settings.firstPeerPort};
+        agent.pool = record.pool;
         m_demand.add(id);
     }
+    markSuccessors();
+}
+
+void EntryNode::markSuccessors()
+{
+    std::map<std::string, std::int64_t> firstBorn; ///< By address.
+    for (const auto &[id, record] : m_targets.targets()) {
+        const auto [known, added] = firstBorn.emplace(record.address, record.bornMs);
+        known->second = std::min(known->second, record.bornMs);
+    }
+    for (const auto &[id, record] : m_targets.targets()) {
+        const auto agent = m_agents.find(id);
+        if (agent != m_agents.end() && firstBorn[record.address] < record.bornMs) {
+            agent->second.successor = true;
+        }
+    }
 }
 
 bool EntryNode::sendDemand(const std::string &target)
@@ -204,6 +223,7 @@
     wire::Envelope envelope;
     wire::EntryUsage &usage = *envelope.mutable_usage();
     usage.set_instance(target);
+    usage.set_successor(agent->second.successor);
     const TargetPool *pool = m_book.pool(agent->second.pool);
     usage.set_pool_targets(pool == nullptr ? 0 : static_cast<std::uint32_t>(pool->open.size()));
     for (const auto &[item, calls] : known->own.items) {
--- a/src/node/nodemain.cpp
+++ b/src/node/nodemain.cpp
@@ -84,7 +84,11 @@
 {
     return handleErrors(
         [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(serve(settingsFile, translation));
+            try {
+                BOOST_LEAF_CHECK(serve(settingsFile, translation));
+            } catch (const std::exception &exception) {
+                return fail(ResultCode::Internal, exception.what());
+            }
             return 0;
         },
         [](const Error &error) {
--- a/src/node/plaincaller.cpp
+++ b/src/node/plaincaller.cpp
@@ -47,6 +47,9 @@
 private:
     void finish(int status)
     {
+        // Both the answer and the timeout may be due in one turn.
+        m_owner.m_loop.cancel(m_timer);
+        m_timer = 0;
         const Answered answered = std::move(m_answered);
         const std::string body = std::move(m_body);
         m_owner.finish(this);
