--- a/tests/src/unit-feed.cpp
+++ b/tests/src/unit-feed.cpp
@@ -131,7 +131,7 @@
 
 TEST_GROUP(Feed)
 {
-    const ServingBounds bounds;
+    const ServingBounds bounds{};
     Topic topic;
 };
 
@@ -151,6 +151,26 @@
     const RecordPage page{{{"b", "0", 7}, {"b", "1", 8}, {"a", "", 9}}, 10};
     const std::vector<FeedRecord> changes = follower.answered(page, Start + 1ms, Start + 2ms);
     CHECK(changes == (std::vector<FeedRecord>{{"a", "", 9}}));
+    CHECK(follower.confirmedAt() == Start + 1ms);
+}
+
+TEST(Feed, readsAfterAFailure_areNotHeldAndThenHeldHalfAsLong)
+{
+    TopicFollower follower(FeedTopic::Targets, FollowingSettings::forTargets(bounds), 1);
+    const auto held = [&follower](TimePoint now) {
+        const Duration wait = std::get<ReadFrom>(std::get<BeginCall>(follower.next(now)).call).wait;
+        follower.answered(RecordPage{{}, 1}, now, now);
+        return wait;
+    };
+    follower.next(Start);
+    follower.answered(NewestPage{{}, false, 1}, Start, Start);
+    follower.next(Start);
+    follower.timedOut(Start + 10s);
+    CHECK(follower.failing());
+    CHECK(held(Start + 11s) == 0s);
+    CHECK(held(Start + 12s) == 5s);
+    CHECK(held(Start + 10s + bounds.keyRevocation) == 10s);
+    CHECK(follower.returnedAt() == Start + 11s);
 }
 
 TEST(Feed, gapsAndExpiredRecords_listAnewAndDropWhatIsMissing)
