--- a/src/placement/callqueue.cpp
+++ b/src/placement/callqueue.cpp
@@ -7,6 +7,19 @@
 
 namespace celeryroute {
 
+namespace {
+
+template <typename Map, typename Value>
+void eraseFrom(Map &map, const std::string &key, const Value &value)
+{
+    const auto entry = map.find(key);
+    if (entry != map.end() && entry->second.erase(value) > 0 && entry->second.empty()) {
+        map.erase(entry);
+    }
+}
+
+} // namespace
+
 std::string CallQueue::key(const std::string &pool, const std::string &item)
 {
     return pool + '\n' + modelOfItem(item);
@@ -19,9 +32,13 @@
     if (known != m_calls.end()) {
         unlink(known->second);
     }
-    m_byModel[key(call.pool, call.item)].insert({call.priority, call.deadline, number, call.call});
+    const std::string model = key(call.pool, call.item);
+    const Rank rank{call.priority, call.deadline, number, call.call};
+    m_byModel[model].insert(rank);
     m_byDeadline.insert({call.deadline, call.call});
-    if (!call.askedTarget.empty()) {
+    if (call.askedTarget.empty()) {
+        m_forRoom[model].insert(rank);
+    } else {
         m_byTarget[call.askedTarget].insert(call.call);
     }
     const std::uint64_t id = call.call;
@@ -42,19 +59,12 @@
 void CallQueue::unlink(const Held &held)
 {
     const WaitingCall &call = held.call;
-    const auto model = m_byModel.find(key(call.pool, call.item));
-    model->second.erase({call.priority, call.deadline, held.number, call.call});
-    if (model->second.empty()) {
-        m_byModel.erase(model);
-    }
+    const std::string model = key(call.pool, call.item);
+    const Rank rank{call.priority, call.deadline, held.number, call.call};
+    eraseFrom(m_byModel, model, rank);
+    eraseFrom(m_forRoom, model, rank);
+    eraseFrom(m_byTarget, call.askedTarget, call.call);
     m_byDeadline.erase({call.deadline, call.call});
-    const auto target = m_byTarget.find(call.askedTarget);
-    if (target != m_byTarget.end()) {
-        target->second.erase(call.call);
-        if (target->second.empty()) {
-            m_byTarget.erase(target);
-        }
-    }
 }
 
 const WaitingCall *CallQueue::find(std::uint64_t call) const
@@ -85,8 +95,8 @@
                              std::uint32_t priority,
                              TimePoint deadline) const
 {
-    const auto ranks = m_byModel.find(key(pool, model));
-    return ranks != m_byModel.end() && *ranks->second.begin() < Rank{priority, deadline, m_numbers + 1, 0};
+    const auto ranks = m_forRoom.find(key(pool, model));
+    return ranks != m_forRoom.end() && *ranks->second.begin() < Rank{priority, deadline, m_numbers + 1, 0};
 }
 
 std::vector<WaitingCall> CallQueue::takeExpired(TimePoint now)
--- /dev/null
+++ b/tests/support/placementsimulation.h
@@ -0,0 +1,743 @@
+#pragma once
+
+#include <celeryroute/detail/placement/callqueue.h>
+#include <celeryroute/detail/placement/enginechooser.h>
+#include <celeryroute/detail/placement/itemkey.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace celeryroute::simulation {
+
+/// How entries choose. The first is the product's; the others are baselines.
+enum class PlacementWay { Chooser, Random, LeastLoaded };
+
+/// A kind of calls.
+struct CallClass {
+    std::string name;
+    double perSecond = 1;
+    int firstModel = 0;
+    int models = 1; ///< Asked for evenly, from the first on.
+    double shiftEvery = 0; ///< Seconds after which other models are asked for; 0 for never.
+    int shiftOver = 0; ///< Models among which they shift.
+    std::uint64_t shared = 6300;
+    std::uint64_t own = 2890;
+    std::uint64_t output = 52;
+    double aim = 0.8;
+    double budget = 5;
+    std::uint32_t priority = 0;
+    int adapters = 0;
+    int subjects = 20; ///< Shared parts for each model.
+};
+
+/// A pool of engines and its traffic.
+struct EngineFleet {
+    int targets = 9;
+    int entries = 4;
+    int models = 31;
+    double memoryMb = 200000;
+    double smallestMb = 42700;
+    double largestMb = 72700;
+    std::uint32_t slots = 64;
+    std::uint64_t cacheTokens = 265000;
+    int copies = 4; ///< Targets that have a model on disk at the start.
+    double storeLoadsPerSecond = 1.6;
+    double tokensPerSecond = 38400;
+    double step = 0.0053;
+    double seconds = 120;
+    double scale = 1; ///< Factor on the traffic.
+    double slowTarget = 1; ///< Factor on the times of one target.
+    double failingTarget = 0; ///< Share of calls that another target fails.
+    double crashAt = 0; ///< A target is gone from then on; its record follows 3 s later.
+    std::uint64_t seed = 1;
+    PlacementWay way = PlacementWay::Chooser;
+    std::vector<CallClass> classes = {
+        {"rare", 2.5, 5, 26, 0, 0, 6300, 2890, 52, 2.5, 11, 1, 0, 3},
+        {"busy", 5.8, 0, 5, 0, 0, 6300, 2890, 52, 0.8, 5, 2, 2, 20},
+        {"chat", 7.4, 0, 5, 0, 0, 198, 628, 292, 0.6, 15, 0, 0, 40},
+    };
+};
+
+struct ClassOutcome {
+    int calls = 0;
+    int inTime = 0;
+    int served = 0;
+    int refused = 0;
+};
+
+struct PlacementOutcome {
+    std::map<std::string, ClassOutcome> classes;
+    std::map<std::string, std::pair<int, int>> items; ///< Asked for and served, of each model.
+    std::map<std::string, std::pair<int, int>> sizes; ///< The largest tenth of calls, and the others.
+    int loads = 0;
+    int storeLoads = 0;
+    int full = 0; ///< Sends that a target had no room for.
+    int onBadTarget = 0; ///< Sends to the target that fails, is slow or has crashed.
+    int sends = 0;
+    double readTokens = 0;
+    double promptTokens = 0;
+    double lastWait = 0;
+
+    double inTime(const std::string &name) const
+    {
+        const ClassOutcome &outcome = classes.at(name);
+        return static_cast<double>(outcome.inTime) / std::max(1, outcome.calls);
+    }
+    double served(const std::string &name) const
+    {
+        const ClassOutcome &outcome = classes.at(name);
+        return static_cast<double>(outcome.served) / std::max(1, outcome.calls);
+    }
+};
+
+/// Entries, agents and engines in virtual time.
+class PlacementRun
+{
+public:
+    explicit PlacementRun(const EngineFleet &fleet)
+        : m_fleet(fleet)
+        , m_random(fleet.seed)
+    {
+        declare();
+        for (int i = 0; i < fleet.targets; ++i) {
+            addEngine(i);
+        }
+        placeModels();
+        for (int i = 0; i < fleet.entries; ++i) {
+            addEntry(i);
+        }
+    }
+
+    PlacementOutcome run()
+    {
+        for (Engine &engine : m_engines) {
+            publish(engine);
+        }
+        for (const CallClass &kind : m_fleet.classes) {
+            m_outcome.classes[kind.name];
+            at(next(kind), [this, &kind] { arrive(kind); });
+        }
+        if (m_fleet.crashAt > 0) {
+            at(m_fleet.crashAt, [this] { m_engines.back().crashed = true; });
+            at(m_fleet.crashAt + 3, [this] {
+                for (Entry &entry : m_entries) {
+                    changed(entry, entry.book->dropRecord(m_engines.back().id, m_now));
+                }
+            });
+        }
+        while (!m_events.empty() && m_events.top().at < TimePoint{} + fromSeconds(m_fleet.seconds + 20)) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.action();
+        }
+        return m_outcome;
+    }
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t number = 0;
+        std::function<void()> action;
+        bool operator<(const Event &other) const
+        {
+            return at != other.at ? at > other.at : number > other.number;
+        }
+    };
+    struct Resident {
+        std::set<std::string> adapters;
+        int running = 0;
+        TimePoint used;
+    };
+    struct Engine {
+        std::string id;
+        std::string domain;
+        double slowness = 1;
+        bool failing = false;
+        bool crashed = false;
+        std::map<std::string, Resident> models;
+        std::set<std::string> inMemory;
+        std::set<std::string> onDisk;
+        std::list<std::pair<std::string, TimePoint>> wants; ///< Items and when they are forgotten.
+        std::string loading;
+        TimePoint loaded;
+        std::set<std::string> declined;
+        std::map<std::uint64_t, TimePoint> cache; ///< Prefixes by digest.
+        std::map<std::uint64_t, double> cacheSizes;
+        double cached = 0;
+        double held = 0; ///< Cache tokens of running calls.
+        std::uint32_t queued = 0;
+        std::uint32_t active = 0;
+        TimePoint readerFree;
+        bool publishing = false;
+    };
+    struct Entry {
+        std::unique_ptr<TargetBook> book;
+        std::unique_ptr<EngineChooser> chooser;
+        CallQueue queue;
+    };
+    struct Call {
+        const CallClass *kind = nullptr;
+        EngineCall ask;
+        TimePoint born;
+        TimePoint deadline;
+        bool large = false;
+        bool cameBack = false;
+        Entry *entry = nullptr;
+        std::uint64_t number = 0;
+        std::uint64_t timer = 0; ///< The one that counts.
+    };
+
+    void at(double seconds, std::function<void()> action)
+    {
+        later(fromSeconds(seconds) - (m_now - TimePoint{}), std::move(action));
+    }
+    void later(Duration wait, std::function<void()> action)
+    {
+        m_events.push({m_now + std::max(Duration::zero(), wait), ++m_numbers, std::move(action)});
+    }
+    double draw()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    }
+    double next(const CallClass &kind)
+    {
+        return toSeconds(m_now - TimePoint{})
+            + std::exponential_distribution<double>(kind.perSecond * m_fleet.scale)(m_random);
+    }
+
+    void declare()
+    {
+        EngineSpec spec;
+        spec.slots = m_fleet.slots;
+        spec.cacheTokens = m_fleet.cacheTokens;
+        spec.memoryMb = m_fleet.memoryMb;
+        spec.adapterSlots = 8;
+        spec.loadsPerSecond = m_fleet.storeLoadsPerSecond;
+        for (int i = 0; i < m_fleet.models; ++i) {
+            EngineModel model;
+            model.name = "model-" + std::to_string(i);
+            model.memoryMb = m_fleet.smallestMb + (m_fleet.largestMb - m_fleet.smallestMb) * draw();
+            model.storeLoad = std::chrono::seconds(6);
+            model.diskLoad = std::chrono::milliseconds(600 + m_random() % 200);
+            model.memoryLoad = std::chrono::milliseconds(400 + m_random() % 200);
+            model.adapters = 4;
+            model.adapterMb = 50;
+            spec.models.push_back(model);
+        }
+        m_state.pools.push_back({"engines", "", 0, spec});
+    }
+    const EngineSpec &spec() const
+    {
+        return *m_state.pools.front().engine;
+    }
+
+    void addEngine(int number)
+    {
+        Engine engine;
+        engine.id = "target-" + std::to_string(number);
+        engine.domain = "domain-" + std::to_string(number % 3);
+        engine.slowness = number == 0 ? m_fleet.slowTarget : 1;
+        engine.failing = number == 1 && m_fleet.failingTarget > 0;
+        m_engines.push_back(std::move(engine));
+    }
+
+    void placeModels()
+    {
+        for (int i = 0; i < m_fleet.models; ++i) {
+            const std::string name = spec().models[static_cast<std::size_t>(i)].name;
+            std::vector<std::size_t> order(m_engines.size());
+            for (std::size_t j = 0; j < order.size(); ++j) {
+                order[j] = j;
+            }
+            std::shuffle(order.begin(), order.end(), m_random);
+            for (int j = 0; j < m_fleet.copies && j < m_fleet.targets; ++j) {
+                Engine &engine = m_engines[order[static_cast<std::size_t>(j)]];
+                engine.onDisk.insert(name);
+                const int replicas = i < 5 ? 2 : 1;
+                if (j < replicas && used(engine) + size(name) <= spec().memoryMb) {
+                    engine.models[name].used = m_now;
+                    engine.inMemory.insert(name);
+                }
+            }
+        }
+    }
+
+    void addEntry(int number)
+    {
+        Entry entry;
+        entry.book = std::make_unique<TargetBook>("entry-" + std::to_string(number),
+                                                  "domain-" + std::to_string(number % 3));
+        entry.book->setState(m_state);
+        entry.book->setEntries(static_cast<std::uint32_t>(m_fleet.entries));
+        entry.chooser = std::make_unique<EngineChooser>(*entry.book, m_fleet.seed + static_cast<std::uint64_t>(number));
+        for (const Engine &engine : m_engines) {
+            TargetRecord record;
+            record.id = engine.id;
+            record.pool = "engines";
+            record.domain = engine.domain;
+            record.slots = m_fleet.slots;
+            record.bornMs = 1;
+            entry.book->setRecord(record, m_now);
+        }
+        m_entries.push_back(std::move(entry));
+    }
+
+    void arrive(const CallClass &kind)
+    {
+        const double seconds = toSeconds(m_now - TimePoint{});
+        if (seconds > m_fleet.seconds) {
+            return;
+        }
+        at(next(kind), [this, &kind] { arrive(kind); });
+        auto call = std::make_shared<Call>();
+        const int shift = kind.shiftEvery > 0 ? static_cast<int>(seconds / kind.shiftEvery) * kind.models : 0;
+        int model = kind.firstModel + static_cast<int>(m_random() % static_cast<std::uint64_t>(kind.models));
+        model = kind.shiftOver > 0 ? (model + shift) % kind.shiftOver : model;
+        EngineCall &ask = call->ask;
+        call->kind = &kind;
+        call->number = ++m_calls;
+        call->large = m_random() % 10 == 0;
+        ask.pool = "engines";
+        ask.model = "model-" + std::to_string(model);
+        if (kind.adapters > 0 && m_random() % 4 == 0) {
+            ask.adapter = "a" + std::to_string(m_random() % static_cast<std::uint64_t>(kind.adapters));
+        }
+        const std::string subject = ask.model + "-" + kind.name + "-"
+            + std::to_string(m_random() % static_cast<std::uint64_t>(kind.subjects));
+        const std::uint64_t own = call->large ? kind.own * 5 : kind.own / 2 + m_random() % (kind.own + 1);
+        ask.parts = {{kind.name, kind.shared / 3},
+                     {subject, kind.shared - kind.shared / 3},
+                     {std::to_string(call->number), own}};
+        ask.promptTokens = kind.shared + own;
+        ask.maxOutputTokens = kind.output * 2;
+        ask.lengthHint = kind.output;
+        ask.priority = kind.priority;
+        ask.targetLatency = fromSeconds(kind.aim);
+        call->born = m_now;
+        call->deadline = m_now + fromSeconds(kind.budget);
+        call->entry = &m_entries[m_random() % m_entries.size()];
+        ++m_outcome.classes[kind.name].calls;
+        ++m_outcome.items[ask.model].first;
+        ++m_outcome.sizes[call->large ? "large" : "usual"].first;
+        const EngineCall &asked = call->ask;
+        if (call->entry->queue.standsBehind("engines", asked.model, asked.priority, call->deadline)) {
+            wait(call, "", fromSeconds(0.1));
+            return;
+        }
+        decide(call);
+    }
+
+    /// Whether the call waits for room now.
+    bool decide(const std::shared_ptr<Call> &call)
+    {
+        Entry &entry = *call->entry;
+        EngineCall &ask = call->ask;
+        ask.remaining = call->deadline - m_now;
+        const EngineDecision decision = m_fleet.way == PlacementWay::Chooser ? entry.chooser->choose(ask, m_now)
+                                                                             : baseline(entry, ask);
+        ask.askedBefore = true;
+        if (decision.want) {
+            want(decision.want->target, decision.want->item);
+        }
+        if (const auto *send = std::get_if<SendTo>(&decision.verdict)) {
+            leaveQueue(call);
+            deliver(call, send->target);
+        } else if (const auto *load = std::get_if<WaitFor>(&decision.verdict)) {
+            wait(call, load->target, load->expected + std::chrono::milliseconds(100));
+            want(load->target, load->item);
+        } else if (const auto *room = std::get_if<WaitForRoom>(&decision.verdict)) {
+            wait(call, "", room->expected);
+            return true;
+        } else {
+            leaveQueue(call);
+            refuse(call, std::get<Refuse>(decision.verdict).retryAfter);
+        }
+        return false;
+    }
+
+    void leaveQueue(const std::shared_ptr<Call> &call)
+    {
+        call->entry->queue.remove(call->number);
+        m_waiting.erase(call->number);
+    }
+
+    void wait(const std::shared_ptr<Call> &call, const std::string &target, Duration expected)
+    {
+        const bool known = m_waiting.contains(call->number);
+        m_waiting[call->number] = call;
+        const EngineCall &ask = call->ask;
+        call->entry->queue.put({call->number,
+                                "engines",
+                                itemKey(ask.model, ask.adapter),
+                                target,
+                                ask.priority,
+                                known ? call->entry->queue.find(call->number)->since : m_now,
+                                call->deadline});
+        const Duration left = call->deadline - m_now;
+        const std::uint64_t timer = ++call->timer;
+        later(std::min(left, std::max(expected, Duration(std::chrono::milliseconds(5)))), [this, call, timer] {
+            expire(*call->entry);
+            if (timer == call->timer && m_waiting.contains(call->number)) {
+                changed(*call->entry, {call->ask.model});
+            }
+        });
+    }
+
+    void expire(Entry &entry)
+    {
+        for (const WaitingCall &expired : entry.queue.takeExpired(m_now)) {
+            const auto call = m_waiting.find(expired.call);
+            ++m_outcome.classes[call->second->kind->name].refused;
+            m_waiting.erase(call);
+        }
+    }
+
+    void changed(Entry &entry, const ChangedModels &models)
+    {
+        expire(entry);
+        for (const std::string &model : models) {
+            for (const std::uint64_t number : entry.queue.waitingFor("engines", model, 64)) {
+                const auto call = m_waiting.find(number);
+                if (call != m_waiting.end() && decide(std::shared_ptr<Call>(call->second))) {
+                    break;
+                }
+            }
+        }
+    }
+
+    void refuse(const std::shared_ptr<Call> &call, Duration retryAfter)
+    {
+        const Duration pause = std::max(retryAfter, Duration(std::chrono::milliseconds(20)));
+        if (call->cameBack || pause > (call->deadline - m_now) / 3) {
+            ++m_outcome.classes[call->kind->name].refused;
+            return;
+        }
+        call->cameBack = true;
+        call->entry = &m_entries[m_random() % m_entries.size()];
+        call->ask.excluded.clear();
+        call->ask.askedBefore = false;
+        later(pause, [this, call] { decide(call); });
+    }
+
+    EngineDecision baseline(Entry &entry, const EngineCall &ask)
+    {
+        const TargetPool &pool = *entry.book->pool("engines");
+        const TargetRing *holders = pool.holdersOf(ask.model);
+        const KnownTarget *best = pick(holders, ask);
+        if (best != nullptr) {
+            const ResidentModel *resident = best->model(ask.model, m_now);
+            if (resident != nullptr && !ask.adapter.empty()
+                && std::find(resident->adapters.begin(), resident->adapters.end(), ask.adapter)
+                    == resident->adapters.end()) {
+                return {WaitFor{itemKey(ask.model, ask.adapter), best->record.id, {}}, {}};
+            }
+            return {SendTo{best->record.id}, {}};
+        }
+        best = pick(pool.loadingOf(ask.model), ask);
+        best = best != nullptr ? best : pick(pool.copiesOf(ask.model), ask);
+        best = best != nullptr ? best : pick(&pool.open, ask);
+        if (best == nullptr) {
+            return {Refuse{}, {}};
+        }
+        return {WaitFor{ask.model, best->record.id, std::chrono::milliseconds(700)}, {}};
+    }
+
+    const KnownTarget *pick(const TargetRing *ring, const EngineCall &ask)
+    {
+        std::vector<const KnownTarget *> open;
+        for (const KnownTarget *target : ring != nullptr ? ring->all() : std::vector<KnownTarget *>()) {
+            if (std::find(ask.excluded.begin(), ask.excluded.end(), target->record.id) == ask.excluded.end()) {
+                open.push_back(target);
+            }
+        }
+        if (open.empty()) {
+            return nullptr;
+        }
+        if (m_fleet.way == PlacementWay::Random) {
+            return open[m_random() % open.size()];
+        }
+        return *std::min_element(open.begin(), open.end(), [this](const auto *left, const auto *right) {
+            return left->running(m_now) + left->waiting(m_now) < right->running(m_now) + right->waiting(m_now);
+        });
+    }
+
+    Engine &engineOf(const std::string &id)
+    {
+        return m_engines[std::stoul(id.substr(7))];
+    }
+
+    void deliver(const std::shared_ptr<Call> &call, const std::string &target)
+    {
+        Engine &engine = engineOf(target);
+        const CallTicket ticket = call->entry->book->noteSent(target, call->ask, m_now);
+        ++m_outcome.sends;
+        m_outcome.onBadTarget += engine.crashed || engine.failing || engine.slowness > 1 ? 1 : 0;
+        later(Hop, [this, call, &engine, ticket] { accept(call, engine, ticket); });
+    }
+
+    void accept(const std::shared_ptr<Call> &call, Engine &engine, CallTicket ticket)
+    {
+        const EngineCall &ask = call->ask;
+        const auto resident = engine.models.find(ask.model);
+        const auto need = static_cast<double>(ask.promptTokens + ask.lengthHint);
+        if (engine.crashed) {
+            return again(call, engine, ticket, CallEnd::Unreachable);
+        }
+        if (resident == engine.models.end()
+            || (!ask.adapter.empty() && !resident->second.adapters.contains(ask.adapter))) {
+            return again(call, engine, ticket, CallEnd::Misplaced);
+        }
+        if (engine.active + engine.queued >= m_fleet.slots + 8
+            || (engine.active > 0 && engine.held + need > static_cast<double>(m_fleet.cacheTokens))) {
+            ++m_outcome.full;
+            return again(call, engine, ticket, CallEnd::Full);
+        }
+        if (engine.failing && draw() < m_fleet.failingTarget) {
+            return again(call, engine, ticket, CallEnd::Failed);
+        }
+        const double stretch = engine.slowness * (1 + static_cast<double>(engine.active) / m_fleet.slots);
+        const double read = readTokens(engine, ask);
+        m_outcome.readTokens += read;
+        m_outcome.promptTokens += static_cast<double>(ask.promptTokens);
+        engine.readerFree = std::max(engine.readerFree, m_now) + fromSeconds(read / m_fleet.tokensPerSecond * stretch);
+        const Duration first = engine.readerFree - m_now + fromSeconds(m_fleet.step * stretch);
+        const Duration rest = fromSeconds(m_fleet.step * stretch * static_cast<double>(ask.lengthHint));
+        ++engine.queued;
+        ++resident->second.running;
+        resident->second.used = m_now;
+        engine.held += need;
+        later(first, [this, call, &engine, ticket] {
+            --engine.queued;
+            ++engine.active;
+            call->entry->book->noteFirstEvent(ticket, m_now);
+            finish(call);
+            publishSoon(engine);
+        });
+        later(first + rest, [this, call, &engine, ticket, need] {
+            --engine.active;
+            engine.held -= need;
+            --engine.models[call->ask.model].running;
+            work(engine);
+            publishSoon(engine);
+            changed(*call->entry, call->entry->book->noteEnded(ticket, CallEnd::Answered, m_now));
+        });
+        publishSoon(engine);
+    }
+
+    void finish(const std::shared_ptr<Call> &call)
+    {
+        if (m_now > call->deadline) {
+            return;
+        }
+        ClassOutcome &outcome = m_outcome.classes[call->kind->name];
+        ++outcome.served;
+        outcome.inTime += m_now - call->born <= fromSeconds(call->kind->aim) ? 1 : 0;
+        ++m_outcome.items[call->ask.model].second;
+        ++m_outcome.sizes[call->large ? "large" : "usual"].second;
+    }
+
+    void again(const std::shared_ptr<Call> &call, Engine &engine, CallTicket ticket, CallEnd end)
+    {
+        call->entry->book->noteEnded(ticket, end, m_now);
+        if (end != CallEnd::Misplaced && end != CallEnd::Full) {
+            call->ask.excluded.push_back(engine.id);
+        }
+        if (m_now < call->deadline) {
+            decide(call);
+        }
+    }
+
+    double readTokens(Engine &engine, const EngineCall &ask)
+    {
+        const PrefixChain chain = prefixChain(ask);
+        std::uint64_t kept = 0;
+        for (const PrefixChain::Link &link : chain.links) {
+            if (engine.cache.contains(link.digest)) {
+                kept = link.tokens;
+            } else {
+                engine.cacheSizes[link.digest] = static_cast<double>(link.tokens - kept);
+                engine.cached += static_cast<double>(link.tokens - kept);
+            }
+            engine.cache[link.digest] = m_now;
+        }
+        const double room = static_cast<double>(m_fleet.cacheTokens) - engine.held;
+        while (engine.cached > room && !engine.cache.empty()) {
+            const auto oldest = std::min_element(engine.cache.begin(), engine.cache.end(), [](auto &left, auto &right) {
+                return left.second < right.second;
+            });
+            engine.cached -= engine.cacheSizes[oldest->first];
+            engine.cacheSizes.erase(oldest->first);
+            engine.cache.erase(oldest);
+        }
+        return static_cast<double>(ask.promptTokens - std::min(kept, ask.promptTokens));
+    }
+
+    // The agent: one order at a time, the least recently used idle model goes first.
+    void want(const std::string &target, const std::string &item)
+    {
+        later(Hop, [this, target, item] {
+            Engine &engine = engineOf(target);
+            const auto known = std::find_if(engine.wants.begin(), engine.wants.end(), [&item](const auto &wanted) {
+                return wanted.first == item;
+            });
+            if (known == engine.wants.end()) {
+                engine.wants.emplace_back(item, m_now + std::chrono::seconds(3));
+            } else {
+                known->second = m_now + std::chrono::seconds(3);
+            }
+            work(engine);
+        });
+    }
+
+    void work(Engine &engine)
+    {
+        if (engine.crashed) {
+            return;
+        }
+        for (auto wanted = engine.wants.begin(); wanted != engine.wants.end();) {
+            const std::string item = wanted->first;
+            const std::string model = modelOfItem(item);
+            const bool held = engine.models.contains(model);
+            if (wanted->second < m_now || item == engine.loading || (held && model == item)) {
+                engine.declined.erase(item);
+                wanted = engine.wants.erase(wanted);
+            } else if (held) {
+                wanted = engine.wants.erase(wanted);
+                later(std::chrono::milliseconds(8), [this, &engine, model, item] { addAdapter(engine, model, item); });
+            } else if (model != item || !engine.loading.empty()) {
+                ++wanted;
+            } else if (load(engine, item)) {
+                wanted = engine.wants.erase(wanted);
+            } else {
+                ++wanted;
+            }
+        }
+    }
+
+    void addAdapter(Engine &engine, const std::string &model, const std::string &item)
+    {
+        const auto resident = engine.models.find(model);
+        if (resident != engine.models.end()) {
+            resident->second.adapters.insert(item.substr(model.size() + 1));
+            publishSoon(engine);
+        }
+    }
+
+    bool load(Engine &engine, const std::string &model)
+    {
+        while (used(engine) + size(model) > spec().memoryMb) {
+            auto victim = engine.models.end();
+            for (auto held = engine.models.begin(); held != engine.models.end(); ++held) {
+                if (held->second.running == 0
+                    && (victim == engine.models.end() || held->second.used < victim->second.used)) {
+                    victim = held;
+                }
+            }
+            if (victim == engine.models.end()) {
+                if (engine.declined.insert(model).second) {
+                    publishSoon(engine);
+                }
+                return false;
+            }
+            engine.models.erase(victim);
+        }
+        const EngineModel &known = *spec().model(model);
+        Duration takes = known.storeLoad;
+        if (engine.inMemory.contains(model)) {
+            takes = known.memoryLoad;
+        } else if (engine.onDisk.contains(model)) {
+            takes = known.diskLoad;
+        } else {
+            ++m_outcome.storeLoads;
+        }
+        ++m_outcome.loads;
+        engine.declined.erase(model);
+        engine.loading = model;
+        engine.loaded = m_now + takes;
+        publishSoon(engine);
+        later(takes, [this, &engine, model] {
+            engine.loading.clear();
+            engine.models[model].used = m_now;
+            engine.inMemory.insert(model);
+            engine.onDisk.insert(model);
+            publishSoon(engine);
+            work(engine);
+        });
+        return true;
+    }
+
+    double size(const std::string &model) const
+    {
+        return spec().model(model)->memoryMb;
+    }
+    double used(const Engine &engine) const
+    {
+        double used = engine.loading.empty() ? 0 : size(engine.loading);
+        for (const auto &[name, resident] : engine.models) {
+            used += size(name) + 50 * static_cast<double>(resident.adapters.size());
+        }
+        return used;
+    }
+
+    void publishSoon(Engine &engine)
+    {
+        if (!engine.publishing) {
+            engine.publishing = true;
+            later(std::chrono::milliseconds(5), [this, &engine] { publish(engine); });
+        }
+    }
+
+    void publish(Engine &engine)
+    {
+        engine.publishing = false;
+        if (engine.crashed) {
+            return;
+        }
+        TargetView view;
+        view.bornMs = 1;
+        for (const auto &[name, resident] : engine.models) {
+            view.models.push_back({name, 1, {resident.adapters.begin(), resident.adapters.end()}});
+        }
+        if (!engine.loading.empty()) {
+            view.loading.push_back({engine.loading, engine.loaded - m_now});
+        }
+        view.copies.inMemory.assign(engine.inMemory.begin(), engine.inMemory.end());
+        view.copies.onDisk.assign(engine.onDisk.begin(), engine.onDisk.end());
+        view.queued = engine.queued;
+        view.active = engine.active;
+        view.cacheUsed = static_cast<std::uint64_t>(engine.held);
+        view.cacheTotal = m_fleet.cacheTokens;
+        view.declined.assign(engine.declined.begin(), engine.declined.end());
+        const std::string id = engine.id;
+        later(Hop, [this, id, view] {
+            for (Entry &entry : m_entries) {
+                changed(entry, entry.book->setView(id, view, m_now));
+            }
+        });
+        later(std::chrono::seconds(1), [this, &engine] { publishSoon(engine); });
+    }
+
+    static constexpr Duration Hop = std::chrono::milliseconds(1);
+
+    EngineFleet m_fleet;
+    std::mt19937_64 m_random;
+    ServingState m_state;
+    std::deque<Engine> m_engines;
+    std::deque<Entry> m_entries;
+    std::priority_queue<Event> m_events;
+    std::map<std::uint64_t, std::shared_ptr<Call>> m_waiting;
+    std::uint64_t m_numbers = 0;
+    std::uint64_t m_calls = 0;
+    TimePoint m_now;
+    PlacementOutcome m_outcome;
+};
+
+} // namespace celeryroute::simulation
