--- a/benchmarks/bench-placement.cpp
+++ b/benchmarks/bench-placement.cpp
@@ -28,6 +28,7 @@
         state.counters[name + "_served"] = outcome.served(name);
     }
     state.counters["loads_per_s"] = outcome.loads / fleet.seconds;
+    state.counters["spare_loads_per_s"] = outcome.spareLoads / fleet.seconds;
     state.counters["store_loads"] = outcome.storeLoads;
     state.counters["read_share"] = outcome.readTokens / outcome.promptTokens;
     state.counters["full"] = outcome.full;
--- a/include/celeryroute/detail/placement/callqueue.h
+++ b/include/celeryroute/detail/placement/callqueue.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -44,10 +45,8 @@
 
     /// @brief Calls for @p model of @p pool or its adapters, at most @p limit, in their order.
     std::vector<std::uint64_t> waitingFor(const std::string &pool, const std::string &model, std::size_t limit) const;
-    /// @brief Whether calls that go before one of @p priority and @p deadline wait for room at the
-    /// holders of @p model.
-    bool
-    standsBehind(const std::string &pool, const std::string &model, std::uint32_t priority, TimePoint deadline) const;
+    /// @brief Number of calls as urgent as @p priority or more that wait for room at holders of @p model.
+    std::size_t waitingForRoom(const std::string &pool, const std::string &model, std::uint32_t priority) const;
     /// @brief Removes the calls whose time has come, in order of their deadlines.
     std::vector<WaitingCall> takeExpired(TimePoint now);
     /// @brief Deadline of the call that is given up first; the latest time when none waits.
@@ -75,7 +74,7 @@
     std::uint64_t m_numbers = 0;
     std::unordered_map<std::uint64_t, Held> m_calls;
     std::unordered_map<std::string, std::set<Rank>> m_byModel;
-    std::unordered_map<std::string, std::set<Rank>> m_forRoom; ///< Those of no asked target.
+    std::unordered_map<std::string, std::map<std::uint32_t, std::size_t>> m_forRoom; ///< Calls by priority.
     std::unordered_map<std::string, std::set<std::uint64_t>> m_byTarget;
     std::set<std::pair<TimePoint, std::uint64_t>> m_byDeadline;
 };
--- a/include/celeryroute/detail/placement/enginechooser.h
+++ b/include/celeryroute/detail/placement/enginechooser.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace celeryroute {
@@ -47,13 +48,16 @@
     EngineDecision send(const Ask &ask, const Candidate &best);
     EngineDecision withoutRoom(const Ask &ask, const Candidate &best);
     EngineDecision withoutHolder(const Ask &ask, const Candidate &bad);
-    std::optional<LoadPlan> spare(const Ask &ask, double wait);
+    std::optional<LoadPlan> spare(const Ask &ask);
+    double crowding(const Ask &ask, const Candidate &best);
+    double queueWait(const Ask &ask) const;
     LoadWant wantOf(const Ask &ask, const LoadPlan &plan);
     EngineDecision waitFor(const Ask &ask, const LoadPlan &plan);
     std::uint64_t random();
 
     TargetBook &m_book;
     LoadPlanner m_planner;
+    std::unordered_map<std::string, RelaxingMean> m_crowding; ///< Seconds, by pool and model.
     std::uint64_t m_random;
     std::vector<KnownTarget *> m_sample;
 };
--- a/include/celeryroute/detail/placement/knowntarget.h
+++ b/include/celeryroute/detail/placement/knowntarget.h
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/placement/targethealth.h>
 #include <celeryroute/detail/placement/targetview.h>
+#include <celeryroute/detail/placement/urgencyload.h>
 #include <celeryroute/detail/serving/targetrecord.h>
 
 #include <cstdint>
@@ -28,7 +29,7 @@
 struct OwnLoad {
     std::uint32_t calls = 0;
     std::uint32_t waiting = 0; ///< Without a first event yet.
-    std::uint64_t waitingTokens = 0; ///< Of prompts, still to be read.
+    UrgencyLoad waitingTokens; ///< Of prompts, still to be read.
     std::uint64_t cacheTokens = 0; ///< Held when all have ended.
     std::unordered_map<std::string, std::uint32_t> items;
     std::vector<CallTicket> tickets;
--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -21,6 +21,7 @@
     std::string target;
     double ready = 0; ///< Seconds until it is there.
     double cost = 0; ///< What it costs other calls, in seconds.
+    double wait = 0; ///< Seconds that calls wait there now.
     LoadSource source = LoadSource::Store;
     bool underWay = false; ///< Already loading or asked for.
     bool operator==(const LoadPlan &) const = default;
--- a/include/celeryroute/detail/placement/targetbook.h
+++ b/include/celeryroute/detail/placement/targetbook.h
@@ -47,7 +47,7 @@
 
     CallTicket noteSent(const std::string &id, TimePoint now);
     CallTicket noteSent(const std::string &id, const EngineCall &call, TimePoint now);
-    void noteFirstEvent(CallTicket ticket, TimePoint now);
+    ChangedModels noteFirstEvent(CallTicket ticket, TimePoint now);
     ChangedModels noteEnded(CallTicket ticket, CallEnd end, TimePoint now);
 
     const KnownTarget *target(const std::string &id) const;
--- a/include/celeryroute/detail/placement/targetpool.h
+++ b/include/celeryroute/detail/placement/targetpool.h
@@ -5,6 +5,7 @@
 #include <celeryroute/detail/placement/prefixmemory.h>
 #include <celeryroute/detail/placement/relaxingmean.h>
 #include <celeryroute/detail/placement/targetring.h>
+#include <celeryroute/detail/placement/urgencyload.h>
 #include <celeryroute/detail/serving/enginespec.h>
 
 #include <optional>
@@ -29,10 +30,13 @@
     RelaxingMean duration; ///< Seconds from sending to the end of a call.
     RelaxingMean uncached; ///< Prompt tokens that a call has to read.
     RelaxingMean tokens; ///< Cache tokens of a call.
+    UrgencyLoad urgency; ///< Recent calls by priority.
     EngineSpeed speed;
     DemandMeter demand;
     PrefixMemory prefixes;
 
+    /// @brief Prompt tokens that @p target has to read before a call of @p priority.
+    double tokensAhead(const KnownTarget &target, std::uint32_t priority, TimePoint now) const;
     /// @brief Targets that hold @p model, or null.
     const TargetRing *holdersOf(const std::string &model) const;
     const TargetRing *loadingOf(const std::string &item) const;
--- a/include/celeryroute/detail/placement/targetring.h
+++ b/include/celeryroute/detail/placement/targetring.h
@@ -11,6 +11,9 @@
 /// @brief Spreads the bits of @p value; equal in all processes.
 std::uint64_t mixBits(std::uint64_t value);
 
+/// @brief Rank of @p target for @p key from 0 to 1, by rendezvous hashing; equal in all processes.
+double unitRank(std::uint64_t key, const KnownTarget &target);
+
 /// Set of targets in the order of their digests, the same in all entries.
 class TargetRing
 {
--- a/src/placement/callqueue.cpp
+++ b/src/placement/callqueue.cpp
@@ -3,7 +3,6 @@
 #include <celeryroute/detail/placement/itemkey.h>
 
 #include <algorithm>
-#include <map>
 
 namespace celeryroute {
 
@@ -37,7 +36,7 @@
     m_byModel[model].insert(rank);
     m_byDeadline.insert({call.deadline, call.call});
     if (call.askedTarget.empty()) {
-        m_forRoom[model].insert(rank);
+        ++m_forRoom[model][call.priority];
     } else {
         m_byTarget[call.askedTarget].insert(call.call);
     }
@@ -62,8 +61,17 @@
     const std::string model = key(call.pool, call.item);
     const Rank rank{call.priority, call.deadline, held.number, call.call};
     eraseFrom(m_byModel, model, rank);
-    eraseFrom(m_forRoom, model, rank);
     eraseFrom(m_byTarget, call.askedTarget, call.call);
+    if (call.askedTarget.empty()) {
+        const auto counts = m_forRoom.find(model);
+        const auto count = counts->second.find(call.priority);
+        if (--count->second == 0) {
+            counts->second.erase(count);
+        }
+        if (counts->second.empty()) {
+            m_forRoom.erase(counts);
+        }
+    }
     m_byDeadline.erase({call.deadline, call.call});
 }
 
@@ -90,13 +98,16 @@
     return calls;
 }
 
-bool CallQueue::standsBehind(const std::string &pool,
-                             const std::string &model,
-                             std::uint32_t priority,
-                             TimePoint deadline) const
+std::size_t CallQueue::waitingForRoom(const std::string &pool, const std::string &model, std::uint32_t priority) const
 {
-    const auto ranks = m_forRoom.find(key(pool, model));
-    return ranks != m_forRoom.end() && *ranks->second.begin() < Rank{priority, deadline, m_numbers + 1, 0};
+    std::size_t calls = 0;
+    const auto counts = m_forRoom.find(key(pool, model));
+    if (counts != m_forRoom.end()) {
+        for (auto count = counts->second.begin(); count != counts->second.end() && count->first <= priority; ++count) {
+            calls += count->second;
+        }
+    }
+    return calls;
 }
 
 std::vector<WaitingCall> CallQueue::takeExpired(TimePoint now)
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -20,6 +20,10 @@
 constexpr double AdapterFull = 0.05; // Seconds; of a target whose adapter places are taken.
 constexpr double OtherDomain = 0.001; // Seconds; bytes between domains are priced.
 constexpr double CrowdedShare = 0.25; // Of the wanted latency that may go into waiting.
+constexpr double HeldShare = 0.25; // Of the remaining time that a call may be held for room.
+constexpr double UrgentReserve = 0.1; // Of a target, that is kept for more urgent calls.
+constexpr double CrowdingWeight = 0.3;
+constexpr Duration CrowdingMemory = 5s;
 constexpr double UnknownAim = 1; // Seconds.
 constexpr double GainHorizon = 5; // Seconds over which a further replica has to pay.
 constexpr double DoubtfulTrust = 0.3; // Below which a target counts as bad.
@@ -32,11 +36,6 @@
     return std::find(list.begin(), list.end(), name) != list.end();
 }
 
-double unitRank(std::uint64_t key, const KnownTarget &target)
-{
-    return static_cast<double>(mixBits(key ^ target.digest) >> 11U) * 0x1.0p-53;
-}
-
 } // namespace
 
 struct EngineChooser::Ask {
@@ -49,6 +48,7 @@
     PrefixGuess guess;
     double remaining = 0;
     double aim = 0;
+    double crowding = 0; ///< Seconds that calls for the model have waited lately.
     bool otherVersion = false; ///< A holder has other weights than the call needs.
 
     Ask(const EngineCall &asked, TargetPool &itsPool, const EngineModel &itsModel, TimePoint at)
@@ -96,6 +96,7 @@
     }
     Ask ask(call, *pool, *model, now);
     const Candidate best = bestHolder(ask);
+    ask.crowding = crowding(ask, best);
     if (best.target == nullptr || best.grade == Candidate::Bad) {
         return withoutHolder(ask, best);
     }
@@ -167,8 +168,7 @@
     const double waiting = target.waiting(ask.now);
     const std::uint64_t kept = ask.guess.keptTokens(target, spec.cacheTokens, m_book.entries());
     const std::uint64_t uncached = ask.call.promptTokens - std::min(kept, ask.call.promptTokens);
-    const double ahead = static_cast<double>(target.own.waitingTokens)
-        + std::max(0.0, waiting - target.own.waiting) * ask.pool.uncached.value(0, ask.now);
+    const double ahead = ask.pool.tokensAhead(target, ask.call.priority, ask.now);
     const double usual = ask.pool.slowness.value(1, ask.now);
     const double slowness = std::clamp(target.latency.value(usual, ask.now) / usual, LeastSlowness, MostSlowness);
     const double stretch = slowness * (1 + running / slots);
@@ -179,15 +179,19 @@
         const auto unknown = static_cast<double>(ask.chain.sharedTokens - kept);
         candidate.cost += HomeWeight * speed.prefill(unknown) * (1 - unitRank(ask.chain.home, target));
     }
+    const double urgent = ask.call.priority == 0 ? 0 : ask.pool.urgency.upTo(ask.call.priority - 1);
+    const double open = urgent > 0 ? 1 - UrgentReserve : 1;
     const double calls = running + waiting;
     const std::uint64_t reported = target.view && target.view->cacheTotal > 0 ? target.view->cacheTotal
                                                                               : spec.cacheTokens;
     const auto total = static_cast<double>(reported);
     const auto need = static_cast<double>(ask.call.promptTokens + ask.call.expectedOutput());
-    const bool fits = calls < 1 || total == 0 || target.cacheTokens(ask.now) + need <= total;
-    candidate.room = ask.now >= target.fullUntil && fits && calls < slots * (1 + SlotQueue);
+    const bool fits = calls < 1 || total == 0 || target.cacheTokens(ask.now) + need <= total * open;
+    const bool free = fits && calls < slots * (open + SlotQueue);
+    const double most = CrowdedShare * ask.aim;
+    candidate.room = ask.now >= target.fullUntil && free && (candidate.wait <= most || target.waiting(ask.now) < 1);
     const double next = ask.pool.duration.value(UnknownDuration, ask.now) / std::max(1.0, calls);
-    candidate.roomIn = std::max(next, toSeconds(target.fullUntil - ask.now));
+    candidate.roomIn = std::max({free ? 0.0 : next, candidate.wait - most, toSeconds(target.fullUntil - ask.now)});
 }
 
 // All entries prefer the same targets for an adapter, unless these are loaded.
@@ -210,14 +214,8 @@
 EngineDecision EngineChooser::send(const Ask &ask, const Candidate &best)
 {
     EngineDecision decision;
-    const bool crowded = best.wait > CrowdedShare * ask.aim;
-    if (crowded) {
-        if (const std::optional<LoadPlan> plan = spare(ask, best.wait)) {
-            decision.want = wantOf(ask, *plan);
-            if (best.total > ask.aim && plan->ready + best.total - best.wait < best.total) {
-                return waitFor(ask, *plan);
-            }
-        }
+    if (const std::optional<LoadPlan> plan = spare(ask)) {
+        decision.want = wantOf(ask, *plan);
     }
     if (best.total > ask.remaining) {
         decision.verdict = Refuse{fromSeconds(best.wait), RefuseReason::TooLate};
@@ -236,20 +234,44 @@
 EngineDecision EngineChooser::withoutRoom(const Ask &ask, const Candidate &best)
 {
     EngineDecision decision;
-    if (const std::optional<LoadPlan> plan = spare(ask, best.roomIn + ask.aim)) {
-        if (plan->ready < best.roomIn) {
+    const double wait = best.roomIn + queueWait(ask);
+    if (const std::optional<LoadPlan> plan = spare(ask)) {
+        if (plan->ready < wait) {
             return waitFor(ask, *plan);
         }
         decision.want = wantOf(ask, *plan);
     }
-    if (best.roomIn > ask.remaining) {
-        decision.verdict = Refuse{fromSeconds(best.roomIn), RefuseReason::TooLate};
+    const double left = ask.remaining - (best.total - best.wait);
+    const double most = ask.call.askedBefore ? left : std::min(left, std::max(ask.aim, ask.remaining * HeldShare));
+    if (wait > most) {
+        decision.verdict = Refuse{fromSeconds(wait), RefuseReason::TooLate};
     } else {
         decision.verdict = WaitForRoom{fromSeconds(best.roomIn)};
     }
     return decision;
 }
 
+// A burst that is over before a replica is there needs none, so the wait is smoothed.
+double EngineChooser::crowding(const Ask &ask, const Candidate &best)
+{
+    const double wait = best.wait + (best.room ? 0 : best.roomIn);
+    const std::string key = ask.pool.name + '\n' + ask.model.name;
+    RelaxingMean &mean = m_crowding.try_emplace(key, CrowdingWeight, CrowdingMemory).first->second;
+    if (!ask.call.askedBefore && best.target != nullptr) {
+        mean.add(wait, 0, ask.now);
+    }
+    return mean.value(0, ask.now);
+}
+
+// Calls that go first take the holders' time.
+double EngineChooser::queueWait(const Ask &ask) const
+{
+    const TargetRing *holders = ask.pool.holdersOf(ask.call.model);
+    const double replicas = holders != nullptr ? static_cast<double>(holders->size()) : 1;
+    const double read = ask.pool.speed.prefill(ask.pool.uncached.value(0, ask.now));
+    return static_cast<double>(ask.call.callsBefore) * read * m_book.entries() / replicas;
+}
+
 // A load from the weight store is dear, so a holder in bad standing is tried before it.
 EngineDecision EngineChooser::withoutHolder(const Ask &ask, const Candidate &bad)
 {
@@ -268,15 +290,21 @@
     return waitFor(ask, *plan);
 }
 
-std::optional<LoadPlan> EngineChooser::spare(const Ask &ask, double wait)
+std::optional<LoadPlan> EngineChooser::spare(const Ask &ask)
 {
+    if (ask.crowding < CrowdedShare * ask.aim / 2) {
+        return std::nullopt;
+    }
     const LoadNeed need{&ask.call.excluded, ask.remaining, true};
     const std::optional<LoadPlan> plan = m_planner.plan(ask.pool, ask.model, need, ask.now);
     if (!plan || plan->underWay) {
         return plan;
     }
+    if (plan->wait > ask.crowding / 2) {
+        return std::nullopt;
+    }
     const double rate = ask.pool.demand.rate(ask.call.model, ask.now) * m_book.entries();
-    return rate * wait * GainHorizon > plan->ready + plan->cost ? plan : std::nullopt;
+    return rate * ask.crowding * GainHorizon > plan->ready + plan->cost ? plan : std::nullopt;
 }
 
 LoadWant EngineChooser::wantOf(const Ask &ask, const LoadPlan &plan)
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -15,7 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t SampleSize = 32;
-constexpr double TieSeconds = 0.1; // Offers that differ by less go by rendezvous.
+constexpr double RankSeconds = 0.25; // What the rank by rendezvous may weigh: entries see costs a little apart.
 constexpr double Horizon = 10; // Seconds over which the loss of a model is counted.
 constexpr double UseLimit = 0.5; // Share of a target that one model's calls should take.
 constexpr double SurplusCost = 0.02; // Seconds; of a replica that the demand does not need.
@@ -24,6 +24,7 @@
 constexpr double SilentCost = 2; // Seconds; of an agent that went silent.
 constexpr double DeclinedCost = 1; // Seconds; until what is in use there has changed.
 constexpr Duration LeastPatience = 500ms; // For an agent that shows no sign of what it was asked for.
+constexpr std::uint32_t LeastUrgent = 9;
 constexpr double UnknownDuration = 1; // Seconds of a call.
 
 double loadSeconds(const EngineModel &model, LoadSource source)
@@ -65,13 +66,10 @@
     KnownTarget *target = nullptr;
     double ready = 0;
     double cost = 0;
+    double wait = 0;
     LoadSource source = LoadSource::Store;
     bool declined = false;
-
-    double score() const
-    {
-        return std::floor((ready + cost) / TieSeconds);
-    }
+    double score = 0; ///< Seconds; the lowest goes first.
 };
 
 LoadPlanner::LoadPlanner(TargetBook &book)
@@ -97,7 +95,7 @@
     if (!chosen) {
         return std::nullopt;
     }
-    return LoadPlan{chosen->target->record.id, chosen->ready, chosen->cost, chosen->source, false};
+    return LoadPlan{chosen->target->record.id, chosen->ready, chosen->cost, chosen->wait, chosen->source, false};
 }
 
 std::optional<LoadPlan>
@@ -113,7 +111,7 @@
             }
             const double ready = toSeconds(*remaining);
             if (!earliest || ready < earliest->ready) {
-                earliest = LoadPlan{target->record.id, ready, 0, LoadSource::Disk, true};
+                earliest = LoadPlan{target->record.id, ready, 0, 0, LoadSource::Disk, true};
             }
         }
     }
@@ -133,7 +131,7 @@
         return std::nullopt;
     }
     const double ready = std::max(0.0, toSeconds(asked->second.ready - now));
-    return LoadPlan{asked->second.target, ready, 0, LoadSource::Disk, true};
+    return LoadPlan{asked->second.target, ready, 0, 0, LoadSource::Disk, true};
 }
 
 void LoadPlanner::noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now)
@@ -155,20 +153,17 @@
     const std::uint64_t key = stableHash(model.name);
     ring.sample(key, mixBits(key), SampleSize, m_sample);
     std::optional<Offer> chosen;
-    std::uint64_t chosenRank = 0;
     for (KnownTarget *target : m_sample) {
         if (contains(*need.excluded, target->record.id)) {
             continue;
         }
-        const std::optional<Offer> offered = offer(pool, model, *target, now);
+        std::optional<Offer> offered = offer(pool, model, *target, now);
         if (!offered || (!fromStore && offered->source == LoadSource::Store)) {
             continue;
         }
-        const std::uint64_t rank = mixBits(key ^ target->digest);
-        const double score = offered->score();
-        if (!chosen || score < chosen->score() || (score == chosen->score() && rank > chosenRank)) {
+        offered->score = offered->ready + offered->cost + offered->wait + RankSeconds * (1 - unitRank(key, *target));
+        if (!chosen || offered->score < chosen->score) {
             chosen = offered;
-            chosenRank = rank;
         }
     }
     return chosen;
@@ -197,7 +192,8 @@
     if (!fresh) {
         offer.ready += target.view ? SilentCost : UnheardCost;
     }
-    offer.cost = eviction + pool.speed.prefill(static_cast<double>(target.own.waitingTokens));
+    offer.cost = eviction;
+    offer.wait = pool.speed.prefill(pool.tokensAhead(target, LeastUrgent, now));
     return offer;
 }
 
@@ -208,7 +204,7 @@
     if (target.viewFresh(now)) {
         for (const LoadingItem &loading : target.view->loading) {
             if (loading.item == modelOfItem(loading.item)) {
-                busy += toSeconds(*target.loadingFor(loading.item, now));
+                busy = std::max(busy, toSeconds(*target.loadingFor(loading.item, now)));
             }
         }
     }
--- a/src/placement/targetbook.cpp
+++ b/src/placement/targetbook.cpp
@@ -17,6 +17,7 @@
 constexpr Duration LongestFull = 200ms;
 constexpr Duration ShortestFull = 10ms;
 constexpr double OutlierFactor = 3; // A first event later than this tells of the target, not of the pool.
+constexpr double UrgencyMemory = 0.99; // Of the mix of priorities, at each call.
 constexpr double LeastPrediction = 0.001;
 
 void sortUnique(std::vector<std::string> &list)
@@ -135,6 +136,7 @@
     std::string item; ///< Empty for a plain service.
     std::uint64_t cacheTokens = 0;
     std::uint64_t uncached = 0;
+    std::uint32_t priority = 0;
     TimePoint sent;
     double predicted = 0; ///< Seconds to the first event.
     bool quiet = false; ///< It found no backlog.
@@ -231,7 +233,7 @@
         const PlacedCall &call = m_calls.at(ticket);
         if (call.sent + ReportLag <= now) {
             ++(call.started ? running : waiting);
-            tokens += call.started ? call.cacheTokens : 0;
+            tokens += call.cacheTokens;
         }
     }
     target.foreign.running = view.active > running ? static_cast<double>(view.active - running) : 0;
@@ -298,9 +300,11 @@
     call.uncached = engineCall.promptTokens - std::min(kept, engineCall.promptTokens);
     call.sent = now;
     call.quiet = target.waiting(now) < 1 && target.running(now) * 4 < std::max(1U, target.slots);
-    const double ahead = static_cast<double>(target.own.waitingTokens)
-        + (target.waiting(now) - target.own.waiting) * pool.uncached.value(static_cast<double>(call.uncached), now);
-    call.predicted = pool.speed.firstEvent(call.uncached) + pool.speed.prefill(ahead);
+    call.priority = engineCall.priority;
+    call.predicted = pool.speed.firstEvent(call.uncached)
+        + pool.speed.prefill(pool.tokensAhead(target, call.priority, now));
+    pool.urgency.fade(UrgencyMemory);
+    pool.urgency.add(call.priority, 1);
     target.clock += call.uncached;
     pool.prefixes.note(chain, target.lifetime, target.clock);
     pool.uncached.add(static_cast<double>(call.uncached), static_cast<double>(call.uncached), now);
@@ -316,7 +320,7 @@
     OwnLoad &own = target.own;
     ++own.calls;
     ++own.waiting;
-    own.waitingTokens += call.uncached;
+    own.waitingTokens.add(call.priority, static_cast<double>(call.uncached));
     own.cacheTokens += call.cacheTokens;
     if (!call.item.empty()) {
         ++own.items[call.item];
@@ -327,21 +331,25 @@
     return ticket;
 }
 
-void TargetBook::noteFirstEvent(CallTicket ticket, TimePoint now)
+ChangedModels TargetBook::noteFirstEvent(CallTicket ticket, TimePoint now)
 {
     const auto known = m_calls.find(ticket);
     if (known == m_calls.end() || known->second.started) {
-        return;
+        return {};
     }
     PlacedCall &call = known->second;
     call.started = true;
     const auto target = m_targets.find(call.target);
     if (target == m_targets.end() || target->second->lifetime != call.lifetime) {
-        return;
+        return {};
     }
-    --target->second->own.waiting;
-    target->second->own.waitingTokens -= call.uncached;
+    OwnLoad &own = target->second->own;
+    --own.waiting;
+    own.waitingTokens.add(call.priority, -static_cast<double>(call.uncached));
     observe(poolOf(target->second->record.pool), *target->second, call, now);
+    ChangedModels changed = concerned(*target->second);
+    sortUnique(changed);
+    return changed;
 }
 
 void TargetBook::observe(TargetPool &pool, KnownTarget &target, const PlacedCall &call, TimePoint now)
@@ -380,7 +388,7 @@
     OwnLoad &own = target.own;
     --own.calls;
     own.waiting -= call.started ? 0 : 1;
-    own.waitingTokens -= call.started ? 0 : call.uncached;
+    own.waitingTokens.add(call.priority, call.started ? 0 : -static_cast<double>(call.uncached));
     own.cacheTokens -= call.cacheTokens;
     if (!call.item.empty() && --own.items[call.item] == 0) {
         own.items.erase(call.item);
--- a/src/placement/targetpool.cpp
+++ b/src/placement/targetpool.cpp
@@ -1,5 +1,9 @@
 #include <celeryroute/detail/placement/targetpool.h>
 
+#include <celeryroute/detail/placement/knowntarget.h>
+
+#include <algorithm>
+
 namespace celeryroute {
 
 namespace {
@@ -28,6 +32,15 @@
     , prefixes(PrefixCapacity)
 {}
 
+// How urgent the calls of other entries are is not known; they are taken to be as this entry's.
+double TargetPool::tokensAhead(const KnownTarget &target, std::uint32_t priority, TimePoint now) const
+{
+    const double foreign = std::max(0.0, target.waiting(now) - target.own.waiting) * uncached.value(0, now);
+    const double all = urgency.total();
+    const double share = all > 0 ? urgency.upTo(priority) / all : 1;
+    return target.own.waitingTokens.upTo(priority) + foreign * share;
+}
+
 const TargetRing *TargetPool::holdersOf(const std::string &model) const
 {
     return lookUp(holders, model);
--- a/src/placement/targetring.cpp
+++ b/src/placement/targetring.cpp
@@ -24,6 +24,12 @@
     return value ^ (value >> 31U);
 }
 
+// The upper 53 bits, as a fraction.
+double unitRank(std::uint64_t key, const KnownTarget &target)
+{
+    return static_cast<double>(mixBits(key ^ target.digest) >> 11U) * 0x1.0p-53;
+}
+
 bool TargetRing::insert(KnownTarget *target)
 {
     const auto place = std::lower_bound(m_targets.begin(), m_targets.end(), target, before);
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -77,6 +77,7 @@
     std::map<std::string, std::pair<int, int>> items; ///< Asked for and served, of each model.
     std::map<std::string, std::pair<int, int>> sizes; ///< The largest tenth of calls, and the others.
     int loads = 0;
+    int spareLoads = 0; ///< Of models that others held.
     int storeLoads = 0;
     int full = 0; ///< Sends that a target had no room for.
     int onBadTarget = 0; ///< Sends to the target that fails, is slow or has crashed.
@@ -155,6 +156,7 @@
         std::set<std::string> adapters;
         int running = 0;
         TimePoint used;
+        TimePoint keptUntil; ///< Those who asked for it come until then.
     };
     struct Engine {
         std::string id;
@@ -173,9 +175,11 @@
         std::map<std::uint64_t, double> cacheSizes;
         double cached = 0;
         double held = 0; ///< Cache tokens of running calls.
+        double waitingNeed = 0; ///< Cache tokens of calls that have not begun.
         std::uint32_t queued = 0;
         std::uint32_t active = 0;
-        TimePoint readerFree;
+        std::map<std::pair<std::uint32_t, std::uint64_t>, std::function<Duration()>> reads; ///< By urgency.
+        bool reading = false;
         bool publishing = false;
     };
     struct Entry {
@@ -327,11 +331,6 @@
         ++m_outcome.classes[kind.name].calls;
         ++m_outcome.items[ask.model].first;
         ++m_outcome.sizes[call->large ? "large" : "usual"].first;
-        const EngineCall &asked = call->ask;
-        if (call->entry->queue.standsBehind("engines", asked.model, asked.priority, call->deadline)) {
-            wait(call, "", fromSeconds(0.1));
-            return;
-        }
         decide(call);
     }
 
@@ -341,6 +340,7 @@
         Entry &entry = *call->entry;
         EngineCall &ask = call->ask;
         ask.remaining = call->deadline - m_now;
+        ask.callsBefore = ask.askedBefore ? 0 : entry.queue.waitingForRoom("engines", ask.model, ask.priority);
         const EngineDecision decision = m_fleet.way == PlacementWay::Chooser ? entry.chooser->choose(ask, m_now)
                                                                              : baseline(entry, ask);
         ask.askedBefore = true;
@@ -496,40 +496,65 @@
             return again(call, engine, ticket, CallEnd::Misplaced);
         }
         if (engine.active + engine.queued >= m_fleet.slots + 8
-            || (engine.active > 0 && engine.held + need > static_cast<double>(m_fleet.cacheTokens))) {
+            || (engine.active > 0 && engine.held + engine.waitingNeed + need > static_cast<double>(m_fleet.cacheTokens))) {
             ++m_outcome.full;
             return again(call, engine, ticket, CallEnd::Full);
         }
         if (engine.failing && draw() < m_fleet.failingTarget) {
             return again(call, engine, ticket, CallEnd::Failed);
         }
-        const double stretch = engine.slowness * (1 + static_cast<double>(engine.active) / m_fleet.slots);
-        const double read = readTokens(engine, ask);
-        m_outcome.readTokens += read;
-        m_outcome.promptTokens += static_cast<double>(ask.promptTokens);
-        engine.readerFree = std::max(engine.readerFree, m_now) + fromSeconds(read / m_fleet.tokensPerSecond * stretch);
-        const Duration first = engine.readerFree - m_now + fromSeconds(m_fleet.step * stretch);
-        const Duration rest = fromSeconds(m_fleet.step * stretch * static_cast<double>(ask.lengthHint));
         ++engine.queued;
         ++resident->second.running;
         resident->second.used = m_now;
-        engine.held += need;
-        later(first, [this, call, &engine, ticket] {
-            --engine.queued;
-            ++engine.active;
-            call->entry->book->noteFirstEvent(ticket, m_now);
-            finish(call);
-            publishSoon(engine);
-        });
-        later(first + rest, [this, call, &engine, ticket, need] {
-            --engine.active;
-            engine.held -= need;
-            --engine.models[call->ask.model].running;
-            work(engine);
-            publishSoon(engine);
-            changed(*call->entry, call->entry->book->noteEnded(ticket, CallEnd::Answered, m_now));
+        engine.waitingNeed += need;
+        engine.reads[{ask.priority, ++m_numbers}] = [this, call, &engine, ticket, need] {
+            engine.waitingNeed -= need;
+            engine.held += need;
+            const double stretch = engine.slowness * (1 + static_cast<double>(engine.active) / m_fleet.slots);
+            const double read = readTokens(engine, call->ask);
+            m_outcome.readTokens += read;
+            m_outcome.promptTokens += static_cast<double>(call->ask.promptTokens);
+            const Duration first = fromSeconds(read / m_fleet.tokensPerSecond * stretch + m_fleet.step * stretch);
+            const Duration rest = fromSeconds(m_fleet.step * stretch * static_cast<double>(call->ask.lengthHint));
+            later(first, [this, call, &engine, ticket] { begun(call, engine, ticket); });
+            later(first + rest, [this, call, &engine, ticket, need] { ended(call, engine, ticket, need); });
+            return first;
+        };
+        read(engine);
+        publishSoon(engine);
+    }
+
+    void read(Engine &engine)
+    {
+        if (engine.reading || engine.reads.empty()) {
+            return;
+        }
+        engine.reading = true;
+        const auto start = engine.reads.begin()->second;
+        engine.reads.erase(engine.reads.begin());
+        later(start(), [this, &engine] {
+            engine.reading = false;
+            read(engine);
         });
+    }
+
+    void begun(const std::shared_ptr<Call> &call, Engine &engine, CallTicket ticket)
+    {
+        --engine.queued;
+        ++engine.active;
+        finish(call);
+        publishSoon(engine);
+        changed(*call->entry, call->entry->book->noteFirstEvent(ticket, m_now));
+    }
+
+    void ended(const std::shared_ptr<Call> &call, Engine &engine, CallTicket ticket, double need)
+    {
+        --engine.active;
+        engine.held -= need;
+        --engine.models[call->ask.model].running;
+        work(engine);
         publishSoon(engine);
+        changed(*call->entry, call->entry->book->noteEnded(ticket, CallEnd::Answered, m_now));
     }
 
     void finish(const std::shared_ptr<Call> &call)
@@ -547,6 +572,10 @@
     void again(const std::shared_ptr<Call> &call, Engine &engine, CallTicket ticket, CallEnd end)
     {
         call->entry->book->noteEnded(ticket, end, m_now);
+        if (end == CallEnd::Full && m_fleet.way != PlacementWay::Chooser) {
+            refuse(call, std::chrono::milliseconds(100));
+            return;
+        }
         if (end != CallEnd::Misplaced && end != CallEnd::Full) {
             call->ask.excluded.push_back(engine.id);
         }
@@ -594,6 +623,7 @@
                 known->second = m_now + std::chrono::seconds(3);
             }
             work(engine);
+            publishSoon(engine);
         });
     }
 
@@ -636,7 +666,7 @@
         while (used(engine) + size(model) > spec().memoryMb) {
             auto victim = engine.models.end();
             for (auto held = engine.models.begin(); held != engine.models.end(); ++held) {
-                if (held->second.running == 0
+                if (held->second.running == 0 && held->second.keptUntil <= m_now
                     && (victim == engine.models.end() || held->second.used < victim->second.used)) {
                     victim = held;
                 }
@@ -659,6 +689,9 @@
             ++m_outcome.storeLoads;
         }
         ++m_outcome.loads;
+        m_outcome.spareLoads += std::any_of(m_engines.begin(), m_engines.end(), [&model](const Engine &other) {
+            return other.models.contains(model);
+        });
         engine.declined.erase(model);
         engine.loading = model;
         engine.loaded = m_now + takes;
@@ -666,6 +699,8 @@
         later(takes, [this, &engine, model] {
             engine.loading.clear();
             engine.models[model].used = m_now;
+            engine.models[model].keptUntil = m_now + std::chrono::milliseconds(100);
+            later(std::chrono::milliseconds(100), [this, &engine] { work(engine); });
             engine.inMemory.insert(model);
             engine.onDisk.insert(model);
             publishSoon(engine);
@@ -709,6 +744,13 @@
         if (!engine.loading.empty()) {
             view.loading.push_back({engine.loading, engine.loaded - m_now});
         }
+        Duration ready = engine.loading.empty() ? Duration::zero() : engine.loaded - m_now;
+        for (const auto &[item, until] : engine.wants) {
+            if (item == modelOfItem(item) && !engine.declined.contains(item)) {
+                ready += spec().model(item)->diskLoad;
+                view.loading.push_back({item, ready});
+            }
+        }
         view.copies.inMemory.assign(engine.inMemory.begin(), engine.inMemory.end());
         view.copies.onDisk.assign(engine.onDisk.begin(), engine.onDisk.end());
         view.queued = engine.queued;
