Follow the names that the serving library settled on

The order of all waiting calls is kept, not sorted anew at each look, and the load of the simulated engines is told as late as agents tell it.

--- a/include/celeryroute/detail/placement/callqueue.h
+++ b/include/celeryroute/detail/placement/callqueue.h
@@ -45,6 +45,8 @@
 
     /// @brief Calls for @p model of @p pool or its adapters, at most @p limit, in their order.
     std::vector<std::uint64_t> waitingFor(const std::string &pool, const std::string &model, std::size_t limit) const;
+    /// @brief All calls, the most urgent first, at most @p limit.
+    std::vector<std::uint64_t> inOrder(std::size_t limit) const;
     /// @brief Number of calls as urgent as @p priority or more that wait for room at holders of @p model.
     std::size_t waitingForRoom(const std::string &pool, const std::string &model, std::uint32_t priority) const;
     /// @brief Removes the calls whose time has come, in order of their deadlines.
@@ -69,10 +71,12 @@
     };
 
     static std::string key(const std::string &pool, const std::string &item);
+    static std::vector<std::uint64_t> first(const std::set<Rank> &ranks, std::size_t limit);
     void unlink(const Held &held);
 
     std::uint64_t m_numbers = 0;
     std::unordered_map<std::uint64_t, Held> m_calls;
+    std::set<Rank> m_inOrder;
     std::unordered_map<std::string, std::set<Rank>> m_byModel;
     std::unordered_map<std::string, std::map<std::uint32_t, std::size_t>> m_forRoom; ///< Calls by priority.
     std::unordered_map<std::string, std::set<std::uint64_t>> m_byTarget;
--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -10,7 +10,7 @@
 namespace celeryroute {
 
 /// Where a model would come from.
-enum class LoadSource {
+enum class CopyPlace {
     Memory,
     Disk,
     Store,
@@ -22,7 +22,7 @@
     double ready = 0; ///< Seconds until it is there.
     double cost = 0; ///< What it costs other calls, in seconds.
     double wait = 0; ///< Seconds that calls wait there now.
-    LoadSource source = LoadSource::Store;
+    CopyPlace source = CopyPlace::Store;
     bool underWay = false; ///< Already loading or asked for.
     bool operator==(const LoadPlan &) const = default;
 };
--- a/include/celeryroute/detail/placement/targetview.h
+++ b/include/celeryroute/detail/placement/targetview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celeryroute/detail/serving/loadingitem.h>
 #include <celeryroute/detail/serving/targetrecord.h>
 
 #include <cstdint>
@@ -8,13 +9,6 @@
 
 namespace celeryroute {
 
-/// A model or an adapter on its way to a target.
-struct LoadingItem {
-    std::string item; ///< `MODEL` or `MODEL/ADAPTER`
-    Duration remaining{}; ///< When the view was heard.
-    bool operator==(const LoadingItem &) const = default;
-};
-
 /// What a target's agent last said of it.
 struct TargetView {
     std::int64_t bornMs = 0;
--- a/src/placement/callqueue.cpp
+++ b/src/placement/callqueue.cpp
@@ -33,6 +33,7 @@
     }
     const std::string model = key(call.pool, call.item);
     const Rank rank{call.priority, call.deadline, number, call.call};
+    m_inOrder.insert(rank);
     m_byModel[model].insert(rank);
     m_byDeadline.insert({call.deadline, call.call});
     if (call.askedTarget.empty()) {
@@ -60,6 +61,7 @@
     const WaitingCall &call = held.call;
     const std::string model = key(call.pool, call.item);
     const Rank rank{call.priority, call.deadline, held.number, call.call};
+    m_inOrder.erase(rank);
     eraseFrom(m_byModel, model, rank);
     eraseFrom(m_byTarget, call.askedTarget, call.call);
     if (call.askedTarget.empty()) {
@@ -84,16 +86,21 @@
 std::vector<std::uint64_t>
 CallQueue::waitingFor(const std::string &pool, const std::string &model, std::size_t limit) const
 {
-    std::vector<std::uint64_t> calls;
     const auto ranks = m_byModel.find(key(pool, model));
-    if (ranks == m_byModel.end()) {
-        return calls;
-    }
-    for (const Rank &rank : ranks->second) {
-        if (calls.size() == limit) {
-            break;
-        }
-        calls.push_back(rank.call);
+    return ranks == m_byModel.end() ? std::vector<std::uint64_t>() : first(ranks->second, limit);
+}
+
+std::vector<std::uint64_t> CallQueue::inOrder(std::size_t limit) const
+{
+    return first(m_inOrder, limit);
+}
+
+std::vector<std::uint64_t> CallQueue::first(const std::set<Rank> &ranks, std::size_t limit)
+{
+    std::vector<std::uint64_t> calls;
+    calls.reserve(std::min(limit, ranks.size()));
+    for (auto rank = ranks.begin(); rank != ranks.end() && calls.size() < limit; ++rank) {
+        calls.push_back(rank->call);
     }
     return calls;
 }
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -280,7 +280,7 @@
     }
     const LoadNeed need{&ask.call.excluded, ask.remaining, false};
     const std::optional<LoadPlan> plan = m_planner.plan(ask.pool, ask.model, need, ask.now);
-    const bool dear = !plan || (plan->source == LoadSource::Store && !plan->underWay) || plan->ready > ask.remaining;
+    const bool dear = !plan || (plan->source == CopyPlace::Store && !plan->underWay) || plan->ready > ask.remaining;
     if (bad.target != nullptr && dear) {
         return {SendTo{bad.target->record.id}, std::nullopt};
     }
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -27,14 +27,14 @@
 constexpr std::uint32_t LeastUrgent = 9;
 constexpr double UnknownDuration = 1; // Seconds of a call.
 
-double loadSeconds(const EngineModel &model, LoadSource source)
+double loadSeconds(const EngineModel &model, CopyPlace source)
 {
     switch (source) {
-    case LoadSource::Memory:
+    case CopyPlace::Memory:
         return toSeconds(model.memoryLoad);
-    case LoadSource::Disk:
+    case CopyPlace::Disk:
         return toSeconds(model.diskLoad);
-    case LoadSource::Store:
+    case CopyPlace::Store:
         break;
     }
     return toSeconds(model.storeLoad);
@@ -45,13 +45,13 @@
     return std::find(list.begin(), list.end(), name) != list.end();
 }
 
-LoadSource sourceAt(const KnownTarget &target, const std::string &model, TimePoint now)
+CopyPlace sourceAt(const KnownTarget &target, const std::string &model, TimePoint now)
 {
     const LocalCopies &copies = target.copies(now);
     if (contains(copies.inMemory, model)) {
-        return LoadSource::Memory;
+        return CopyPlace::Memory;
     }
-    return contains(copies.onDisk, model) ? LoadSource::Disk : LoadSource::Store;
+    return contains(copies.onDisk, model) ? CopyPlace::Disk : CopyPlace::Store;
 }
 
 double sizeOf(const EngineSpec &spec, const std::string &model)
@@ -67,7 +67,7 @@
     double ready = 0;
     double cost = 0;
     double wait = 0;
-    LoadSource source = LoadSource::Store;
+    CopyPlace source = CopyPlace::Store;
     bool declined = false;
     double score = 0; ///< Seconds; the lowest goes first.
 };
@@ -111,7 +111,7 @@
             }
             const double ready = toSeconds(*remaining);
             if (!earliest || ready < earliest->ready) {
-                earliest = LoadPlan{target->record.id, ready, 0, 0, LoadSource::Disk, true};
+                earliest = LoadPlan{target->record.id, ready, 0, 0, CopyPlace::Disk, true};
             }
         }
     }
@@ -131,7 +131,7 @@
         return std::nullopt;
     }
     const double ready = std::max(0.0, toSeconds(asked->second.ready - now));
-    return LoadPlan{asked->second.target, ready, 0, 0, LoadSource::Disk, true};
+    return LoadPlan{asked->second.target, ready, 0, 0, CopyPlace::Disk, true};
 }
 
 void LoadPlanner::noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now)
@@ -158,7 +158,7 @@
             continue;
         }
         std::optional<Offer> offered = offer(pool, model, *target, now);
-        if (!offered || (!fromStore && offered->source == LoadSource::Store)) {
+        if (!offered || (!fromStore && offered->source == CopyPlace::Store)) {
             continue;
         }
         offered->score = offered->ready + offered->cost + offered->wait + RankSeconds * (1 - unitRank(key, *target));
@@ -273,7 +273,7 @@
     if (replicas - 1 >= std::max(1.0, std::ceil(replicasNeeded(pool, model, now)))) {
         return SurplusCost + busy + rate / replicas * SurplusCost;
     }
-    const double reload = loadSeconds(*known, LoadSource::Disk);
+    const double reload = loadSeconds(*known, CopyPlace::Disk);
     return (1 - std::exp(-rate * Horizon)) * reload + rate * reload * reload / 2 + busy;
 }
 
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -180,7 +180,7 @@
         std::uint32_t active = 0;
         std::map<std::pair<std::uint32_t, std::uint64_t>, std::function<Duration()>> reads; ///< By urgency.
         bool reading = false;
-        bool publishing = false;
+        TimePoint publishAt;
     };
     struct Entry {
         std::unique_ptr<TargetBook> book;
@@ -496,7 +496,8 @@
             return again(call, engine, ticket, CallEnd::Misplaced);
         }
         if (engine.active + engine.queued >= m_fleet.slots + 8
-            || (engine.active > 0 && engine.held + engine.waitingNeed + need > static_cast<double>(m_fleet.cacheTokens))) {
+            || (engine.active > 0
+                && engine.held + engine.waitingNeed + need > static_cast<double>(m_fleet.cacheTokens))) {
             ++m_outcome.full;
             return again(call, engine, ticket, CallEnd::Full);
         }
@@ -506,6 +507,7 @@
         ++engine.queued;
         ++resident->second.running;
         resident->second.used = m_now;
+        resident->second.keptUntil = m_now;
         engine.waitingNeed += need;
         engine.reads[{ask.priority, ++m_numbers}] = [this, call, &engine, ticket, need] {
             engine.waitingNeed -= need;
@@ -521,7 +523,7 @@
             return first;
         };
         read(engine);
-        publishSoon(engine);
+        publishLoad(engine);
     }
 
     void read(Engine &engine)
@@ -543,7 +545,7 @@
         --engine.queued;
         ++engine.active;
         finish(call);
-        publishSoon(engine);
+        publishLoad(engine);
         changed(*call->entry, call->entry->book->noteFirstEvent(ticket, m_now));
     }
 
@@ -553,7 +555,7 @@
         engine.held -= need;
         --engine.models[call->ask.model].running;
         work(engine);
-        publishSoon(engine);
+        publishLoad(engine);
         changed(*call->entry, call->entry->book->noteEnded(ticket, CallEnd::Answered, m_now));
     }
 
@@ -699,8 +701,8 @@
         later(takes, [this, &engine, model] {
             engine.loading.clear();
             engine.models[model].used = m_now;
-            engine.models[model].keptUntil = m_now + std::chrono::milliseconds(100);
-            later(std::chrono::milliseconds(100), [this, &engine] { work(engine); });
+            engine.models[model].keptUntil = m_now + std::chrono::seconds(1);
+            later(std::chrono::seconds(1), [this, &engine] { work(engine); });
             engine.inMemory.insert(model);
             engine.onDisk.insert(model);
             publishSoon(engine);
@@ -722,17 +724,30 @@
         return used;
     }
 
+    // Changes of what it holds are told at once, its load now and then.
     void publishSoon(Engine &engine)
     {
-        if (!engine.publishing) {
-            engine.publishing = true;
-            later(std::chrono::milliseconds(5), [this, &engine] { publish(engine); });
+        schedulePublish(engine, std::chrono::milliseconds(5));
+    }
+    void publishLoad(Engine &engine)
+    {
+        schedulePublish(engine, std::chrono::milliseconds(150));
+    }
+    void schedulePublish(Engine &engine, Duration wait)
+    {
+        if (engine.publishAt > m_now && engine.publishAt <= m_now + wait) {
+            return;
         }
+        engine.publishAt = m_now + wait;
+        later(wait, [this, &engine] {
+            if (engine.publishAt == m_now) {
+                publish(engine);
+            }
+        });
     }
 
     void publish(Engine &engine)
     {
-        engine.publishing = false;
         if (engine.crashed) {
             return;
         }
@@ -764,7 +779,7 @@
                 changed(entry, entry.book->setView(id, view, m_now));
             }
         });
-        later(std::chrono::seconds(1), [this, &engine] { publishSoon(engine); });
+        schedulePublish(engine, std::chrono::seconds(1));
     }
 
     static constexpr Duration Hop = std::chrono::milliseconds(1);
