--- a/src/placement/callqueue.cpp
+++ b/src/placement/callqueue.cpp
@@ -3,10 +3,22 @@
 #include <celeryroute/detail/placement/itemkey.h>
 
 #include <algorithm>
-#include <map>
 
 namespace celeryroute {
 
+namespace {
+
+template <typename Map, typename Value>
+void eraseFrom(Map &map, const std::string &key, const Value &value)
+{
+    const auto entry = map.find(key);
+    if (entry != map.end() && entry->second.erase(value) > 0 && entry->second.empty()) {
+        map.erase(entry);
+    }
+}
+
+} // namespace
+
 std::string CallQueue::key(const std::string &pool, const std::string &item)
 {
     return pool + '\n' + modelOfItem(item);
@@ -19,9 +31,14 @@
     if (known != m_calls.end()) {
         unlink(known->second);
     }
-    m_byModel[key(call.pool, call.item)].insert({call.priority, call.deadline, number, call.call});
+    const std::string model = key(call.pool, call.item);
+    const Rank rank{call.priority, call.deadline, number, call.call};
+    m_inOrder.insert(rank);
+    m_byModel[model].insert(rank);
     m_byDeadline.insert({call.deadline, call.call});
-    if (!call.askedTarget.empty()) {
+    if (call.askedTarget.empty()) {
+        ++m_forRoom[model][call.priority];
+    } else {
         m_byTarget[call.askedTarget].insert(call.call);
     }
     const std::uint64_t id = call.call;
@@ -42,19 +59,22 @@
 void CallQueue::unlink(const Held &held)
 {
     const WaitingCall &call = held.call;
-    const auto model = m_byModel.find(key(call.pool, call.item));
-    model->second.erase({call.priority, call.deadline, held.number, call.call});
-    if (model->second.empty()) {
-        m_byModel.erase(model);
-    }
-    m_byDeadline.erase({call.deadline, call.call});
-    const auto target = m_byTarget.find(call.askedTarget);
-    if (target != m_byTarget.end()) {
-        target->second.erase(call.call);
-        if (target->second.empty()) {
-            m_byTarget.erase(target);
+    const std::string model = key(call.pool, call.item);
+    const Rank rank{call.priority, call.deadline, held.number, call.call};
+    m_inOrder.erase(rank);
+    eraseFrom(m_byModel, model, rank);
+    eraseFrom(m_byTarget, call.askedTarget, call.call);
+    if (call.askedTarget.empty()) {
+        const auto counts = m_forRoom.find(model);
+        const auto count = counts->second.find(call.priority);
+        if (--count->second == 0) {
+            counts->second.erase(count);
+        }
+        if (counts->second.empty()) {
+            m_forRoom.erase(counts);
         }
     }
+    m_byDeadline.erase({call.deadline, call.call});
 }
 
 const WaitingCall *CallQueue::find(std::uint64_t call) const
@@ -66,43 +86,35 @@
 std::vector<std::uint64_t>
 CallQueue::waitingFor(const std::string &pool, const std::string &model, std::size_t limit) const
 {
-    std::vector<std::uint64_t> calls;
     const auto ranks = m_byModel.find(key(pool, model));
-    if (ranks == m_byModel.end()) {
-        return calls;
-    }
-    for (const Rank &rank : ranks->second) {
-        if (calls.size() == limit) {
-            break;
-        }
-        calls.push_back(rank.call);
-    }
-    return calls;
+    return ranks == m_byModel.end() ? std::vector<std::uint64_t>() : first(ranks->second, limit);
 }
 
 std::vector<std::uint64_t> CallQueue::inOrder(std::size_t limit) const
 {
-    std::vector<Rank> ranks;
-    ranks.reserve(m_calls.size());
-    for (const auto &[call, held] : m_calls) {
-        ranks.push_back({held.call.priority, held.call.deadline, held.number, call});
-    }
-    const std::size_t count = std::min(limit, ranks.size());
-    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(count), ranks.end());
+    return first(m_inOrder, limit);
+}
+
+std::vector<std::uint64_t> CallQueue::first(const std::set<Rank> &ranks, std::size_t limit)
+{
     std::vector<std::uint64_t> calls;
-    for (std::size_t i = 0; i < count; ++i) {
-        calls.push_back(ranks[i].call);
+    calls.reserve(std::min(limit, ranks.size()));
+    for (auto rank = ranks.begin(); rank != ranks.end() && calls.size() < limit; ++rank) {
+        calls.push_back(rank->call);
     }
     return calls;
 }
 
-bool CallQueue::standsBehind(const std::string &pool,
-                             const std::string &model,
-                             std::uint32_t priority,
-                             TimePoint deadline) const
+std::size_t CallQueue::waitingForRoom(const std::string &pool, const std::string &model, std::uint32_t priority) const
 {
-    const auto ranks = m_byModel.find(key(pool, model));
-    return ranks != m_byModel.end() && *ranks->second.begin() < Rank{priority, deadline, m_numbers + 1, 0};
+    std::size_t calls = 0;
+    const auto counts = m_forRoom.find(key(pool, model));
+    if (counts != m_forRoom.end()) {
+        for (auto count = counts->second.begin(); count != counts->second.end() && count->first <= priority; ++count) {
+            calls += count->second;
+        }
+    }
+    return calls;
 }
 
 std::vector<WaitingCall> CallQueue::takeExpired(TimePoint now)
