Name the target's instance in each order; let new calls stand behind waiting ones

An order without the instance could reach a later lifetime at the address. A refusal of an order that promises that nothing was done is no longer in doubt. Calls that find others of their urgency waiting for room at the holders of their model stand behind them; waiting ones are looked at in order.

--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -37,7 +37,7 @@
     void readReport();
     void reportRead(int status, const std::string &body, TimePoint began);
     void sendOrder(const TargetOrder &order);
-    void orderAnswered(const TargetOrder &order, int status);
+    void orderAnswered(const TargetOrder &order, const MessageHead &head);
     void publish(bool urgent);
     void broadcast();
 
--- a/include/celeryroute/detail/node/plaincaller.h
+++ b/include/celeryroute/detail/node/plaincaller.h
@@ -13,8 +13,8 @@
 class PlainCaller
 {
 public:
-    /// Receives the status, 0 without a whole answer, and the body.
-    using Answered = std::function<void(int status, const std::string &body)>;
+    /// Receives the head, with status 0 when no whole answer came, and the body.
+    using Answered = std::function<void(const MessageHead &head, const std::string &body)>;
 
     PlainCaller(EventLoop &loop, const Endpoint &server);
     ~PlainCaller();
--- a/include/celeryroute/detail/node/platformtranslation.h
+++ b/include/celeryroute/detail/node/platformtranslation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celeryroute/detail/feed/feedcalls.h>
+#include <celeryroute/detail/http1/messagehead.h>
 #include <celeryroute/detail/serving/headernames.h>
 #include <celeryroute/detail/serving/servingstate.h>
 #include <celeryroute/detail/serving/targetorder.h>
@@ -10,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -19,6 +21,7 @@
     std::string target; ///< Path and query.
     std::string contentType; ///< Empty without a body.
     std::string body;
+    std::vector<HeaderField> fields = {}; ///< Besides those of every call.
     bool operator==(const PlainCall &) const = default;
 };
 
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -180,7 +180,7 @@
     }
     constexpr int GapsBeforeStall = 2;
     const Duration patience = begun() ? m_route->targetGap * GapsBeforeStall
-                                                    : std::max(m_route->targetLatency, remaining() / 3);
+                                      : std::max(m_route->targetLatency, remaining() / 3);
     if (patience <= Duration::zero()) {
         return;
     }
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -67,6 +67,10 @@
     call.targetLatency = m_route->targetLatency;
     call.excluded = m_excluded;
     call.askedBefore = m_asked;
+    // Waiting calls are looked at in their order, so only a new one has to stand behind them.
+    if (m_gateway.queue().find(m_number) == nullptr) {
+        call.callsBefore = m_gateway.queue().waitingForRoom(m_pool, m_fields.model, call.priority);
+    }
     if (!m_version.empty() && begun()) {
         std::uint64_t version = 0;
         std::from_chars(m_version.data(), m_version.data() + m_version.size(), version);
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -95,23 +95,26 @@
 void AgentNode::acquireFence()
 {
     const FeedCall call = AppendRecord{FeedTopic::Fences, m_core.settings.name};
-    m_store.call(m_core.translation.feedCall(call), FenceTimeout, [this, call](int status, const std::string &body) {
-        const FeedAnswer answer = status == 0 ? FeedAnswer(FeedUnavailable{0})
-                                              : m_core.translation.feedAnswer(call, status, body);
-        m_core.metrics.countStoreCall(StoreCallKind::Append,
-                                      std::holds_alternative<Appended>(answer) ? StoreCallOutcome::Answered
-                                                                               : StoreCallOutcome::Lost);
-        if (const auto *appended = std::get_if<Appended>(&answer)) {
-            const std::uint64_t fence = appended->offset + 1;
-            m_core.log.write(DecisionEvent::AgentFenced,
-                             m_core.loop.now(),
-                             {{fieldnames::Target, m_instance}, {"fence", fence}});
-            m_keeper.useFence(fence);
-            advance();
-            return;
-        }
-        m_core.loop.at(m_core.loop.now() + m_fenceDelay.failed(), [this] { acquireFence(); });
-    });
+    m_store.call(m_core.translation.feedCall(call),
+                 FenceTimeout,
+                 [this, call](const MessageHead &head, const std::string &body) {
+                     const FeedAnswer answer = head.status == 0
+                         ? FeedAnswer(FeedUnavailable{0})
+                         : m_core.translation.feedAnswer(call, head.status, body);
+                     m_core.metrics.countStoreCall(StoreCallKind::Append,
+                                                   std::holds_alternative<Appended>(answer) ? StoreCallOutcome::Answered
+                                                                                            : StoreCallOutcome::Lost);
+                     if (const auto *appended = std::get_if<Appended>(&answer)) {
+                         const std::uint64_t fence = appended->offset + 1;
+                         m_core.log.write(DecisionEvent::AgentFenced,
+                                          m_core.loop.now(),
+                                          {{fieldnames::Target, m_instance}, {"fence", fence}});
+                         m_keeper.useFence(fence);
+                         advance();
+                         return;
+                     }
+                     m_core.loop.at(m_core.loop.now() + m_fenceDelay.failed(), [this] { acquireFence(); });
+                 });
 }
 
 void AgentNode::received(const wire::Envelope &envelope)
@@ -163,9 +166,10 @@
     }
     m_reading = true;
     const TimePoint began = m_core.loop.now();
-    m_target.call(m_core.translation.reportCall, ReportTimeout, [this, began](int status, const std::string &body) {
-        reportRead(status, body, began);
-    });
+    m_target.call(
+        m_core.translation.reportCall,
+        ReportTimeout,
+        [this, began](const MessageHead &head, const std::string &body) { reportRead(head.status, body, began); });
 }
 
 void AgentNode::reportRead(int status, const std::string &body, TimePoint began)
@@ -190,14 +194,19 @@
                       {fieldnames::Item, order.adapter.empty() ? order.model : order.model + '/' + order.adapter},
                       {"sequence", order.expectedSequence},
                       {"fence", order.fence}});
-    m_target.call(m_core.translation.orderCall(order), OrderTimeout, [this, order](int status, const std::string &) {
-        orderAnswered(order, status);
+    PlainCall call = m_core.translation.orderCall(order);
+    call.fields.push_back({m_core.translation.headers.instance, order.instance});
+    m_target.call(call, OrderTimeout, [this, order](const MessageHead &head, const std::string &) {
+        orderAnswered(order, head);
     });
 }
 
-void AgentNode::orderAnswered(const TargetOrder &order, int status)
+void AgentNode::orderAnswered(const TargetOrder &order, const MessageHead &head)
 {
-    const OrderOutcome outcome = status == 0 ? OrderOutcome::InDoubt : m_core.translation.orderOutcome(status);
+    OrderOutcome outcome = head.status == 0 ? OrderOutcome::InDoubt : m_core.translation.orderOutcome(head.status);
+    if (outcome == OrderOutcome::InDoubt && head.field(m_core.translation.headers.notRun) != nullptr) {
+        outcome = OrderOutcome::Rejected;
+    }
     m_core.metrics.countOrder(order.kind, outcome);
     m_core.log.write(DecisionEvent::AgentOutcome,
                      m_core.loop.now(),
@@ -205,7 +214,7 @@
                       {"operation", labelValue(order.kind)},
                       {fieldnames::Item, order.adapter.empty() ? order.model : order.model + '/' + order.adapter},
                       {"outcome", labelValue(outcome)},
-                      {"status", status}});
+                      {"status", head.status}});
     m_keeper.noteOutcome(order, outcome, m_core.loop.now());
     advance();
 }
--- a/src/node/feeddriver.cpp
+++ b/src/node/feeddriver.cpp
@@ -62,17 +62,19 @@
     // The turn may have taken long; what is learned counts from the moment of asking.
     const TimePoint began = m_loop.now();
     const FeedCall call = step.call;
-    m_store.call(m_translation.feedCall(call), step.timeout, [this, call, began](int status, const std::string &body) {
-        const FeedAnswer answer = status == 0 ? FeedAnswer(FeedUnavailable{0})
-                                              : m_translation.feedAnswer(call, status, body);
-        m_metrics.countStoreCall(std::visit(StoreCallKindOf{}, call), outcomeOf(answer));
-        if (status == 0) {
-            m_follower.timedOut(m_loop.now());
-        } else {
-            m_follower.answered(answer, began, m_loop.now());
-        }
-        advance();
-    });
+    m_store.call(m_translation.feedCall(call),
+                 step.timeout,
+                 [this, call, began](const MessageHead &head, const std::string &body) {
+                     const FeedAnswer answer = head.status == 0 ? FeedAnswer(FeedUnavailable{0})
+                                                                : m_translation.feedAnswer(call, head.status, body);
+                     m_metrics.countStoreCall(std::visit(StoreCallKindOf{}, call), outcomeOf(answer));
+                     if (head.status == 0) {
+                         m_follower.timedOut(m_loop.now());
+                     } else {
+                         m_follower.answered(answer, began, m_loop.now());
+                     }
+                     advance();
+                 });
 }
 
 void FeedDriver::perform(const WaitUntil &step)
--- a/src/node/plaincaller.cpp
+++ b/src/node/plaincaller.cpp
@@ -21,14 +21,15 @@
         m_timer = m_owner.m_loop.at(m_owner.m_loop.now() + timeout, [this] {
             m_timer = 0;
             m_connection->abandon();
-            finish(0);
+            m_head = {};
+            finish();
         });
         m_connection = &m_owner.m_channels.start(m_owner.m_server, std::move(request), *this);
     }
 
     void exchangeHead(MessageHead head) override
     {
-        m_status = head.status;
+        m_head = std::move(head);
     }
     void exchangeBody(std::string &body) override
     {
@@ -37,15 +38,16 @@
     }
     void exchangeComplete() override
     {
-        finish(m_status);
+        finish();
     }
     void exchangeFailed(ExchangeFailure) override
     {
-        finish(0);
+        m_head = {};
+        finish();
     }
 
 private:
-    void finish(int status)
+    void finish()
     {
         // Both the answer and the timeout may be due in one turn.
         m_owner.m_loop.cancel(m_timer);
@@ -53,14 +55,14 @@
         const Answered answered = std::move(m_answered);
         const std::string body = std::move(m_body);
         m_owner.finish(this);
-        answered(status, body);
+        answered(m_head, body);
     }
 
     PlainCaller &m_owner;
     Answered m_answered;
     TargetConnection *m_connection = nullptr;
     EventLoop::TimerId m_timer = 0;
-    int m_status = 0;
+    MessageHead m_head;
     std::string m_body;
 };
 
@@ -78,6 +80,9 @@
     TargetRequest request;
     appendRequestLine(request.head, call.method, call.target);
     appendField(request.head, "Host", m_host);
+    for (const HeaderField &field : call.fields) {
+        appendField(request.head, field.name, field.value);
+    }
     if (!call.contentType.empty()) {
         appendField(request.head, "Content-Type", call.contentType);
         appendField(request.head, "Content-Length", std::to_string(call.body.size()));
