--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -112,7 +112,7 @@
     std::vector<WantedItem> wants = m_queue.wantsAt(target);
     const auto spare = m_spares.find(target);
     if (spare != m_spares.end() && m_parts.loop.now() - spare->second.since < SpareLifetime) {
-        wants.push_back({spare->second.item, 0, SparePriority, spare->second.since});
+        wants.push_back({spare->second.item, 1, SparePriority, spare->second.since});
     }
     return wants;
 }
