--- a/benchmarks/bench-placement.cpp
+++ b/benchmarks/bench-placement.cpp
@@ -142,7 +142,7 @@
     const std::vector<std::string> excluded;
     TargetPool &pool = *book.pool("engines");
     while (state.KeepRunning()) {
-        benchmark::DoNotOptimize(planner.plan(pool, spec.models[2], {&excluded, 5, false}, now));
+        benchmark::DoNotOptimize(planner.plan(pool, spec.models[2], {&excluded, 5, 1, false}, now));
     }
 }
 BENCHMARK(loadChoice)->Arg(9)->Arg(100)->Arg(1000)->Arg(11000);
--- a/include/celeryroute/detail/placement/enginecall.h
+++ b/include/celeryroute/detail/placement/enginecall.h
@@ -30,6 +30,7 @@
     Duration targetLatency{}; ///< Wanted time to the first event; 0 when there is none.
     std::optional<std::uint64_t> weightsVersion; ///< The only version that may go on with it.
     std::vector<std::string> excluded; ///< Targets that must not get it.
+    Duration waited{}; ///< In this entry.
     bool askedBefore = false; ///< The same call was decided on before.
     std::size_t callsBefore = 0; ///< That wait in this entry for room at holders of the model and go first.
     bool operator==(const EngineCall &) const = default;
--- /dev/null
+++ b/include/celeryroute/detail/placement/holderfinder.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <celeryroute/detail/placement/engineask.h>
+#include <celeryroute/detail/placement/holder.h>
+#include <celeryroute/detail/placement/targetbook.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace celeryroute {
+
+/// Compares the targets that hold a model.
+class HolderFinder
+{
+public:
+    HolderFinder(const TargetBook &book, std::uint64_t seed);
+
+    /// @brief The best holder for a call; without a target if no holder may get it.
+    Holder best(const EngineAsk &ask);
+
+private:
+    Holder assess(const EngineAsk &ask, KnownTarget &target);
+    Holder::Grade grade(const EngineAsk &ask, const KnownTarget &target);
+    void estimateTime(const EngineAsk &ask, Holder &holder) const;
+    void estimateRoom(const EngineAsk &ask, Holder &holder) const;
+    double adapterCost(const EngineAsk &ask, const ResidentModel &resident, const KnownTarget &target) const;
+    std::uint64_t random();
+
+    const TargetBook &m_book;
+    std::uint64_t m_random;
+    std::vector<KnownTarget *> m_sample;
+};
+
+} // namespace celeryroute
--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -20,7 +20,7 @@
 struct LoadPlan {
     std::string target;
     double ready = 0; ///< Seconds until it is there.
-    double cost = 0; ///< What it costs other calls, in seconds.
+    double cost = 0; ///< Other calls that will come late for it.
     double wait = 0; ///< Seconds that calls wait there now.
     CopyPlace source = CopyPlace::Store;
     bool underWay = false; ///< Already loading or asked for.
@@ -31,6 +31,7 @@
 struct LoadNeed {
     const std::vector<std::string> *excluded = nullptr; ///< Targets that the waiting call cannot use.
     double within = 0; ///< Seconds that are left.
+    double aim = 1; ///< Seconds in which the call wants its first event.
     bool spare = false; ///< A further replica; never from the weight store.
 };
 
@@ -44,9 +45,6 @@
     /// @brief The target of @p plan is being asked for @p model.
     void noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now);
 
-    /// @brief Replicas that the demand for @p model asks for.
-    double replicasNeeded(const TargetPool &pool, const std::string &model, TimePoint now) const;
-
 private:
     struct Asked {
         std::string target;
--- a/include/celeryroute/detail/placement/targetbook.h
+++ b/include/celeryroute/detail/placement/targetbook.h
@@ -68,6 +68,7 @@
     void unindex(KnownTarget &target);
     ChangedModels reindex(KnownTarget &target, TimePoint now);
     CallTicket open(KnownTarget &target, PlacedCall call);
+    void leaveQueue(const PlacedCall &call);
     void observe(TargetPool &pool, KnownTarget &target, const PlacedCall &call, TimePoint now);
     void judge(TargetPool &pool, KnownTarget &target, const PlacedCall &call, CallEnd end, TimePoint now);
     void forgetIfGone(const std::string &id);
--- a/include/celeryroute/detail/placement/targetpool.h
+++ b/include/celeryroute/detail/placement/targetpool.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <celeryroute/detail/placement/demandmeter.h>
 #include <celeryroute/detail/placement/enginespeed.h>
 #include <celeryroute/detail/placement/prefixmemory.h>
 #include <celeryroute/detail/placement/relaxingmean.h>
 #include <celeryroute/detail/placement/targetring.h>
+#include <celeryroute/detail/placement/trafficmeter.h>
 #include <celeryroute/detail/placement/urgencyload.h>
 #include <celeryroute/detail/serving/enginespec.h>
 
@@ -31,8 +31,10 @@
     RelaxingMean uncached; ///< Prompt tokens that a call has to read.
     RelaxingMean tokens; ///< Cache tokens of a call.
     UrgencyLoad urgency; ///< Recent calls by priority.
+    UrgencyLoad waitingTokens; ///< Of this entry's calls at all targets, still to be read.
+    std::uint32_t waiting = 0; ///< This entry's calls at all targets without a first event yet.
     EngineSpeed speed;
-    DemandMeter demand;
+    TrafficMeter traffic;
     PrefixMemory prefixes;
 
     /// @brief Prompt tokens that @p target has to read before a call of @p priority.
--- /dev/null
+++ b/src/placement/holderfinder.cpp
@@ -0,0 +1,171 @@
+#include <celeryroute/detail/placement/holderfinder.h>
+
+#include <celeryroute/detail/base/digest.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr std::size_t SampleSize = 32; // Holders that are compared for one call.
+constexpr std::uint64_t Rounds = 3; // Of samples, where the ones before show no sound holder.
+constexpr double SlotQueue = 1.0 / 16; // Of its slots that a target is believed to queue.
+constexpr double UrgentReserve = 0.1; // Of a target, that is kept for more urgent calls.
+constexpr double HomeWeight = 0.5; // Of the reading of the shared parts, for a target away from home.
+constexpr double AdapterLoad = 0.01; // Seconds.
+constexpr double AdapterSpread = 0.1; // Seconds; keeps an adapter on few targets.
+constexpr double AdapterFull = 0.05; // Seconds; of a target whose adapter places are taken.
+constexpr double AdapterDeclined = 1; // Seconds.
+constexpr double OtherDomain = 0.001; // Seconds; bytes between domains are priced.
+constexpr double CrowdedShare = 0.25; // Of the wanted latency that may go into waiting at the target.
+constexpr double DoubtfulTrust = 0.3; // Below which a target counts as bad.
+constexpr double UnknownDuration = 1; // Seconds of a call.
+constexpr double LeastSlowness = 0.5;
+constexpr double MostSlowness = 20;
+
+bool contains(const std::vector<std::string> &list, const std::string &name)
+{
+    return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+double slotsOf(const EngineAsk &ask, const KnownTarget &target)
+{
+    return std::max(1U, target.slots > 0 ? target.slots : ask.pool.engine->slots);
+}
+
+} // namespace
+
+bool Holder::betterThan(const Holder &other) const
+{
+    if (grade != other.grade) {
+        return grade < other.grade;
+    }
+    if (room != other.room) {
+        return room;
+    }
+    return room ? cost < other.cost : roomIn < other.roomIn;
+}
+
+HolderFinder::HolderFinder(const TargetBook &book, std::uint64_t seed)
+    : m_book(book)
+    , m_random(seed)
+{}
+
+Holder HolderFinder::best(const EngineAsk &ask)
+{
+    Holder best;
+    const TargetRing *ring = ask.pool.holdersOf(ask.call.model);
+    if (ring == nullptr) {
+        return best;
+    }
+    const std::uint64_t rounds = ring->size() > SampleSize ? Rounds : 1;
+    for (std::uint64_t round = 0; round < rounds; ++round) {
+        ring->sample(mixBits(ask.chain.home + round), random(), SampleSize, m_sample);
+        for (KnownTarget *target : m_sample) {
+            const Holder holder = assess(ask, *target);
+            if (holder.target != nullptr && (best.target == nullptr || holder.betterThan(best))) {
+                best = holder;
+            }
+        }
+        if (best.target != nullptr && best.grade == Holder::Grade::Sound && best.room) {
+            break;
+        }
+    }
+    return best;
+}
+
+Holder HolderFinder::assess(const EngineAsk &ask, KnownTarget &target)
+{
+    const ResidentModel *resident = target.model(ask.call.model, ask.now);
+    const bool otherVersion = resident != nullptr && ask.call.weightsVersion
+        && resident->version != *ask.call.weightsVersion;
+    if (resident == nullptr || otherVersion || contains(ask.call.excluded, target.record.id)) {
+        return {};
+    }
+    Holder holder;
+    holder.target = &target;
+    holder.grade = grade(ask, target);
+    estimateTime(ask, holder);
+    estimateRoom(ask, holder);
+    holder.cost += adapterCost(ask, *resident, target);
+    holder.cost += target.record.domain == m_book.domain() ? 0 : OtherDomain;
+    return holder;
+}
+
+Holder::Grade HolderFinder::grade(const EngineAsk &ask, const KnownTarget &target)
+{
+    const TargetHealth::Standing standing = target.health.standing(ask.now);
+    if (standing == TargetHealth::Standing::Shunned || (target.viewFresh(ask.now) && !target.view->reachable)) {
+        return Holder::Grade::Bad;
+    }
+    const double trust = target.health.trust(ask.pool.failures.value(0, ask.now), ask.now);
+    if (trust >= 1 || static_cast<double>(random() % 1024) < trust * 1024) {
+        return Holder::Grade::Sound;
+    }
+    return trust < DoubtfulTrust ? Holder::Grade::Bad : Holder::Grade::Doubtful;
+}
+
+// Entries that do not know where a prefix is kept send its calls to the same target, its home.
+void HolderFinder::estimateTime(const EngineAsk &ask, Holder &holder) const
+{
+    const KnownTarget &target = *holder.target;
+    const EngineSpeed &speed = ask.pool.speed;
+    const std::uint64_t kept = ask.guess.keptTokens(target, ask.pool.engine->cacheTokens, m_book.entries());
+    const std::uint64_t uncached = ask.call.promptTokens - std::min(kept, ask.call.promptTokens);
+    const double usual = ask.pool.slowness.value(1, ask.now);
+    const double slowness = std::clamp(target.latency.value(usual, ask.now) / usual, LeastSlowness, MostSlowness);
+    const double stretch = slowness * (1 + target.running(ask.now) / slotsOf(ask, target));
+    holder.wait = speed.prefill(ask.pool.tokensAhead(target, ask.call.priority, ask.now)) * stretch;
+    holder.total = holder.wait + speed.firstEvent(uncached) * stretch;
+    holder.cost = holder.total;
+    if (kept < ask.chain.sharedTokens) {
+        const auto unknown = static_cast<double>(ask.chain.sharedTokens - kept);
+        holder.cost += HomeWeight * speed.prefill(unknown) * (1 - unitRank(ask.chain.home, target));
+    }
+}
+
+// A target without any calls takes each call, so that the largest ones find a place.
+void HolderFinder::estimateRoom(const EngineAsk &ask, Holder &holder) const
+{
+    const KnownTarget &target = *holder.target;
+    const bool moreUrgent = ask.call.priority > 0 && ask.pool.urgency.upTo(ask.call.priority - 1) > 0;
+    const double open = moreUrgent ? 1 - UrgentReserve : 1;
+    const double calls = target.running(ask.now) + target.waiting(ask.now);
+    const std::uint64_t reported = target.view ? target.view->cacheTotal : 0;
+    const auto total = static_cast<double>(reported > 0 ? reported : ask.pool.engine->cacheTokens);
+    const auto need = static_cast<double>(ask.call.promptTokens + ask.call.expectedOutput());
+    const bool fits = calls < 1 || total == 0 || target.cacheTokens(ask.now) + need <= total * open;
+    const bool free = fits && calls < slotsOf(ask, target) * (open + SlotQueue);
+    const double most = CrowdedShare * ask.aim;
+    const double refused = toSeconds(target.fullUntil - ask.now);
+    holder.room = free && refused <= 0 && (holder.wait <= most || target.waiting(ask.now) < 1);
+    const double next = ask.pool.duration.value(UnknownDuration, ask.now) / std::max(1.0, calls);
+    holder.roomIn = std::max({free ? 0.0 : next, holder.wait - most, refused});
+}
+
+// All entries prefer the same targets for an adapter, unless these are loaded.
+double HolderFinder::adapterCost(const EngineAsk &ask, const ResidentModel &resident, const KnownTarget &target) const
+{
+    if (ask.call.adapter.empty() || contains(resident.adapters, ask.call.adapter)) {
+        return 0;
+    }
+    const double declined = target.declines(ask.item, ask.now) ? AdapterDeclined : 0;
+    if (target.loadingFor(ask.item, ask.now)) {
+        return AdapterLoad + declined;
+    }
+    std::size_t held = 0;
+    for (const ResidentModel &model : target.models(ask.now)) {
+        held += model.adapters.size();
+    }
+    const double full = held >= ask.pool.engine->adapterSlots ? AdapterFull : 0;
+    return AdapterLoad + AdapterSpread * (1 - unitRank(stableHash(ask.item), target)) + full + declined;
+}
+
+std::uint64_t HolderFinder::random()
+{
+    m_random += 1;
+    return mixBits(m_random);
+}
+
+} // namespace celeryroute
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -15,17 +15,16 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t SampleSize = 32;
-constexpr double RankSeconds = 0.25; // What the rank by rendezvous may weigh: entries see costs a little apart.
+constexpr double RankWeight = 0.2; // What the rank by rendezvous may count: entries see costs a little apart.
 constexpr double Horizon = 10; // Seconds over which the loss of a model is counted.
-constexpr double UseLimit = 0.5; // Share of a target that one model's calls should take.
-constexpr double SurplusCost = 0.02; // Seconds; of a replica that the demand does not need.
-constexpr double BusyCost = 0.5; // Seconds; of waiting for the runs of a model that must go.
+constexpr double LeastLoss = 0.05; // Late calls for a model that is asked for; other things are equal then.
+constexpr double BusyCost = 0.5; // Late calls; of waiting for the runs of a model that must go.
 constexpr double UnheardCost = 0.2; // Seconds; of an agent that was not heard yet.
 constexpr double SilentCost = 2; // Seconds; of an agent that went silent.
-constexpr double DeclinedCost = 1; // Seconds; until what is in use there has changed.
+constexpr double DeclinedTime = 1; // Seconds; until what is in use there has changed.
 constexpr Duration LeastPatience = 500ms; // For an agent that shows no sign of what it was asked for.
 constexpr std::uint32_t LeastUrgent = 9;
-constexpr double UnknownDuration = 1; // Seconds of a call.
+constexpr double LeastAim = 0.01; // Seconds.
 
 double loadSeconds(const EngineModel &model, CopyPlace source)
 {
@@ -54,6 +53,11 @@
     return contains(copies.onDisk, model) ? CopyPlace::Disk : CopyPlace::Store;
 }
 
+std::uint64_t meanTokens(const TargetPool &pool, TimePoint now)
+{
+    return static_cast<std::uint64_t>(pool.uncached.value(0, now));
+}
+
 double sizeOf(const EngineSpec &spec, const std::string &model)
 {
     const EngineModel *known = spec.model(model);
@@ -69,7 +73,7 @@
     double wait = 0;
     CopyPlace source = CopyPlace::Store;
     bool declined = false;
-    double score = 0; ///< Seconds; the lowest goes first.
+    double score = 0; ///< The lowest goes first.
 };
 
 LoadPlanner::LoadPlanner(TargetBook &book)
@@ -161,7 +165,8 @@
         if (!offered || (!fromStore && offered->source == CopyPlace::Store)) {
             continue;
         }
-        offered->score = offered->ready + offered->cost + offered->wait + RankSeconds * (1 - unitRank(key, *target));
+        offered->score = (offered->ready + offered->wait) / std::max(need.aim, LeastAim) + offered->cost
+            + RankWeight * (1 - unitRank(key, *target));
         if (!chosen || offered->score < chosen->score) {
             chosen = offered;
         }
@@ -188,7 +193,7 @@
     offer.source = sourceAt(target, model.name, now);
     offer.ready = busyFor(pool, target, now) + loadSeconds(model, offer.source);
     offer.declined = target.declines(model.name, now);
-    offer.ready += offer.declined ? DeclinedCost : 0;
+    offer.ready += offer.declined ? DeclinedTime : 0;
     if (!fresh) {
         offer.ready += target.view ? SilentCost : UnheardCost;
     }
@@ -252,10 +257,10 @@
         missing -= size;
         cost += loss;
     }
-    return cost + (missing > 0 ? DeclinedCost : 0);
+    return cost + (missing > 0 ? BusyCost : 0);
 }
 
-// Seconds that callers of the model are expected to wait for it when it is gone from there.
+// Calls for the model that are expected to come late when it is gone from there.
 double
 LoadPlanner::lossCost(const TargetPool &pool, const std::string &model, const KnownTarget &target, TimePoint now) const
 {
@@ -263,31 +268,23 @@
     if (known == nullptr) {
         return 0;
     }
-    const auto inUse = std::any_of(target.own.items.begin(), target.own.items.end(), [&model](const auto &item) {
+    const bool inUse = std::any_of(target.own.items.begin(), target.own.items.end(), [&model](const auto &item) {
         return modelOfItem(item.first) == model;
     });
     const TargetRing *holders = pool.holdersOf(model);
     const double replicas = holders != nullptr ? static_cast<double>(holders->size()) : 0;
-    const double rate = pool.demand.rate(model, now) * m_book.entries();
-    const double busy = inUse ? BusyCost : 0;
-    if (replicas - 1 >= std::max(1.0, std::ceil(replicasNeeded(pool, model, now)))) {
-        return SurplusCost + busy + rate / replicas * SurplusCost;
+    const double rate = pool.traffic.rate(model, now) * m_book.entries();
+    const double asked = 1 - std::exp(-rate * Horizon);
+    const double slack = pool.traffic.aim(model, now) - pool.speed.firstEvent(meanTokens(pool, now));
+    const double base = LeastLoss * asked / std::max(1.0, replicas) + (inUse ? BusyCost : 0);
+    if (replicas > 1) {
+        const double read = pool.speed.prefill(static_cast<double>(meanTokens(pool, now)));
+        const double wait = pool.traffic.wait(model, now) + read * rate * read / replicas;
+        const double then = wait * replicas / (replicas - 1);
+        return base + rate * Horizon * (lateShare(then, slack) - lateShare(wait, slack));
     }
     const double reload = loadSeconds(*known, CopyPlace::Disk);
-    return (1 - std::exp(-rate * Horizon)) * reload + rate * reload * reload / 2 + busy;
-}
-
-double LoadPlanner::replicasNeeded(const TargetPool &pool, const std::string &model, TimePoint now) const
-{
-    const EngineSpec &spec = *pool.engine;
-    const double rate = pool.demand.rate(model, now) * m_book.entries();
-    const double reading = rate * pool.speed.prefill(pool.uncached.value(0, now));
-    const double running = rate * pool.duration.value(UnknownDuration, now);
-    const double inSlots = running / std::max(1U, spec.slots);
-    const double inCache = spec.cacheTokens > 0
-        ? running * pool.tokens.value(0, now) / static_cast<double>(spec.cacheTokens)
-        : 0;
-    return std::max({reading, inSlots, inCache}) / UseLimit;
+    return base + asked * (1 + rate * reload) * lateShare(reload, slack);
 }
 
 } // namespace celeryroute
--- a/src/placement/targetbook.cpp
+++ b/src/placement/targetbook.cpp
@@ -132,6 +132,7 @@
 
 struct TargetBook::PlacedCall {
     std::string target;
+    std::string pool;
     std::uint32_t lifetime = 0;
     std::string item; ///< Empty for a plain service.
     std::uint64_t cacheTokens = 0;
@@ -316,11 +317,15 @@
 {
     const CallTicket ticket = ++m_tickets;
     call.target = target.record.id;
+    call.pool = target.record.pool;
     call.lifetime = target.lifetime;
     OwnLoad &own = target.own;
     ++own.calls;
     ++own.waiting;
     own.waitingTokens.add(call.priority, static_cast<double>(call.uncached));
+    TargetPool &pool = poolOf(target.record.pool);
+    ++pool.waiting;
+    pool.waitingTokens.add(call.priority, static_cast<double>(call.uncached));
     own.cacheTokens += call.cacheTokens;
     if (!call.item.empty()) {
         ++own.items[call.item];
@@ -339,6 +344,7 @@
     }
     PlacedCall &call = known->second;
     call.started = true;
+    leaveQueue(call);
     const auto target = m_targets.find(call.target);
     if (target == m_targets.end() || target->second->lifetime != call.lifetime) {
         return {};
@@ -352,6 +358,13 @@
     return changed;
 }
 
+void TargetBook::leaveQueue(const PlacedCall &call)
+{
+    TargetPool &pool = poolOf(call.pool);
+    --pool.waiting;
+    pool.waitingTokens.add(call.priority, -static_cast<double>(call.uncached));
+}
+
 void TargetBook::observe(TargetPool &pool, KnownTarget &target, const PlacedCall &call, TimePoint now)
 {
     const double seconds = toSeconds(now - call.sent);
@@ -380,6 +393,9 @@
     }
     const PlacedCall call = std::move(known->second);
     m_calls.erase(known);
+    if (!call.started) {
+        leaveQueue(call);
+    }
     const auto found = m_targets.find(call.target);
     if (found == m_targets.end() || found->second->lifetime != call.lifetime) {
         return {};
--- a/src/placement/targetpool.cpp
+++ b/src/placement/targetpool.cpp
@@ -32,13 +32,17 @@
     , prefixes(PrefixCapacity)
 {}
 
-// How urgent the calls of other entries are is not known; they are taken to be as this entry's.
+// What calls of other entries are like is not known; they are taken to be as this entry's.
 double TargetPool::tokensAhead(const KnownTarget &target, std::uint32_t priority, TimePoint now) const
 {
-    const double foreign = std::max(0.0, target.waiting(now) - target.own.waiting) * uncached.value(0, now);
+    const double foreign = std::max(0.0, target.waiting(now) - target.own.waiting);
+    if (foreign == 0) {
+        return target.own.waitingTokens.upTo(priority);
+    }
     const double all = urgency.total();
-    const double share = all > 0 ? urgency.upTo(priority) / all : 1;
-    return target.own.waitingTokens.upTo(priority) + foreign * share;
+    const double usual = all > 0 ? uncached.value(0, now) * urgency.upTo(priority) / all : 0;
+    const double each = waiting > 0 ? waitingTokens.upTo(priority) / waiting : usual;
+    return target.own.waitingTokens.upTo(priority) + foreign * each;
 }
 
 const TargetRing *TargetPool::holdersOf(const std::string &model) const
--- /dev/null
+++ b/src/placement/trafficmeter.cpp
@@ -0,0 +1,86 @@
+#include <celeryroute/detail/placement/trafficmeter.h>
+
+#include <cmath>
+
+namespace celeryroute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double RateMemory = 30; // Seconds.
+constexpr double UnknownAim = 1; // Seconds.
+constexpr double AimWeight = 0.1;
+constexpr Duration AimMemory = 600s;
+constexpr double WaitWeight = 0.3; // A burst that is over before a replica is there needs none.
+constexpr Duration WaitMemory = 5s;
+constexpr double HeldWeight = 0.3;
+constexpr Duration HeldMemory = 1s;
+
+double faded(double value, TimePoint at, TimePoint now)
+{
+    return value * std::exp(-toSeconds(now - at) / RateMemory);
+}
+
+} // namespace
+
+TrafficMeter::Traffic::Traffic()
+    : aim(AimWeight, AimMemory)
+    , wait(WaitWeight, WaitMemory)
+    , held(HeldWeight, HeldMemory)
+{}
+
+void TrafficMeter::noteCall(const std::string &model, double aim, double wait, TimePoint now)
+{
+    Traffic &traffic = m_models[model];
+    traffic.calls = (traffic.calls > 0 ? faded(traffic.calls, traffic.at, now) : 0) + 1;
+    traffic.at = now;
+    traffic.aim.add(aim, aim, now);
+    traffic.wait.add(wait, 0, now);
+}
+
+void TrafficMeter::noteHeld(const std::string &model, double seconds, TimePoint now)
+{
+    m_models[model].held.add(seconds, 0, now);
+}
+
+const TrafficMeter::Traffic *TrafficMeter::find(const std::string &model) const
+{
+    const auto traffic = m_models.find(model);
+    return traffic == m_models.end() ? nullptr : &traffic->second;
+}
+
+double TrafficMeter::rate(const std::string &model, TimePoint now) const
+{
+    const Traffic *traffic = find(model);
+    return traffic == nullptr ? 0 : faded(traffic->calls, traffic->at, now) / RateMemory;
+}
+
+double TrafficMeter::aim(const std::string &model, TimePoint now) const
+{
+    const Traffic *traffic = find(model);
+    return traffic == nullptr ? UnknownAim : traffic->aim.value(UnknownAim, now);
+}
+
+double TrafficMeter::wait(const std::string &model, TimePoint now) const
+{
+    const Traffic *traffic = find(model);
+    return traffic == nullptr ? 0 : traffic->wait.value(0, now);
+}
+
+double TrafficMeter::held(const std::string &model, TimePoint now) const
+{
+    const Traffic *traffic = find(model);
+    return traffic == nullptr ? 0 : traffic->held.value(0, now);
+}
+
+// Of waits that are spread exponentially.
+double lateShare(double wait, double slack)
+{
+    if (slack <= 0) {
+        return 1;
+    }
+    return wait <= 0 ? 0 : std::exp(-slack / wait);
+}
+
+} // namespace celeryroute
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -191,6 +191,7 @@
         const CallClass *kind = nullptr;
         EngineCall ask;
         TimePoint born;
+        TimePoint came; ///< To the entry that has it now.
         TimePoint deadline;
         bool large = false;
         bool cameBack = false;
@@ -326,6 +327,7 @@
         ask.priority = kind.priority;
         ask.targetLatency = fromSeconds(kind.aim);
         call->born = m_now;
+        call->came = m_now;
         call->deadline = m_now + fromSeconds(kind.budget);
         call->entry = &m_entries[m_random() % m_entries.size()];
         ++m_outcome.classes[kind.name].calls;
@@ -340,6 +342,7 @@
         Entry &entry = *call->entry;
         EngineCall &ask = call->ask;
         ask.remaining = call->deadline - m_now;
+        ask.waited = m_now - call->came;
         ask.callsBefore = ask.askedBefore ? 0 : entry.queue.waitingForRoom("engines", ask.model, ask.priority);
         const EngineDecision decision = m_fleet.way == PlacementWay::Chooser ? entry.chooser->choose(ask, m_now)
                                                                              : baseline(entry, ask);
@@ -424,7 +427,10 @@
         call->entry = &m_entries[m_random() % m_entries.size()];
         call->ask.excluded.clear();
         call->ask.askedBefore = false;
-        later(pause, [this, call] { decide(call); });
+        later(pause, [this, call] {
+            call->came = m_now;
+            decide(call);
+        });
     }
 
     EngineDecision baseline(Entry &entry, const EngineCall &ask)
