--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -12,6 +12,7 @@
 constexpr double AdapterLoad = 0.01; // Seconds.
 constexpr double GainHorizon = 5; // Seconds over which a further replica has to pay.
 constexpr double LoadPrice = 0.1; // Late calls that a load has to save beside those that it costs.
+constexpr double StoreLoadPrice = 2; ///< The same of a load from the weight store.
 constexpr double HeldShare = 0.7; // Of the time to spare that a call may be held for room.
 
 bool holdsAdapter(const KnownTarget &target, const EngineAsk &ask)
@@ -136,7 +137,8 @@
     if (!plan || plan->underWay) {
         return plan;
     }
-    return plan->wait < wait / 2 && gain > plan->cost + LoadPrice ? plan : std::nullopt;
+    const double price = plan->source == CopyPlace::Store ? StoreLoadPrice : LoadPrice;
+    return plan->wait < wait / 2 && gain > plan->cost + price ? plan : std::nullopt;
 }
 
 LoadWant EngineChooser::wantOf(const EngineAsk &ask, const LoadPlan &plan)
