Quarantine requests that crash the targets that run them

A request whose sends ended without an answer at three targets that died shortly after is refused at all entries; marks travel with the entries' gossip, and an answer clears a request, so that its neighbours are not held for it. Sends that only lost their answer at a living target count for nothing.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -72,6 +72,7 @@
     void pickPool();
     double cost() const;
     bool stateHolds();
+    std::uint64_t digest() const;
 
     // Choice of target.
     void attempt();
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/gateway/admissioncontrol.h>
 #include <celeryroute/detail/gateway/call.h>
+#include <celeryroute/detail/gateway/crashsuspects.h>
 #include <celeryroute/detail/gateway/routetable.h>
 #include <celeryroute/detail/http1/callerserver.h>
 #include <celeryroute/detail/http1/targetchannels.h>
@@ -99,6 +100,10 @@
     {
         return m_queue;
     }
+    CrashSuspects &suspects()
+    {
+        return m_suspects;
+    }
     /// @brief The desired state in force; null before the first.
     const std::shared_ptr<const RouteTable> &table() const
     {
@@ -143,6 +148,7 @@
     PlainChooser m_plainChooser;
     EngineChooser m_engineChooser;
     CallQueue m_queue;
+    CrashSuspects m_suspects;
     std::shared_ptr<const RouteTable> m_table;
     CallerLimits m_limits;
     std::uint64_t m_nextCall = 1;
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration UnlimitedCall = std::chrono::minutes(10);
 constexpr Duration NoStateRetryAfter = std::chrono::milliseconds(300);
+constexpr Duration QuarantineRetryAfter = std::chrono::seconds(5);
 constexpr Duration StaleKeysRetryAfter = std::chrono::milliseconds(500);
 
 } // namespace
@@ -47,6 +48,10 @@
     if (!stateHolds()) {
         return;
     }
+    if (m_gateway.suspects().quarantined(digest(), m_gateway.loop().now())) {
+        refuse(HttpStatus::ServiceUnavailable, "quarantined", QuarantineRetryAfter);
+        return;
+    }
     const Duration deadline = m_fields.deadline.value_or(UnlimitedCall);
     const Duration timeout = m_route->timeout > Duration::zero() ? m_route->timeout : UnlimitedCall;
     m_limit = m_request.received + std::min(deadline, timeout);
@@ -61,6 +66,11 @@
     attempt();
 }
 
+std::uint64_t Call::digest() const
+{
+    return stableHash(m_request.head.target + '\n' + m_request.body);
+}
+
 // Asked again before each send: routes and keys may have changed while the call waited.
 bool Call::stateHolds()
 {
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -280,6 +280,9 @@
     m_arrivals -= sent ? 0 : 1;
     if (sent && !m_answer.notRun) {
         ++m_runs;
+        m_gateway.suspects().noteUnanswered(digest(), m_target, m_gateway.loop().now());
+    } else if (failure == ExchangeFailure::NotConnected) {
+        m_gateway.suspects().targetDied(m_target, m_gateway.loop().now());
     }
     const bool torn = failure == ExchangeFailure::Torn || failure == ExchangeFailure::Malformed;
     endAttempt(torn ? CallEnd::Failed : CallEnd::Unreachable);
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -172,6 +172,7 @@
 {
     m_core.log.write(DecisionEvent::TargetRemoved, m_core.loop.now(), {{fieldnames::Target, event.id}});
     const ChangedModels changed = m_book.dropRecord(event.id, m_core.loop.now());
+    m_gateway.suspects().targetDied(event.id, m_core.loop.now());
     m_agents.erase(event.id);
     m_demand.remove(event.id);
     m_gateway.targetsChanged(changed);
@@ -273,6 +274,9 @@
     for (const wire::EntryGossip::Member &member : envelope.gossip().members()) {
         learnEntry(member.address());
     }
+    for (const wire::EntryGossip::Crash &crash : envelope.gossip().crashes()) {
+        m_gateway.suspects().merge({crash.request(), crash.target()}, m_core.loop.now());
+    }
     m_allowances.hear(readReport(envelope), m_core.loop.now());
     m_book.setEntries(static_cast<std::uint32_t>(m_allowances.members().memberCount()));
     scheduleGossip();
@@ -302,6 +306,11 @@
         const OutgoingReport outgoing = m_allowances.makeReport(m_core.loop.now());
         wire::Envelope envelope;
         writeReport(outgoing.report, *envelope.mutable_gossip());
+        for (const CrashMark &mark : m_gateway.suspects().marks()) {
+            wire::EntryGossip::Crash &crash = *envelope.mutable_gossip()->add_crashes();
+            crash.set_request(mark.request);
+            crash.set_target(mark.crash);
+        }
         const std::vector<std::string> all(m_entries.begin(), m_entries.end());
         for (const std::string &address : outgoing.receivers.empty() ? all : outgoing.receivers) {
             m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
