Answer calls that still wait when an entry leaves

Ruled out: calls that were at a target. Calls that wait are now refused at half of the grace, all others get their final answer shortly before its end.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -35,6 +35,8 @@
     void reconsider();
     /// @brief Gives up waiting.
     void giveUp(std::string_view reason);
+    /// @brief Gives the final answer now, whatever the call waits for.
+    void endNow(std::string_view reason);
     void callerLeft();
     void callerDrained();
 
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -51,6 +51,10 @@
     void beginStop();
     /// @brief Takes no new connections and closes those that wait for nothing; what is in work goes on.
     void stopAccepting();
+    /// @brief Answers calls that wait, so that their callers go elsewhere in time.
+    void giveUpWaiting();
+    /// @brief Gives every call its final answer now.
+    void endCalls();
     std::size_t callsInWork() const
     {
         return m_calls.size();
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -344,6 +344,11 @@
 }
 
 void Call::limitReached()
+{
+    endNow("time_limit");
+}
+
+void Call::endNow(std::string_view reason)
 {
     if (m_phase == Phase::Done) {
         return;
@@ -351,7 +356,7 @@
     if (m_exchange != nullptr && m_exchange->sentAny() && !m_answer.notRun) {
         ++m_runs;
     }
-    failFinally("time_limit");
+    failFinally(reason);
 }
 
 } // namespace celeryroute
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -171,6 +171,20 @@
     m_stopping = true;
 }
 
+void Gateway::giveUpWaiting()
+{
+    for (const auto &[number, call] : m_calls) {
+        call->giveUp("stopping");
+    }
+}
+
+void Gateway::endCalls()
+{
+    for (const auto &[number, call] : m_calls) {
+        call->endNow("stopping");
+    }
+}
+
 void Gateway::stopAccepting()
 {
     m_server.stopListening();
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -16,7 +16,8 @@
 /// The balancer asks once a second and stops sending callers after two refusals.
 constexpr Duration LeaveRotationTime = std::chrono::milliseconds(2200);
 constexpr Duration StopPoll = std::chrono::milliseconds(50);
-constexpr Duration StopReserve = std::chrono::milliseconds(400); ///< Before the process is killed.
+constexpr Duration LastAnswers = std::chrono::milliseconds(600); ///< Before the process is killed.
+constexpr Duration StopReserve = std::chrono::milliseconds(300); ///< Before the process is killed.
 
 Endpoint endpointOf(const std::string &text)
 {
@@ -345,6 +346,12 @@
     if (outOfRotation) {
         m_gateway.stopAccepting();
     }
+    if (since >= m_core.settings.bounds.stopGrace / 2) {
+        m_gateway.giveUpWaiting();
+    }
+    if (since >= m_core.settings.bounds.stopGrace - LastAnswers) {
+        m_gateway.endCalls();
+    }
     if ((outOfRotation && m_gateway.callsInWork() == 0 && m_gateway.callersConnected() == 0) || late) {
         m_core.log.write(DecisionEvent::ProcessStop,
                          m_core.loop.now(),
