Log changes of this entry's part of the allowances

One line when the part or the number of entries changes, with both and the version of the desired state, so that refusals within an allowance can be explained.

--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -55,6 +55,7 @@
     void learnEntry(const std::string &address);
     void scheduleGossip();
     void sendGossip();
+    void logAllowances();
 
     bool ready() const;
     void advanceStop();
@@ -79,6 +80,8 @@
     std::set<std::string> m_entries; ///< IP numbers of the other entries.
     EventLoop::TimerId m_gossipTimer = 0;
     TimePoint m_gossipAt;
+    double m_loggedFraction = 0;
+    std::size_t m_loggedMembers = 0;
     EventLoop::TimerId m_expiryTimer = 0;
     std::optional<TimePoint> m_stopBegan;
 };
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -300,9 +300,25 @@
     });
 }
 
+void EntryNode::logAllowances()
+{
+    const MemberView &members = m_allowances.members();
+    if (members.poolFraction() == m_loggedFraction && members.memberCount() == m_loggedMembers) {
+        return;
+    }
+    m_loggedFraction = members.poolFraction();
+    m_loggedMembers = members.memberCount();
+    m_core.log.write(DecisionEvent::AllowanceChanged,
+                     m_core.loop.now(),
+                     {{"share", m_loggedFraction},
+                      {"entries", m_loggedMembers},
+                      {fieldnames::StateVersion, m_gateway.table() == nullptr ? 0 : m_gateway.table()->state().version}});
+}
+
 void EntryNode::sendGossip()
 {
     m_allowances.advance(m_core.loop.now());
+    logAllowances();
     if (m_allowances.reportDue() <= m_core.loop.now()) {
         const OutgoingReport outgoing = m_allowances.makeReport(m_core.loop.now());
         wire::Envelope envelope;
