Bound heads and chunk headers however they arrive; believe no trailers

The limit of a head covered what the parser had not consumed yet, and the begin of a chunk and its trailers had none, so that a connection's memory grew as its sender liked. Trailers were taken as fields of the head. Chunks under HTTP/1.0 and a second Host are refused. Failing before: MessageParser limits_hold (head too large), trailers_are (Authorization), whatTwoReaders (two hosts); CallerConnection requestsBeyondTheLimits (408 for 431).

--- a/src/http1/messageparser.cpp
+++ b/src/http1/messageparser.cpp
@@ -11,6 +11,7 @@
 
 /// The least bytes of a chunked body. The parser fails an assertion when it meets them in smaller parts.
 constexpr std::size_t LeastChunkedBody = 5;
+constexpr int CurrentVersion = 11;
 
 namespace http = boost::beast::http;
 using BeastError = boost::beast::error_code;
@@ -27,6 +28,10 @@
     std::string body;
     std::uint64_t bodyRead = 0;
     std::uint64_t bodyLimit = UINT64_MAX;
+    std::size_t headRead = 0; ///< Without what the sender may leave out.
+    std::size_t headLimit = 0;
+    std::size_t hosts = 0;
+    bool headDone = false;
     bool chunkBegun = false;
     bool smuggling = false;
 
@@ -41,14 +46,29 @@
         return bytes.size();
     }
 
-    void takeField(http::field id, BeastView name, BeastView value)
+    void takeField(http::field id, BeastView name, BeastView value, BeastError &error)
     {
+        if (headDone) {
+            return; // Trailers say nothing that may be believed.
+        }
         const std::string_view text = toView(value);
         if (id == http::field::transfer_encoding && !equalsIgnoringCase(text, "chunked")) {
             smuggling = true;
         }
+        hosts += id == http::field::host ? 1 : 0;
+        countHead(name.size() + value.size(), error);
         head.fields.push_back({std::string(toView(name)), std::string(text)});
     }
+
+    // The parser itself bounds only what it has not consumed yet.
+    void countHead(std::size_t bytes, BeastError &error)
+    {
+        constexpr std::size_t Separators = 4; // Of a line.
+        headRead += bytes + Separators;
+        if (headRead > headLimit) {
+            error = http::error::header_limit;
+        }
+    }
 };
 
 template <bool IsRequest>
@@ -60,14 +80,17 @@
     explicit BeastParser(const MessageLimits &limits)
     {
         collected.bodyLimit = limits.bodyBytes;
+        collected.headLimit = limits.headBytes;
         this->eager(true);
         this->header_limit(limits.headBytes);
         this->body_limit(boost::none);
     }
 
 private:
-    void on_request_impl(http::verb, BeastView method, BeastView target, int version, BeastError &) override
+    void on_request_impl(http::verb, BeastView method, BeastView target, int version, BeastError &error) override
     {
+        constexpr std::size_t VersionBytes = 8;
+        collected.countHead(method.size() + target.size() + VersionBytes, error);
         collected.head.method = toView(method);
         collected.head.target = toView(target);
         collected.head.version = version;
@@ -80,15 +103,18 @@
         collected.head.version = version;
     }
 
-    void on_field_impl(http::field id, BeastView name, BeastView value, BeastError &) override
+    void on_field_impl(http::field id, BeastView name, BeastView value, BeastError &error) override
     {
-        collected.takeField(id, name, value);
+        collected.takeField(id, name, value, error);
     }
 
     void on_header_impl(BeastError &error) override
     {
-        if (collected.smuggling) {
+        collected.headDone = true;
+        if (collected.smuggling || (this->chunked() && collected.head.version < CurrentVersion)) {
             error = http::error::bad_transfer_encoding;
+        } else if (IsRequest && collected.hosts > 1) {
+            error = http::error::bad_field;
         }
     }
 
@@ -169,6 +195,10 @@
                 break;
             }
         }
+        // What stays is the begin of a chunk or the trailers; only the sender bounds their length.
+        if (state == ParseState::Body && bytes.size() - consumed > collected().headLimit) {
+            state = ParseState::HeadTooLarge;
+        }
         return consumed;
     }
 
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -74,6 +74,7 @@
         request("Content-Length: 5 5\r\n", "hello"),
         request("Content-Length:\r\n"),
         request("Content-Length: 18446744073709551621\r\n", "hello"),
+        request("Host: y.example\r\n"),
         request(std::string("X-A: a\0b\r\n", 10)),
         request("X-A: a\nContent-Length: 5\r\n", "hello"),
         request("X-A: a\rContent-Length: 5\r\n", "hello"),
@@ -89,6 +90,7 @@
         request(Chunked, "5\r\nhello\n0\r\n\r\n"),
         request(Chunked, "5\r\nhelloX\r\n0\r\n\r\n"),
         request(Chunked, "5\r\nhello\r\n0\r\nContent-Length: 3\r\n\r\nabc"),
+        "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/2.0\r\nHost: x\r\n\r\n",
         "POST / HTTP/1.1 \r\nHost: x\r\n\r\n",
         "POST /a b HTTP/1.1\r\nHost: x\r\n\r\n",
@@ -135,6 +137,43 @@
     }
 }
 
+TEST(MessageParser, trailers_areNoFieldsOfTheHead)
+{
+    Reading reading(MessageKind::Request);
+    reading.feed(request(Chunked, "1\r\na\r\n0\r\nAuthorization: Bearer stolen\r\nX-Request-Id: 2\r\n\r\n"));
+    CHECK(reading.parser.state() == ParseState::Complete);
+    CHECK(reading.parser.head().field("Authorization") == nullptr);
+    CHECK_EQUAL(2U, reading.parser.head().fields.size());
+}
+
+TEST(MessageParser, limits_holdHoweverTheBytesArrive)
+{
+    const MessageLimits limits{200, 100};
+    const std::string longHead = request("A: 1\r\nB: 2\r\nC: " + std::string(150, 'c') + "\r\n");
+    const std::string noEnd(300, 'x');
+    struct Row {
+        std::string bytes;
+        ParseState expected;
+    };
+    const Row rows[] = {
+        {longHead, ParseState::HeadTooLarge},
+        {"GET /" + noEnd, ParseState::HeadTooLarge},
+        {request(Chunked, "1;" + noEnd), ParseState::HeadTooLarge},
+        {request(Chunked, "1\r\na\r\n0\r\nX: " + noEnd), ParseState::HeadTooLarge},
+        {request(Chunked, "5f\r\n" + std::string(0x5f, 'a') + "\r\n6\r\nabcdef\r\n"), ParseState::BodyTooLarge},
+        {request(Chunked, "64\r\n" + std::string(100, 'a') + "\r\n0\r\n\r\n"), ParseState::Complete},
+    };
+    for (const Row &row : rows) {
+        CHECK_TRUE_TEXT(Reading(MessageKind::Request, limits).feed(row.bytes) == row.expected, row.bytes.c_str());
+        CHECK_TRUE_TEXT(Reading(MessageKind::Request, limits).feedBytewise(row.bytes) == row.expected,
+                        row.bytes.c_str());
+    }
+    // In two parts, each below the limit.
+    Reading parts(MessageKind::Request, limits);
+    parts.feed(longHead.substr(0, 60));
+    CHECK(parts.feed(longHead.substr(60)) == ParseState::HeadTooLarge);
+}
+
 TEST(MessageParser, answers_endAsTheirFramingSays)
 {
     struct Row {
@@ -318,6 +357,7 @@
         {request("Content-Length: 101\r\nExpect: 100-continue\r\n"), 413},
         {request("Content-Length: 101\r\n", std::string(101, 'a')), 413},
         {request(Chunked, "65\r\n" + std::string(101, 'a') + "\r\n0\r\n\r\n"), 413},
+        {request(Chunked, "1;" + std::string(2000, 'a')), 431},
         {"GET /a HTTP/1.1\r\nHost:", 408},
         {request("Content-Length: 100\r\n", "a"), 408},
         {"GARBAGE\r\n\r\n", 400},
