Send the last answer of a connection whole, however slowly it is read

A connection that was to close was destroyed a second after its answer had been written, and idle ones at once when an entry stopped, with what had not yet left the process: a slow reader got a part only. The lingering now begins when all has left.

--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -74,6 +74,8 @@
 {
     if (m_phase == Phase::Answering) {
         m_handler.callerDrained(*this);
+    } else if (m_phase == Phase::Lingering) {
+        setDeadline(LingerTime);
     }
 }
 
@@ -258,7 +260,8 @@
     m_channel.input().clear();
     m_channel.setReading(true);
     m_channel.finishOutput();
-    setDeadline(LingerTime);
+    // A slow reader gets the time that it may stay idle for; the lingering begins when all has left.
+    setDeadline(m_channel.unsent() > 0 ? m_handler.callerLimits().idleTimeout : LingerTime);
 }
 
 void CallerConnection::cut()
@@ -277,10 +280,15 @@
 
 void CallerConnection::closeIdle()
 {
-    if (m_phase == Phase::Idle) {
-        end();
-        m_handler.connectionEnded(*this);
+    if (m_phase != Phase::Idle) {
+        return;
     }
+    if (m_channel.unsent() > 0) {
+        linger(); // Its last answer is still on its way.
+        return;
+    }
+    end();
+    m_handler.connectionEnded(*this);
 }
 
 void CallerConnection::end()
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -536,6 +536,32 @@
     CHECK_FALSE(world.latest().congested());
 }
 
+TEST(CallerConnection, lastAnswer_reachesAReaderThatIsSlowerThanTheLingering)
+{
+    RawCaller caller(world.loop, world.endpoint, 4096);
+    caller.send("GET / HTTP/1.0\r\n\r\n");
+    CHECK(world.waitForRequests(1));
+    world.latest().answer({200, {}, {}}, std::string(LargeAnswer, 'a'));
+    bool later = false;
+    world.loop.at(world.loop.now() + 1200ms, [&later] { later = true; });
+    CHECK(turnUntil(world.loop, [&later] { return later; }));
+    CHECK(caller.waitForEnd());
+    CHECK_EQUAL(LargeAnswer, bodyOf(caller.received()).size());
+}
+
+TEST(CallerConnection, closingIdleConnections_leavesAnAnswerOnItsWayWhole)
+{
+    RawCaller caller(world.loop, world.endpoint, 4096);
+    RawCaller idle(world.loop, world.endpoint);
+    caller.send(Get);
+    CHECK(world.waitForRequests(1));
+    world.latest().answer({200, {}, {}}, std::string(LargeAnswer, 'a'));
+    world.server.closeIdle();
+    CHECK(idle.waitForEnd());
+    CHECK(caller.waitForEnd());
+    CHECK_EQUAL(LargeAnswer, bodyOf(caller.received()).size());
+}
+
 namespace {
 
 /// What came of one exchange with a target.
