Keep to HTTP/1.0 for callers that speak it, and to no length in answers to HEAD

An answer without chunks that was broken off looked complete to such a caller, since it ends with its connection; now the connection is reset. They get no interim answer either. Answers to HEAD said a length of 0. Failing before: CallerConnection streams_ (reset), expectationOfContinue_, answers_.

--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -127,7 +127,8 @@
 void CallerConnection::sendContinue()
 {
     const std::string *expect = m_parser->head().field("Expect");
-    if (expect != nullptr && !m_continued && equalsIgnoringCase(*expect, "100-continue")) {
+    const bool understood = m_parser->head().version >= CurrentVersion;
+    if (expect != nullptr && understood && !m_continued && equalsIgnoringCase(*expect, "100-continue")) {
         m_continued = true;
         m_channel.write("HTTP/1.1 100 Continue\r\n\r\n");
         m_channel.flush();
@@ -168,7 +169,7 @@
     m_chunked = !length && !m_oldVersion;
     if (m_chunked) {
         appendField(text, "Transfer-Encoding", "chunked");
-    } else if (length && !hasNoBody(head.status)) {
+    } else if (length && !hasNoBody(head.status) && !m_withoutBody) {
         appendField(text, "Content-Length", std::to_string(*length));
     } else if (!length) {
         m_keepAlive = false;
@@ -268,6 +269,9 @@
 {
     if (m_phase == Phase::Answering) {
         m_channel.flush();
+        if (!m_chunked) {
+            m_channel.discardOnClose(); // An orderly close would end the answer as complete.
+        }
         end();
         m_handler.connectionEnded(*this);
     }
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -422,6 +422,10 @@
     world.latest().answer({200, {}, {}}, {});
     CHECK(caller.waitFor("HTTP/1.1 200 OK\r\n"));
     CHECK_EQUAL(1U, countOf(caller.received(), "100 Continue"));
+    RawCaller old(world.loop, world.endpoint);
+    old.send("POST / HTTP/1.0\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n");
+    settle(world.loop);
+    STRCMP_EQUAL("", old.received().c_str());
 }
 
 TEST(CallerConnection, answers_areFramedForTheCallersVersionAndMethod)
@@ -444,6 +448,9 @@
     for (const Row &row : rows) {
         STRCMP_EQUAL(row.answer.c_str(), answerTo(row.request, row.until).c_str());
     }
+    const std::string head = answerTo("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n", "\r\n\r\n");
+    STRCMP_EQUAL("", bodyOf(head).c_str());
+    CHECK(head.find("Content-Length: 0") == std::string::npos);
     world.stops = true;
     CHECK(answerTo(Get, "").find("Connection: close\r\n") != std::string::npos);
 }
@@ -462,6 +469,7 @@
         {Get, false, false, chunked + "0\r\n\r\n"},
         {Get, true, false, chunked},
         {"GET / HTTP/1.0\r\n\r\n", false, false, old},
+        {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", true, true, old},
     };
     for (const Row &row : rows) {
         RawCaller caller(world.loop, world.endpoint);
