Read the answer on a kept channel whose reading had been stopped

A caller that read its stream too slowly could stop the reading of the target's channel with the very bytes that ended the answer. The channel was kept so, and the next call on it waited for an answer that nobody read, until its time limit. Failing before: TargetChannels channelWhoseReadingWasStopped_ (finish(second)).

--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -77,6 +77,7 @@
         });
         return;
     }
+    m_channel->setReading(true); // The answer before may have ended while its reader held it back.
     m_channel->restartSentCount();
     m_channel->write(m_request.head);
     m_channel->write(m_request.body);
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -834,6 +834,19 @@
     CHECK_EQUAL(0U, channels.size());
 }
 
+TEST(TargetChannels, channelWhoseReadingWasStopped_readsTheNextAnswer)
+{
+    target.answerAll(Own);
+    Exchange first;
+    TargetConnection &connection = start(first);
+    first.onBody = [&connection] { connection.setReading(false); };
+    CHECK(finish(first));
+    Exchange second;
+    start(second);
+    CHECK(finish(second));
+    STRCMP_EQUAL("ok", second.body.c_str());
+}
+
 TEST_GROUP(PlainCaller)
 {
     EventLoop loop;
