Take a discarded channel off the list at once

A channel that was closed while idle and whose end was read in the same turn was discarded twice. A new channel that got its address in between was destroyed with it, and its call got no answer before its time limit.

--- a/src/http1/targetchannels.cpp
+++ b/src/http1/targetchannels.cpp
@@ -71,10 +71,14 @@
     discard(&connection);
 }
 
-// Destroyed after this turn: the connection may be on the call stack.
+// Destroyed after this turn: the connection may be on the call stack. It leaves the map at once, since it
+// may be discarded again before that, when a new connection can have its address.
 void TargetChannels::discard(TargetConnection *connection)
 {
-    m_loop.defer([this, connection] { m_connections.erase(connection); });
+    auto gone = m_connections.extract(connection);
+    if (!gone.empty()) {
+        m_loop.defer([kept = std::shared_ptr<TargetConnection>(std::move(gone.mapped()))] {});
+    }
 }
 
 void TargetChannels::closeIdle(const Endpoint &endpoint)
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -847,6 +847,21 @@
     STRCMP_EQUAL("ok", second.body.c_str());
 }
 
+TEST(TargetChannels, channelDiscardedTwiceInATurn_takesNoNewOneWithIt)
+{
+    target.answerAll(Own);
+    Exchange first;
+    start(first);
+    CHECK(finish(first));
+    target.close(0);
+    // Discarded here, and again when its end is read in the same turn.
+    channels.closeIdle(target.endpoint());
+    Exchange second;
+    loop.defer([&] { start(second); });
+    CHECK(finish(second));
+    CHECK(second.complete);
+}
+
 TEST_GROUP(PlainCaller)
 {
     EventLoop loop;
