Do deferred work without waiting for an event

Work that was deferred before the loop ran, or at the end of a turn, waited for the next event or timer, an hour at most: a first connection that fails at once told its user only then. Failing before: EventLoop workDeferredBetweenTurns_ (timer deferred).

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -103,7 +103,7 @@
 
 int EventLoop::waitMs(Duration most) const
 {
-    Duration wait = most;
+    Duration wait = m_deferred.empty() ? most : Duration::zero();
     if (!m_timers.empty()) {
         wait = std::min(wait, m_timers.begin()->first - bootTimeNow());
     }
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -916,6 +916,15 @@
     std::string order;
 };
 
+TEST(EventLoop, workDeferredBetweenTurns_doesNotWaitForTheNextEvent)
+{
+    loop.at(loop.now() + 30ms, [this] { order += "timer "; });
+    loop.defer([this] { order += "deferred "; });
+    loop.turn(1s);
+    loop.turn(1s);
+    STRCMP_EQUAL("deferred timer ", order.c_str());
+}
+
 TEST(EventLoop, timers_runOnceInTheirOrderUnlessCancelled)
 {
     EventLoop::TimerId third = 0;
