--- a/include/celeryroute/detail/placement/targetring.h
+++ b/include/celeryroute/detail/placement/targetring.h
@@ -22,7 +22,7 @@
     bool erase(KnownTarget *target);
     std::size_t size() const;
     bool empty() const;
-    const std::vector<KnownTarget *> &all() const;
+    std::vector<KnownTarget *> all() const;
 
     /// @brief All targets if there are at most @p limit, else @p limit of them: half where @p key
     /// leads to, which is the same in all entries, and half where @p spread leads to.
@@ -31,7 +31,13 @@
 private:
     void walk(std::uint64_t key, std::size_t count, std::vector<KnownTarget *> &out) const;
 
-    std::vector<KnownTarget *> m_targets;
+    struct Place {
+        std::uint64_t digest = 0;
+        KnownTarget *target = nullptr;
+        bool operator<(const Place &other) const;
+    };
+
+    std::vector<Place> m_places;
 };
 
 } // namespace celeryroute
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t SampleSize = 32; // Holders that are compared for one call.
+constexpr std::size_t SampleSize = 16; // Holders that are compared for one call.
 constexpr std::uint64_t Rounds = 3; // Of samples, where the ones before show no sound holder.
 constexpr double SlotQueue = 1.0 / 16; // Of its slots that a target is believed to queue.
 constexpr double UrgentReserve = 0.1; // Of a target, that is kept for more urgent calls.
--- a/src/placement/targetring.cpp
+++ b/src/placement/targetring.cpp
@@ -6,15 +6,6 @@
 
 namespace celeryroute {
 
-namespace {
-
-bool before(const KnownTarget *left, const KnownTarget *right)
-{
-    return left->digest != right->digest ? left->digest < right->digest : left->record.id < right->record.id;
-}
-
-} // namespace
-
 // The finalizer of SplitMix64.
 std::uint64_t mixBits(std::uint64_t value)
 {
@@ -30,39 +21,50 @@
     return static_cast<double>(mixBits(key ^ target.digest) >> 11U) * 0x1.0p-53;
 }
 
+bool TargetRing::Place::operator<(const Place &other) const
+{
+    return digest != other.digest ? digest < other.digest : target->record.id < other.target->record.id;
+}
+
 bool TargetRing::insert(KnownTarget *target)
 {
-    const auto place = std::lower_bound(m_targets.begin(), m_targets.end(), target, before);
-    if (place != m_targets.end() && *place == target) {
+    const Place place{target->digest, target};
+    const auto next = std::lower_bound(m_places.begin(), m_places.end(), place);
+    if (next != m_places.end() && next->target == target) {
         return false;
     }
-    m_targets.insert(place, target);
+    m_places.insert(next, place);
     return true;
 }
 
 bool TargetRing::erase(KnownTarget *target)
 {
-    const auto place = std::lower_bound(m_targets.begin(), m_targets.end(), target, before);
-    if (place == m_targets.end() || *place != target) {
+    const auto place = std::lower_bound(m_places.begin(), m_places.end(), Place{target->digest, target});
+    if (place == m_places.end() || place->target != target) {
         return false;
     }
-    m_targets.erase(place);
+    m_places.erase(place);
     return true;
 }
 
 std::size_t TargetRing::size() const
 {
-    return m_targets.size();
+    return m_places.size();
 }
 
 bool TargetRing::empty() const
 {
-    return m_targets.empty();
+    return m_places.empty();
 }
 
-const std::vector<KnownTarget *> &TargetRing::all() const
+std::vector<KnownTarget *> TargetRing::all() const
 {
-    return m_targets;
+    std::vector<KnownTarget *> targets;
+    targets.reserve(m_places.size());
+    for (const Place &place : m_places) {
+        targets.push_back(place.target);
+    }
+    return targets;
 }
 
 void TargetRing::sample(std::uint64_t key,
@@ -70,15 +72,15 @@
                         std::size_t limit,
                         std::vector<KnownTarget *> &out) const
 {
-    if (m_targets.size() <= limit) {
-        out.assign(m_targets.begin(), m_targets.end());
+    out.clear();
+    if (m_places.size() <= limit) {
+        for (const Place &place : m_places) {
+            out.push_back(place.target);
+        }
         return;
     }
-    out.clear();
     walk(key, (limit + 1) / 2, out);
     walk(spread, limit / 2, out);
-    std::sort(out.begin(), out.end(), before);
-    out.erase(std::unique(out.begin(), out.end()), out.end());
 }
 
 // Each step looks from another place on, so that neighbours on the ring do not always go together.
@@ -87,12 +89,14 @@
     std::uint64_t at = key;
     for (std::size_t i = 0; i < count; ++i) {
         at = mixBits(at);
-        const auto place = std::lower_bound(
-            m_targets.begin(),
-            m_targets.end(),
-            at,
-            [](const KnownTarget *target, std::uint64_t digest) { return target->digest < digest; });
-        out.push_back(place == m_targets.end() ? m_targets.front() : *place);
+        const auto place = std::lower_bound(m_places.begin(),
+                                            m_places.end(),
+                                            at,
+                                            [](const Place &one, std::uint64_t digest) { return one.digest < digest; });
+        KnownTarget *target = place == m_places.end() ? m_places.front().target : place->target;
+        if (std::find(out.begin(), out.end(), target) == out.end()) {
+            out.push_back(target);
+        }
     }
 }
 
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -143,6 +143,7 @@
     }
 
 private:
+    struct Entry;
     struct Event {
         TimePoint at;
         std::uint64_t number = 0;
@@ -158,6 +159,10 @@
         TimePoint used;
         TimePoint keptUntil; ///< Those who asked for it come until then.
     };
+    struct Wanted {
+        std::string item;
+        std::map<const Entry *, TimePoint> until; ///< Who asked, and when that is forgotten.
+    };
     struct Engine {
         std::string id;
         std::string domain;
@@ -167,7 +172,7 @@
         std::map<std::string, Resident> models;
         std::set<std::string> inMemory;
         std::set<std::string> onDisk;
-        std::list<std::pair<std::string, TimePoint>> wants; ///< Items and when they are forgotten.
+        std::list<Wanted> wants;
         std::string loading;
         TimePoint loaded;
         std::set<std::string> declined;
@@ -348,16 +353,16 @@
                                                                              : baseline(entry, ask);
         ask.askedBefore = true;
         if (decision.want) {
-            want(decision.want->target, decision.want->item);
+            want(entry, *decision.want);
         }
         if (const auto *send = std::get_if<SendTo>(&decision.verdict)) {
             leaveQueue(call);
             deliver(call, send->target);
         } else if (const auto *load = std::get_if<WaitFor>(&decision.verdict)) {
-            wait(call, load->target, load->expected + std::chrono::milliseconds(100));
-            want(load->target, load->item);
+            wait(call, load->item, load->target, load->expected + std::chrono::milliseconds(100));
+            want(entry, {load->item, load->target});
         } else if (const auto *room = std::get_if<WaitForRoom>(&decision.verdict)) {
-            wait(call, "", room->expected);
+            wait(call, ask.model, "", room->expected);
             return true;
         } else {
             leaveQueue(call);
@@ -368,22 +373,24 @@
 
     void leaveQueue(const std::shared_ptr<Call> &call)
     {
-        call->entry->queue.remove(call->number);
-        m_waiting.erase(call->number);
+        Entry &entry = *call->entry;
+        if (const WaitingCall *waiting = entry.queue.find(call->number)) {
+            const WaitingCall before = *waiting;
+            entry.queue.remove(call->number);
+            m_waiting.erase(call->number);
+            withdraw(entry, before);
+        }
     }
 
-    void wait(const std::shared_ptr<Call> &call, const std::string &target, Duration expected)
+    void wait(const std::shared_ptr<Call> &call, const std::string &item, const std::string &target, Duration expected)
     {
-        const bool known = m_waiting.contains(call->number);
+        Entry &entry = *call->entry;
+        const WaitingCall *known = entry.queue.find(call->number);
+        const WaitingCall before = known != nullptr ? *known : WaitingCall{};
         m_waiting[call->number] = call;
-        const EngineCall &ask = call->ask;
-        call->entry->queue.put({call->number,
-                                "engines",
-                                itemKey(ask.model, ask.adapter),
-                                target,
-                                ask.priority,
-                                known ? call->entry->queue.find(call->number)->since : m_now,
-                                call->deadline});
+        const TimePoint since = known != nullptr ? before.since : m_now;
+        entry.queue.put({call->number, "engines", item, target, call->ask.priority, since, call->deadline});
+        withdraw(entry, before);
         const Duration left = call->deadline - m_now;
         const std::uint64_t timer = ++call->timer;
         later(std::min(left, std::max(expected, Duration(std::chrono::milliseconds(5)))), [this, call, timer] {
@@ -618,33 +625,58 @@
     }
 
     // The agent: one order at a time, the least recently used idle model goes first.
-    void want(const std::string &target, const std::string &item)
+    void want(const Entry &entry, const LoadWant &wanted)
     {
-        later(Hop, [this, target, item] {
-            Engine &engine = engineOf(target);
-            const auto known = std::find_if(engine.wants.begin(), engine.wants.end(), [&item](const auto &wanted) {
-                return wanted.first == item;
-            });
+        later(Hop, [this, &entry, wanted] {
+            Engine &engine = engineOf(wanted.target);
+            auto known = findWant(engine, wanted.item);
             if (known == engine.wants.end()) {
-                engine.wants.emplace_back(item, m_now + std::chrono::seconds(3));
-            } else {
-                known->second = m_now + std::chrono::seconds(3);
+                known = engine.wants.insert(known, {wanted.item, {}});
             }
+            known->until[&entry] = m_now + std::chrono::seconds(3);
             work(engine);
             publishSoon(engine);
         });
     }
 
+    std::list<Wanted>::iterator findWant(Engine &engine, const std::string &item)
+    {
+        return std::find_if(engine.wants.begin(), engine.wants.end(), [&item](const Wanted &wanted) {
+            return wanted.item == item;
+        });
+    }
+
+    /// Tells the agent when no call of the entry waits any more for what @p before waited for.
+    void withdraw(const Entry &entry, const WaitingCall &before)
+    {
+        const std::vector<WantedItem> left = entry.queue.wantsAt(before.askedTarget);
+        const bool wanted = std::any_of(left.begin(), left.end(), [&before](const WantedItem &want) {
+            return want.item == before.item;
+        });
+        if (before.askedTarget.empty() || wanted) {
+            return;
+        }
+        later(Hop, [this, &entry, before] {
+            Engine &engine = engineOf(before.askedTarget);
+            const auto known = findWant(engine, before.item);
+            if (known != engine.wants.end() && known->until.erase(&entry) > 0 && known->until.empty()) {
+                engine.declined.erase(before.item);
+                engine.wants.erase(known);
+                publishSoon(engine);
+            }
+        });
+    }
+
     void work(Engine &engine)
     {
         if (engine.crashed) {
             return;
         }
         for (auto wanted = engine.wants.begin(); wanted != engine.wants.end();) {
-            const std::string item = wanted->first;
+            const std::string item = wanted->item;
             const std::string model = modelOfItem(item);
             const bool held = engine.models.contains(model);
-            if (wanted->second < m_now || item == engine.loading || (held && model == item)) {
+            if (forgotten(*wanted) || item == engine.loading || (held && model == item)) {
                 engine.declined.erase(item);
                 wanted = engine.wants.erase(wanted);
             } else if (held) {
@@ -660,6 +692,13 @@
         }
     }
 
+    bool forgotten(const Wanted &wanted) const
+    {
+        return std::all_of(wanted.until.begin(), wanted.until.end(), [this](const auto &until) {
+            return until.second < m_now;
+        });
+    }
+
     void addAdapter(Engine &engine, const std::string &model, const std::string &item)
     {
         const auto resident = engine.models.find(model);
