--- a/include/celeryroute/detail/placement/relaxingmean.h
+++ b/include/celeryroute/detail/placement/relaxingmean.h
@@ -8,7 +8,7 @@
 class RelaxingMean
 {
 public:
-    /// @brief @p weight of one observation; @p memory is the time in which the mean falls back by 1 - 1/e.
+    /// @brief @p weight of one observation; within @p memory the mean falls back to the prior value.
     RelaxingMean(double weight, Duration memory);
 
     void add(double value, double prior, TimePoint now);
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -12,7 +12,7 @@
 constexpr Duration AgentSilence = 2s; // After which the registry's models count.
 constexpr double LoadMemory = 1; // Seconds in which a report without a successor fades.
 constexpr double LatencyWeight = 0.2;
-constexpr Duration LatencyMemory = 10s; // A slow target is tried again after about this.
+constexpr Duration LatencyMemory = 20s; // A slow target is tried again after this.
 
 } // namespace
 
--- a/src/placement/relaxingmean.cpp
+++ b/src/placement/relaxingmean.cpp
@@ -1,6 +1,6 @@
 #include <celeryroute/detail/placement/relaxingmean.h>
 
-#include <cmath>
+#include <algorithm>
 
 namespace celeryroute {
 
@@ -23,7 +23,7 @@
         return prior;
     }
     const double age = toSeconds(now - m_last) / toSeconds(m_memory);
-    return age <= 0 ? m_mean : prior + (m_mean - prior) * std::exp(-age);
+    return prior + (m_mean - prior) * std::clamp(1 - age, 0.0, 1.0);
 }
 
 } // namespace celeryroute
--- a/src/placement/targethealth.cpp
+++ b/src/placement/targethealth.cpp
@@ -12,7 +12,7 @@
 constexpr Duration FirstBackoff = 300ms;
 constexpr Duration LongestBackoff = 3s;
 constexpr double AnswerWeight = 0.2;
-constexpr Duration FailureMemory = 20s;
+constexpr Duration FailureMemory = 30s;
 constexpr double LowestTrust = 0.04;
 constexpr double TrustPower = 3;
 constexpr double FailuresAfterProbe = 0.4; // A target that comes back starts with part of its calls.
--- a/src/placement/trafficmeter.cpp
+++ b/src/placement/trafficmeter.cpp
@@ -13,9 +13,9 @@
 constexpr double AimWeight = 0.1;
 constexpr Duration AimMemory = 600s;
 constexpr double WaitWeight = 0.3; // A burst that is over before a replica is there needs none.
-constexpr Duration WaitMemory = 5s;
+constexpr Duration WaitMemory = 10s;
 constexpr double HeldWeight = 0.3;
-constexpr Duration HeldMemory = 1s;
+constexpr Duration HeldMemory = 2s;
 
 double faded(double value, TimePoint at, TimePoint now)
 {
