Learn how much more urgent calls delay the less urgent ones

The engine admits the urgent first, so what is expected of a less urgent call at sending is too early; the factor is learned for each priority.

--- a/include/celeryroute/detail/placement/knowntarget.h
+++ b/include/celeryroute/detail/placement/knowntarget.h
@@ -48,7 +48,7 @@
     std::optional<TargetView> view;
     TimePoint viewHeard;
     TargetHealth health;
-    RelaxingMean latency; ///< Seconds of an answer, or factor on the expected time of a first event.
+    RelaxingMean latency; ///< Seconds of an answer, or factor on the usual time of an engine's first event.
     OwnLoad own;
     ForeignLoad foreign;
     std::uint32_t slots = 0;
--- a/include/celeryroute/detail/placement/targetpool.h
+++ b/include/celeryroute/detail/placement/targetpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celeryroute/detail/placement/delayfactors.h>
 #include <celeryroute/detail/placement/enginespeed.h>
 #include <celeryroute/detail/placement/prefixmemory.h>
 #include <celeryroute/detail/placement/relaxingmean.h>
@@ -14,6 +15,13 @@
 
 namespace celeryroute {
 
+/// Seconds until a call's prompt is read and until its first event.
+struct ExpectedStart {
+    double wait = 0;
+    double total = 0;
+    bool operator==(const ExpectedStart &) const = default;
+};
+
 /// The targets of one pool, by what they hold, and what was learned of them together.
 struct TargetPool {
     TargetPool();
@@ -26,7 +34,7 @@
     std::unordered_map<std::string, TargetRing> copies; ///< By model with a local copy.
     RelaxingMean latency; ///< Seconds of a plain answer.
     RelaxingMean failures; ///< Failed share of all answers.
-    RelaxingMean slowness; ///< Factor on the expected time of a first event.
+    DelayFactors delays; ///< Of first events.
     RelaxingMean duration; ///< Seconds from sending to the end of a call.
     RelaxingMean uncached; ///< Prompt tokens that a call has to read.
     RelaxingMean tokens; ///< Cache tokens of a call.
@@ -37,6 +45,12 @@
     TrafficMeter traffic;
     PrefixMemory prefixes;
 
+    /// @brief Slots of @p target.
+    double slotsOf(const KnownTarget &target) const;
+    /// @brief When a call with @p uncached tokens to read should have its first event at @p target,
+    /// were all targets alike and no more urgent calls to come.
+    ExpectedStart
+    expectedStart(const KnownTarget &target, std::uint64_t uncached, std::uint32_t priority, TimePoint now) const;
     /// @brief Prompt tokens that @p target has to read before a call of @p priority.
     double tokensAhead(const KnownTarget &target, std::uint32_t priority, TimePoint now) const;
     /// @brief Targets that hold @p model, or null.
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -29,11 +29,6 @@
     return std::find(list.begin(), list.end(), name) != list.end();
 }
 
-double slotsOf(const EngineAsk &ask, const KnownTarget &target)
-{
-    return std::max(1U, target.slots > 0 ? target.slots : ask.pool.engine->slots);
-}
-
 } // namespace
 
 bool Holder::betterThan(const Holder &other) const
@@ -110,18 +105,17 @@
 void HolderFinder::estimateTime(const EngineAsk &ask, Holder &holder) const
 {
     const KnownTarget &target = *holder.target;
-    const EngineSpeed &speed = ask.pool.speed;
     const std::uint64_t kept = ask.guess.keptTokens(target, ask.pool.engine->cacheTokens, m_book.entries());
     const std::uint64_t uncached = ask.call.promptTokens - std::min(kept, ask.call.promptTokens);
-    const double usual = ask.pool.slowness.value(1, ask.now);
-    const double slowness = std::clamp(target.latency.value(usual, ask.now) / usual, LeastSlowness, MostSlowness);
-    const double stretch = slowness * (1 + target.running(ask.now) / slotsOf(ask, target));
-    holder.wait = speed.prefill(ask.pool.tokensAhead(target, ask.call.priority, ask.now)) * stretch;
-    holder.total = holder.wait + speed.firstEvent(uncached) * stretch;
+    const ExpectedStart start = ask.pool.expectedStart(target, uncached, ask.call.priority, ask.now);
+    const double slowness = std::clamp(target.latency.value(1, ask.now), LeastSlowness, MostSlowness)
+        * ask.pool.delays.usual(ask.call.priority, ask.now);
+    holder.wait = start.wait * slowness;
+    holder.total = start.total * slowness;
     holder.cost = holder.total;
     if (kept < ask.chain.sharedTokens) {
         const auto unknown = static_cast<double>(ask.chain.sharedTokens - kept);
-        holder.cost += HomeWeight * speed.prefill(unknown) * (1 - unitRank(ask.chain.home, target));
+        holder.cost += HomeWeight * ask.pool.speed.prefill(unknown) * (1 - unitRank(ask.chain.home, target));
     }
 }
 
@@ -136,7 +130,7 @@
     const auto total = static_cast<double>(reported > 0 ? reported : ask.pool.engine->cacheTokens);
     const auto need = static_cast<double>(ask.call.promptTokens + ask.call.expectedOutput());
     const bool fits = calls < 1 || total == 0 || target.cacheTokens(ask.now) + need <= total * open;
-    const bool free = fits && calls < slotsOf(ask, target) * (open + SlotQueue);
+    const bool free = fits && calls < ask.pool.slotsOf(target) * (open + SlotQueue);
     const double most = CrowdedShare * ask.aim;
     const double refused = toSeconds(target.fullUntil - ask.now);
     holder.room = free && refused <= 0 && (holder.wait <= most || target.waiting(ask.now) < 1);
--- a/src/placement/targetbook.cpp
+++ b/src/placement/targetbook.cpp
@@ -302,8 +302,7 @@
     call.sent = now;
     call.quiet = target.waiting(now) < 1 && target.running(now) * 4 < std::max(1U, target.slots);
     call.priority = engineCall.priority;
-    call.predicted = pool.speed.firstEvent(call.uncached)
-        + pool.speed.prefill(pool.tokensAhead(target, call.priority, now));
+    call.predicted = pool.expectedStart(target, call.uncached, call.priority, now).total;
     pool.urgency.fade(UrgencyMemory);
     pool.urgency.add(call.priority, 1);
     target.clock += call.uncached;
@@ -374,10 +373,10 @@
         return;
     }
     const double factor = seconds / std::max(call.predicted, LeastPrediction);
-    const double usual = pool.slowness.value(factor, now);
-    target.latency.add(factor, usual, now);
-    pool.slowness.add(factor, factor, now);
-    if (call.quiet && factor < OutlierFactor * usual) {
+    const double ofTarget = factor / pool.delays.usual(call.priority, now);
+    target.latency.add(ofTarget, 1, now);
+    pool.delays.add(call.priority, factor, now);
+    if (call.quiet && ofTarget < OutlierFactor) {
         pool.speed.add(call.uncached, seconds);
     }
 }
--- a/src/placement/targetpool.cpp
+++ b/src/placement/targetpool.cpp
@@ -25,13 +25,28 @@
 TargetPool::TargetPool()
     : latency(PoolWeightOfOne, PoolMemory)
     , failures(PoolWeightOfOne, PoolMemory)
-    , slowness(PoolWeightOfOne, PoolMemory)
     , duration(PoolWeightOfOne, PoolMemory)
     , uncached(PoolWeightOfOne, PoolMemory)
     , tokens(PoolWeightOfOne, PoolMemory)
     , prefixes(PrefixCapacity)
 {}
 
+double TargetPool::slotsOf(const KnownTarget &target) const
+{
+    return std::max(1U, target.slots > 0 || !engine ? target.slots : engine->slots);
+}
+
+// The more calls run, the slower a prompt is read.
+ExpectedStart TargetPool::expectedStart(const KnownTarget &target,
+                                        std::uint64_t uncached,
+                                        std::uint32_t priority,
+                                        TimePoint now) const
+{
+    const double stretch = 1 + target.running(now) / slotsOf(target);
+    const double wait = speed.prefill(tokensAhead(target, priority, now)) * stretch;
+    return {wait, wait + speed.firstEvent(uncached) * stretch};
+}
+
 // What calls of other entries are like is not known; they are taken to be as this entry's.
 double TargetPool::tokensAhead(const KnownTarget &target, std::uint32_t priority, TimePoint now) const
 {
