Shed calls that would be late while the demand lasts

A burst is ridden out by holding its calls; once the calls of a priority come late anyway, those that cannot be in time are told at once when to come back.

--- a/include/celeryroute/detail/placement/enginecall.h
+++ b/include/celeryroute/detail/placement/enginecall.h
@@ -32,7 +32,7 @@
     std::vector<std::string> excluded; ///< Targets that must not get it.
     Duration waited{}; ///< In this entry.
     bool askedBefore = false; ///< The same call was decided on before.
-    std::size_t callsBefore = 0; ///< That wait in this entry for room at holders of the model and go first.
+    std::size_t callsWaiting = 0; ///< Others, as urgent or more, that wait in this entry for room for the model.
     bool operator==(const EngineCall &) const = default;
 
     /// @brief Output tokens to expect.
--- a/include/celeryroute/detail/placement/enginechooser.h
+++ b/include/celeryroute/detail/placement/enginechooser.h
@@ -23,6 +23,9 @@
     EngineDecision send(const EngineAsk &ask, const Holder &best);
     EngineDecision withoutRoom(const EngineAsk &ask, const Holder &best);
     EngineDecision withoutHolder(const EngineAsk &ask, const Holder &bad);
+    bool isHopeless(const EngineAsk &ask, const Holder &best) const;
+    bool overloaded(const EngineAsk &ask) const;
+    double mostHeld(const EngineAsk &ask, const Holder &best) const;
     double heldFor(const EngineAsk &ask, const Holder &best) const;
     std::optional<LoadPlan> spare(const EngineAsk &ask, const Holder &best);
     LoadWant wantOf(const EngineAsk &ask, const LoadPlan &plan);
--- a/include/celeryroute/detail/placement/holder.h
+++ b/include/celeryroute/detail/placement/holder.h
@@ -19,6 +19,7 @@
     bool room = false;
     double wait = 0; ///< Seconds before the prompt is read.
     double total = 0; ///< Seconds to the first event.
+    double alone = 0; ///< Seconds to the first event, had the target no other calls.
     double cost = 0; ///< Seconds that holders are compared by.
     double roomIn = 0; ///< Seconds until there is room.
 
--- a/include/celeryroute/detail/placement/targetpool.h
+++ b/include/celeryroute/detail/placement/targetpool.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <celeryroute/detail/placement/delayfactors.h>
 #include <celeryroute/detail/placement/enginespeed.h>
 #include <celeryroute/detail/placement/prefixmemory.h>
+#include <celeryroute/detail/placement/prioritydelays.h>
 #include <celeryroute/detail/placement/relaxingmean.h>
 #include <celeryroute/detail/placement/targetring.h>
 #include <celeryroute/detail/placement/trafficmeter.h>
@@ -34,7 +34,7 @@
     std::unordered_map<std::string, TargetRing> copies; ///< By model with a local copy.
     RelaxingMean latency; ///< Seconds of a plain answer.
     RelaxingMean failures; ///< Failed share of all answers.
-    DelayFactors delays; ///< Of first events.
+    PriorityDelays delays; ///< Of first events.
     RelaxingMean duration; ///< Seconds from sending to the end of a call.
     RelaxingMean uncached; ///< Prompt tokens that a call has to read.
     RelaxingMean tokens; ///< Cache tokens of a call.
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -12,7 +12,9 @@
 constexpr double AdapterLoad = 0.01; // Seconds.
 constexpr double GainHorizon = 5; // Seconds over which a further replica has to pay.
 constexpr double LoadPrice = 0.1; // Late calls that a load has to save beside those that it costs.
-constexpr double HeldShare = 0.7; // Of the time to spare that a call may be held for room.
+constexpr double HeldShare = 0.5; // Of the time to spare that a call may be held for room.
+constexpr double OverloadShare = 0.3; // Of calls that come late, from which on those without hope are refused.
+constexpr double BurstShare = 0.3; // Of the remaining time, in a burst.
 
 bool holdsAdapter(const KnownTarget &target, const EngineAsk &ask)
 {
@@ -48,9 +50,26 @@
     if (best.target == nullptr || best.grade == Holder::Grade::Bad) {
         return withoutHolder(ask, best);
     }
+    if (isHopeless(ask, best)) {
+        return {Refuse{fromSeconds(heldFor(ask, best)), RefuseReason::TooLate}, std::nullopt};
+    }
     return best.room ? send(ask, best) : withoutRoom(ask, best);
 }
 
+// While demand lasts that is more than can be served, room goes to calls that can still be in time.
+// Calls that are late by their reading alone are not at a disadvantage for it.
+bool EngineChooser::isHopeless(const EngineAsk &ask, const Holder &best) const
+{
+    const double waited = toSeconds(ask.call.waited);
+    const bool others = ask.call.callsWaiting > 0 || best.target->waiting(ask.now) >= 1;
+    return others && overloaded(ask) && waited + best.total > ask.aim && best.alone <= ask.aim;
+}
+
+bool EngineChooser::overloaded(const EngineAsk &ask) const
+{
+    return ask.pool.delays.lateShare(ask.call.priority, ask.now) > OverloadShare;
+}
+
 EngineDecision EngineChooser::send(const EngineAsk &ask, const Holder &best)
 {
     EngineDecision decision;
@@ -80,9 +99,7 @@
         }
         decision.want = wantOf(ask, *plan);
     }
-    const double read = best.total - best.wait;
-    const double most = ask.call.askedBefore ? ask.remaining - read : HeldShare * (ask.aim - read);
-    if (held > std::min(most, ask.remaining - read)) {
+    if (held > mostHeld(ask, best)) {
         decision.verdict = Refuse{fromSeconds(held), RefuseReason::TooLate};
     } else {
         decision.verdict = WaitForRoom{fromSeconds(best.roomIn)};
@@ -90,13 +107,24 @@
     return decision;
 }
 
+// A burst passes while its calls are held; where calls come late anyway, holding makes it worse.
+double EngineChooser::mostHeld(const EngineAsk &ask, const Holder &best) const
+{
+    const double left = ask.remaining - (best.total - best.wait);
+    if (ask.call.askedBefore) {
+        return left;
+    }
+    const double most = HeldShare * std::max(ask.aim - best.alone, ask.aim / 2);
+    return std::min(left, overloaded(ask) ? most : std::max(most, ask.remaining * BurstShare));
+}
+
 // Calls that go first take the holders' time; how long others were held shows what else does.
 double EngineChooser::heldFor(const EngineAsk &ask, const Holder &best) const
 {
     const TargetRing *holders = ask.pool.holdersOf(ask.call.model);
     const double replicas = holders != nullptr ? static_cast<double>(holders->size()) : 1;
     const double read = ask.pool.speed.prefill(ask.pool.uncached.value(0, ask.now));
-    const double before = static_cast<double>(ask.call.callsBefore) * read * m_book.entries() / replicas;
+    const double before = static_cast<double>(ask.call.callsWaiting) * read * m_book.entries() / replicas;
     return std::max(best.roomIn + before, ask.pool.traffic.held(ask.call.model, ask.now));
 }
 
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -29,6 +29,12 @@
     return std::find(list.begin(), list.end(), name) != list.end();
 }
 
+// An adapter stays on few targets, so its calls share one home.
+std::uint64_t homeOf(const EngineAsk &ask)
+{
+    return ask.call.adapter.empty() ? ask.chain.home : stableHash(ask.item);
+}
+
 } // namespace
 
 bool Holder::betterThan(const Holder &other) const
@@ -56,7 +62,7 @@
     }
     const std::uint64_t rounds = ring->size() > SampleSize ? Rounds : 1;
     for (std::uint64_t round = 0; round < rounds; ++round) {
-        ring->sample(mixBits(ask.chain.home + round), random(), SampleSize, m_sample);
+        ring->sample(mixBits(homeOf(ask) + round), random(), SampleSize, m_sample);
         for (KnownTarget *target : m_sample) {
             const Holder holder = assess(ask, *target);
             if (holder.target != nullptr && (best.target == nullptr || holder.betterThan(best))) {
@@ -109,13 +115,14 @@
     const std::uint64_t uncached = ask.call.promptTokens - std::min(kept, ask.call.promptTokens);
     const ExpectedStart start = ask.pool.expectedStart(target, uncached, ask.call.priority, ask.now);
     const double slowness = std::clamp(target.latency.value(1, ask.now), LeastSlowness, MostSlowness)
-        * ask.pool.delays.usual(ask.call.priority, ask.now);
+        * ask.pool.delays.factor(ask.call.priority, ask.now);
     holder.wait = start.wait * slowness;
     holder.total = start.total * slowness;
+    holder.alone = ask.pool.speed.firstEvent(uncached);
     holder.cost = holder.total;
     if (kept < ask.chain.sharedTokens) {
         const auto unknown = static_cast<double>(ask.chain.sharedTokens - kept);
-        holder.cost += HomeWeight * ask.pool.speed.prefill(unknown) * (1 - unitRank(ask.chain.home, target));
+        holder.cost += HomeWeight * ask.pool.speed.prefill(unknown) * (1 - unitRank(homeOf(ask), target));
     }
 }
 
@@ -153,7 +160,7 @@
         held += model.adapters.size();
     }
     const double full = held >= ask.pool.engine->adapterSlots ? AdapterFull : 0;
-    return AdapterLoad + AdapterSpread * (1 - unitRank(stableHash(ask.item), target)) + full + declined;
+    return AdapterLoad + AdapterSpread * (1 - unitRank(homeOf(ask), target)) + full + declined;
 }
 
 std::uint64_t HolderFinder::random()
--- a/src/placement/relaxingmean.cpp
+++ b/src/placement/relaxingmean.cpp
@@ -5,14 +5,19 @@
 namespace celeryroute {
 
 RelaxingMean::RelaxingMean(double weight, Duration memory)
-    : m_weight(weight)
+    : RelaxingMean(weight, weight, memory)
+{}
+
+RelaxingMean::RelaxingMean(double rise, double fall, Duration memory)
+    : m_rise(rise)
+    , m_fall(fall)
     , m_memory(memory)
 {}
 
 void RelaxingMean::add(double value, double prior, TimePoint now)
 {
     const double before = this->value(prior, now);
-    m_mean = before + m_weight * (value - before);
+    m_mean = before + (value > before ? m_rise : m_fall) * (value - before);
     m_seen = true;
     m_last = now;
 }
--- a/src/placement/targetbook.cpp
+++ b/src/placement/targetbook.cpp
@@ -140,6 +140,7 @@
     std::uint32_t priority = 0;
     TimePoint sent;
     double predicted = 0; ///< Seconds to the first event.
+    double slack = 0; ///< Seconds in which the call wants its first event.
     bool quiet = false; ///< It found no backlog.
     bool started = false;
 };
@@ -302,6 +303,7 @@
     call.sent = now;
     call.quiet = target.waiting(now) < 1 && target.running(now) * 4 < std::max(1U, target.slots);
     call.priority = engineCall.priority;
+    call.slack = toSeconds(engineCall.targetLatency - engineCall.waited);
     call.predicted = pool.expectedStart(target, call.uncached, call.priority, now).total;
     pool.urgency.fade(UrgencyMemory);
     pool.urgency.add(call.priority, 1);
@@ -373,9 +375,9 @@
         return;
     }
     const double factor = seconds / std::max(call.predicted, LeastPrediction);
-    const double ofTarget = factor / pool.delays.usual(call.priority, now);
+    const double ofTarget = factor / pool.delays.factor(call.priority, now);
     target.latency.add(ofTarget, 1, now);
-    pool.delays.add(call.priority, factor, now);
+    pool.delays.add(call.priority, factor, seconds > call.slack, now);
     if (call.quiet && ofTarget < OutlierFactor) {
         pool.speed.add(call.uncached, seconds);
     }
--- a/src/placement/targethealth.cpp
+++ b/src/placement/targethealth.cpp
@@ -11,16 +11,17 @@
 
 constexpr Duration FirstBackoff = 300ms;
 constexpr Duration LongestBackoff = 3s;
-constexpr double AnswerWeight = 0.2;
+constexpr double FailureWeight = 0.25;
+constexpr double SuccessWeight = 0.1; // Less, so that a target that fails now and then is not given back each time.
 constexpr Duration FailureMemory = 30s;
 constexpr double LowestTrust = 0.04;
 constexpr double TrustPower = 3;
-constexpr double FailuresAfterProbe = 0.4; // A target that comes back starts with part of its calls.
+constexpr double FailuresAfterProbe = 0.3; // A target that comes back starts with part of its calls.
 
 } // namespace
 
 TargetHealth::TargetHealth()
-    : m_failures(AnswerWeight, FailureMemory)
+    : m_failures(FailureWeight, SuccessWeight, FailureMemory)
 {}
 
 void TargetHealth::noteAnswer(bool failed, double usual, TimePoint now)
@@ -32,8 +33,8 @@
         }
         m_backoff = Duration::zero();
         m_probing = false;
-        m_failures = RelaxingMean(AnswerWeight, FailureMemory);
-        m_failures.add(FailuresAfterProbe / AnswerWeight, 0, now);
+        m_failures = RelaxingMean(FailureWeight, SuccessWeight, FailureMemory);
+        m_failures.add(FailuresAfterProbe / FailureWeight, 0, now);
         return;
     }
     m_failures.add(failed ? 1 : 0, usual, now);
--- a/src/placement/trafficmeter.cpp
+++ b/src/placement/trafficmeter.cpp
@@ -14,8 +14,8 @@
 constexpr Duration AimMemory = 600s;
 constexpr double WaitWeight = 0.3; // A burst that is over before a replica is there needs none.
 constexpr Duration WaitMemory = 10s;
-constexpr double HeldWeight = 0.3;
-constexpr Duration HeldMemory = 2s;
+constexpr double HeldWeight = 0.5;
+constexpr Duration HeldMemory = 5s;
 
 double faded(double value, TimePoint at, TimePoint now)
 {
--- /dev/null
+++ b/tests/src/unit-placementengines.cpp
@@ -0,0 +1,371 @@
+// The choice for calls to model engines: single decisions, and whole fleets in virtual time.
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/placement/enginechooser.h>
+
+#include <iostream>
+#include <placementsimulation.h>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace celeryroute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Targets = 6;
+
+/// An entry that hears the same of six targets as others; no target holds "wanted".
+struct Front {
+    explicit Front(const std::string &name)
+        : book(name, "here")
+        , chooser(book, stableHash(name))
+    {
+        ServingState state;
+        EngineSpec spec;
+        spec.slots = 8;
+        spec.cacheTokens = 50000;
+        spec.memoryMb = 100;
+        spec.adapterSlots = 2;
+        for (const std::string model : {"wanted", "base", "other"}) {
+            spec.models.push_back({model, 60, 6s, 700ms, 500ms, 4, 1});
+        }
+        spec.models.push_back({"huge", 200, 6s, 700ms, 500ms, 0, 0});
+        state.pools.push_back({"engines", "", 0, spec});
+        book.setState(state);
+        for (int i = 0; i < Targets; ++i) {
+            TargetRecord record;
+            record.id = std::to_string(i);
+            record.pool = "engines";
+            record.domain = "here";
+            record.bornMs = 1;
+            book.setRecord(record, now);
+            views.emplace_back();
+            views.back().bornMs = 1;
+            hear(i);
+        }
+    }
+
+    void hear(int target)
+    {
+        book.setView(std::to_string(target), views[static_cast<std::size_t>(target)], now);
+    }
+    TargetView &view(int target)
+    {
+        return views[static_cast<std::size_t>(target)];
+    }
+    void hold(int target, const std::string &model, std::uint64_t version = 1)
+    {
+        view(target).models.push_back({model, version, {}});
+        hear(target);
+    }
+    EngineVerdict verdict(const EngineCall &call)
+    {
+        return chooser.choose(call, now).verdict;
+    }
+    std::string sentTo(const EngineCall &call)
+    {
+        const EngineVerdict chosen = verdict(call);
+        const auto *send = std::get_if<SendTo>(&chosen);
+        return send != nullptr ? send->target : "";
+    }
+    WaitFor waitedFor(const EngineCall &call)
+    {
+        const EngineVerdict chosen = verdict(call);
+        const auto *wait = std::get_if<WaitFor>(&chosen);
+        return wait != nullptr ? *wait : WaitFor{};
+    }
+
+    TimePoint now{};
+    std::vector<TargetView> views;
+    TargetBook book;
+    EngineChooser chooser;
+};
+
+EngineCall callFor(const std::string &model, const std::string &subject = "subject", const std::string &adapter = "")
+{
+    EngineCall call;
+    call.pool = "engines";
+    call.model = model;
+    call.adapter = adapter;
+    call.parts = {{"all", 2000}, {subject, 4000}, {"own", 3000}};
+    call.promptTokens = 9000;
+    call.maxOutputTokens = 100;
+    call.remaining = 5s;
+    call.targetLatency = 1s;
+    return call;
+}
+
+} // namespace
+
+TEST_GROUP(EngineChooser)
+{
+    Front front{"entry-0"};
+    Front other{"entry-1"};
+};
+
+TEST(EngineChooser, theModelCannotBeServed_refusesWithTheReason)
+{
+    EngineCall call = callFor("unheard");
+    CHECK(std::get<Refuse>(front.verdict(call)).reason == RefuseReason::UnknownModel);
+    call.pool = "nowhere";
+    CHECK(std::get<Refuse>(front.verdict(call)).reason == RefuseReason::NoTargets);
+    CHECK(std::get<Refuse>(front.verdict(callFor("huge"))).reason == RefuseReason::NoTargets);
+    front.hold(1, "base", 4);
+    call = callFor("base");
+    call.weightsVersion = 3;
+    CHECK(std::get<Refuse>(front.verdict(call)).reason == RefuseReason::WeightsGone);
+    call.weightsVersion = 4;
+    CHECK_EQUAL(std::string("1"), front.sentTo(call));
+    call.excluded = {"1"};
+    CHECK(front.sentTo(call).empty());
+}
+
+TEST(EngineChooser, aPrefixWasSentThere_itsCallsFollow)
+{
+    std::set<std::string> homes;
+    for (int i = 0; i < Targets; ++i) {
+        front.hold(i, "base");
+        other.hold(i, "base");
+    }
+    for (int i = 0; i < 20; ++i) {
+        EngineCall call = callFor("base", "subject-" + std::to_string(i));
+        call.parts.erase(call.parts.begin());
+        const std::string home = front.sentTo(call);
+        CHECK_EQUAL(home, other.sentTo(call)); // Without a word between the entries.
+        homes.insert(home);
+        EngineCall moved = call;
+        moved.excluded = {home};
+        const std::string second = front.sentTo(moved);
+        const CallTicket ticket = front.book.noteSent(second, moved, front.now);
+        front.book.noteFirstEvent(ticket, front.now + 300ms);
+        front.book.noteEnded(ticket, CallEnd::Answered, front.now + 400ms);
+        CHECK_EQUAL(second, front.sentTo(call));
+    }
+    CHECK(homes.size() >= 4);
+}
+
+TEST(EngineChooser, nobodyHoldsTheModel_theFastestSourceIsAskedByAllEntries)
+{
+    struct Row {
+        std::vector<int> inMemory;
+        std::vector<int> onDisk;
+        std::vector<int> full; ///< Hold a model that is in use.
+        std::vector<int> declining;
+        std::set<std::string> expected;
+        Duration ready;
+    };
+    const Row rows[] = {
+        {{}, {}, {}, {}, {"0", "1", "2", "3", "4", "5"}, 6s},
+        {{}, {3, 4}, {}, {}, {"3", "4"}, 700ms},
+        {{2}, {3}, {}, {}, {"2", "3"}, 500ms},
+        {{}, {3, 4}, {3}, {}, {"4"}, 700ms},
+        {{}, {3, 4}, {}, {4}, {"3"}, 700ms},
+        {{}, {4}, {}, {4}, {"4"}, 1700ms},
+    };
+    for (const Row &row : rows) {
+        std::set<std::string> asked;
+        for (const std::string name : {"a", "b", "c", "d"}) {
+            Front entry(name);
+            for (const int target : row.inMemory) {
+                entry.view(target).copies.inMemory = {"wanted"};
+            }
+            for (const int target : row.onDisk) {
+                entry.view(target).copies.onDisk = {"wanted"};
+            }
+            for (const int target : row.declining) {
+                entry.view(target).declined = {"wanted"};
+            }
+            for (const int target : row.full) {
+                entry.hold(target, "base");
+            }
+            for (int i = 0; i < Targets; ++i) {
+                entry.hear(i);
+            }
+            for (int i = 0; i < 20 && !row.full.empty(); ++i) {
+                entry.sentTo(callFor("base"));
+            }
+            EngineCall call = callFor("wanted");
+            call.remaining = 10s;
+            const WaitFor wait = entry.waitedFor(call);
+            CHECK_EQUAL(std::string("wanted"), wait.item);
+            CHECK(row.expected.contains(wait.target));
+            CHECK(wait.expected <= row.ready + 1ms);
+            asked.insert(wait.target);
+        }
+        CHECK_EQUAL(1, static_cast<int>(asked.size()));
+    }
+}
+
+TEST(EngineChooser, aLoadIsUnderWay_itIsWaitedFor)
+{
+    front.view(2).copies.onDisk = {"wanted"};
+    front.hear(2);
+    const std::string asked = front.waitedFor(callFor("wanted")).target;
+    CHECK_EQUAL(std::string("2"), asked);
+    front.view(4).copies.inMemory = {"wanted"};
+    front.hear(4);
+    CHECK_EQUAL(asked, front.waitedFor(callFor("wanted")).target);
+    front.view(5).loading = {{"wanted", 200ms}};
+    front.hear(5);
+    CHECK(front.waitedFor(callFor("wanted")) == (WaitFor{"wanted", "5", 200ms}));
+    front.now += 100ms;
+    CHECK(front.waitedFor(callFor("wanted")).expected == 100ms);
+    front.view(5).loading.clear();
+    front.hear(5);
+    front.now += 3s; // The one that was asked first shows nothing.
+    for (int i = 0; i < Targets; ++i) {
+        front.hear(i);
+    }
+    CHECK_EQUAL(std::string("4"), front.waitedFor(callFor("wanted")).target);
+}
+
+TEST(EngineChooser, theLoadTakesTooLong_refusesAtOnceAndAsksForIt)
+{
+    front.view(2).copies.onDisk = {"wanted"};
+    front.hear(2);
+    EngineCall call = callFor("wanted");
+    call.remaining = 800ms;
+    const EngineDecision decision = front.chooser.choose(call, front.now);
+    CHECK(std::get<Refuse>(decision.verdict) == (Refuse{700ms, RefuseReason::TooLate}));
+    CHECK(decision.want == LoadWant({"wanted", "2"}));
+}
+
+TEST(EngineChooser, anAdapterIsNotThere_itSettlesOnFewHolders)
+{
+    std::set<std::string> asked;
+    for (int i = 0; i < Targets; ++i) {
+        front.hold(i, "base");
+        other.hold(i, "base");
+    }
+    for (int i = 0; i < 10; ++i) {
+        const EngineCall call = callFor("base", "subject-" + std::to_string(i), "a1");
+        const WaitFor wait = front.waitedFor(call);
+        CHECK_EQUAL(std::string("base/a1"), wait.item);
+        CHECK(wait.expected <= 10ms);
+        asked.insert(wait.target);
+        asked.insert(other.waitedFor(call).target);
+    }
+    CHECK(asked.size() <= 3);
+    const int holder = std::stoi(*asked.begin());
+    front.view(holder).models.front().adapters = {"a1"};
+    front.hear(holder);
+    CHECK_EQUAL(std::to_string(holder), front.sentTo(callFor("base", "subject-0", "a1")));
+}
+
+TEST(EngineChooser, theHoldersAreFull_waitsForRoomAndTheLargestFindsAPlace)
+{
+    front.hold(1, "base");
+    EngineCall large = callFor("base");
+    large.promptTokens = 49000;
+    std::vector<CallTicket> tickets;
+    for (std::string target = front.sentTo(callFor("base")); !target.empty(); target = front.sentTo(callFor("base"))) {
+        tickets.push_back(front.book.noteSent(target, callFor("base"), front.now));
+        front.book.noteFirstEvent(tickets.back(), front.now);
+    }
+    CHECK_EQUAL(5, static_cast<int>(tickets.size())); // Of 9,100 tokens each.
+    CHECK(std::holds_alternative<WaitForRoom>(front.verdict(callFor("base"))));
+    CHECK(std::holds_alternative<WaitForRoom>(front.verdict(large)));
+    for (const CallTicket ticket : tickets) {
+        CHECK(front.book.noteEnded(ticket, CallEnd::Answered, front.now) == ChangedModels({"base"}));
+    }
+    CHECK_EQUAL(std::string("1"), front.sentTo(large));
+}
+
+TEST(EngineChooser, theOnlyHolderIsBad_anotherLoadsOrItIsTried)
+{
+    front.hold(1, "wanted");
+    front.book.noteEnded(front.book.noteSent("1", callFor("wanted"), front.now), CallEnd::Unreachable, front.now);
+    CHECK_EQUAL(std::string("1"), front.sentTo(callFor("wanted"))); // A load from the store is dear.
+    front.view(3).copies.onDisk = {"wanted"};
+    front.hear(3);
+    CHECK_EQUAL(std::string("3"), front.waitedFor(callFor("wanted")).target);
+    front.now += 400ms;
+    front.hear(1);
+    CHECK_EQUAL(std::string("1"), front.sentTo(callFor("wanted")));
+}
+
+TEST_GROUP(PlacementRun)
+{
+    simulation::EngineFleet fleet;
+
+    simulation::PlacementOutcome play(simulation::PlacementWay way = simulation::PlacementWay::Chooser)
+    {
+        fleet.way = way;
+        const simulation::PlacementOutcome outcome = simulation::PlacementRun(fleet).run();
+        std::cout << "seed " << fleet.seed;
+        for (const auto &[name, of] : outcome.classes) {
+            std::cout << ", " << name << " in time " << outcome.inTime(name) << " served " << outcome.served(name);
+        }
+        std::cout << ", loads " << outcome.loads << " from the store " << outcome.storeLoads << '\n';
+        return outcome;
+    }
+};
+
+TEST(PlacementRun, usualTraffic_nearlyAllInTimeAndNoLoadFromTheStore)
+{
+    for (fleet.seed = 1; fleet.seed <= 3; ++fleet.seed) {
+        fleet.classes[1].shiftEvery = 20;
+        fleet.classes[1].shiftOver = fleet.models;
+        const simulation::PlacementOutcome outcome = play();
+        CHECK(outcome.inTime("rare") > 0.98);
+        CHECK(outcome.inTime("busy") > 0.92);
+        CHECK(outcome.inTime("chat") > 0.98);
+        CHECK_EQUAL(0, outcome.storeLoads);
+        for (const auto &[item, calls] : outcome.items) {
+            CHECK(calls.second > 0);
+        }
+    }
+}
+
+TEST(PlacementRun, threeTimesTheTraffic_moreInTimeThanTheBaselines)
+{
+    fleet.scale = 3;
+    fleet.seconds = 60;
+    const simulation::PlacementOutcome ours = play();
+    CHECK(ours.served("busy") > 0.98);
+    for (const auto way : {simulation::PlacementWay::Random, simulation::PlacementWay::LeastLoaded}) {
+        const simulation::PlacementOutcome baseline = play(way);
+        CHECK(ours.inTime("busy") > baseline.inTime("busy") + 0.1);
+        CHECK(ours.inTime("rare") > baseline.inTime("rare") - 0.02);
+    }
+}
+
+TEST(PlacementRun, farTooMuchTraffic_nothingIsStarved)
+{
+    fleet.scale = 6;
+    fleet.seconds = 60;
+    const simulation::PlacementOutcome outcome = play();
+    CHECK(outcome.inTime("chat") > 0.9); // The most urgent.
+    CHECK(outcome.served("busy") > 0.3);
+    for (const auto &[item, calls] : outcome.items) {
+        CHECK(calls.second > 0);
+    }
+    const auto share = [&outcome](const std::string &size) {
+        const auto &[calls, served] = outcome.sizes.at(size);
+        return static_cast<double>(served) / calls;
+    };
+    CHECK(share("large") > share("usual") / 2);
+}
+
+TEST(PlacementRun, aTargetIsBad_itGetsLittleAndTheRestIsServed)
+{
+    struct Row {
+        double slow;
+        double failing;
+        double crashAt;
+        double mostSends; ///< Share that goes to the bad target.
+    };
+    const Row rows[] = {{6, 0, 0, 0.06}, {1, 0.5, 0, 0.04}, {1, 0, 30, 0.01}};
+    for (const Row &row : rows) {
+        fleet.slowTarget = row.slow;
+        fleet.failingTarget = row.failing;
+        fleet.crashAt = row.crashAt;
+        fleet.seconds = 60;
+        const simulation::PlacementOutcome outcome = play();
+        std::cout << "share of the bad target " << static_cast<double>(outcome.onBadTarget) / outcome.sends << '\n';
+        CHECK(outcome.onBadTarget <= row.mostSends * outcome.sends);
+        CHECK(outcome.served("rare") > 0.98);
+        CHECK(outcome.inTime("busy") > 0.93);
+    }
+}
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -348,7 +348,9 @@
         EngineCall &ask = call->ask;
         ask.remaining = call->deadline - m_now;
         ask.waited = m_now - call->came;
-        ask.callsBefore = ask.askedBefore ? 0 : entry.queue.waitingForRoom("engines", ask.model, ask.priority);
+        const WaitingCall *waiting = entry.queue.find(call->number);
+        ask.callsWaiting = entry.queue.waitingForRoom("engines", ask.model, ask.priority)
+            - (waiting != nullptr && waiting->askedTarget.empty() ? 1 : 0);
         const EngineDecision decision = m_fleet.way == PlacementWay::Chooser ? entry.chooser->choose(ask, m_now)
                                                                              : baseline(entry, ask);
         ask.askedBefore = true;
