--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -67,9 +67,11 @@
     call.targetLatency = m_route->targetLatency;
     call.excluded = m_excluded;
     call.askedBefore = m_asked;
-    // Waiting calls are looked at in their order, so only a new one has to stand behind them.
-    if (m_gateway.queue().find(m_number) == nullptr) {
-        call.callsBefore = m_gateway.queue().waitingForRoom(m_pool, m_fields.model, call.priority);
+    call.waited = m_gateway.loop().now() - m_request.received;
+    call.callsWaiting = m_gateway.queue().waitingForRoom(m_pool, m_fields.model, call.priority);
+    const WaitingCall *own = m_gateway.queue().find(m_number);
+    if (own != nullptr && own->askedTarget.empty() && call.callsWaiting > 0) {
+        --call.callsWaiting;
     }
     if (!m_version.empty() && begun()) {
         std::uint64_t version = 0;
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t SampleSize = 32; // Holders that are compared for one call.
+constexpr std::size_t SampleSize = 16; // Holders that are compared for one call.
 constexpr std::uint64_t Rounds = 3; // Of samples, where the ones before show no sound holder.
 constexpr double SlotQueue = 1.0 / 16; // Of its slots that a target is believed to queue.
 constexpr double UrgentReserve = 0.1; // Of a target, that is kept for more urgent calls.
@@ -29,9 +29,10 @@
     return std::find(list.begin(), list.end(), name) != list.end();
 }
 
-double slotsOf(const EngineAsk &ask, const KnownTarget &target)
+// An adapter stays on few targets, so its calls share one home.
+std::uint64_t homeOf(const EngineAsk &ask)
 {
-    return std::max(1U, target.slots > 0 ? target.slots : ask.pool.engine->slots);
+    return ask.call.adapter.empty() ? ask.chain.home : stableHash(ask.item);
 }
 
 } // namespace
@@ -61,7 +62,7 @@
     }
     const std::uint64_t rounds = ring->size() > SampleSize ? Rounds : 1;
     for (std::uint64_t round = 0; round < rounds; ++round) {
-        ring->sample(mixBits(ask.chain.home + round), random(), SampleSize, m_sample);
+        ring->sample(mixBits(homeOf(ask) + round), random(), SampleSize, m_sample);
         for (KnownTarget *target : m_sample) {
             const Holder holder = assess(ask, *target);
             if (holder.target != nullptr && (best.target == nullptr || holder.betterThan(best))) {
@@ -110,18 +111,18 @@
 void HolderFinder::estimateTime(const EngineAsk &ask, Holder &holder) const
 {
     const KnownTarget &target = *holder.target;
-    const EngineSpeed &speed = ask.pool.speed;
     const std::uint64_t kept = ask.guess.keptTokens(target, ask.pool.engine->cacheTokens, m_book.entries());
     const std::uint64_t uncached = ask.call.promptTokens - std::min(kept, ask.call.promptTokens);
-    const double usual = ask.pool.slowness.value(1, ask.now);
-    const double slowness = std::clamp(target.latency.value(usual, ask.now) / usual, LeastSlowness, MostSlowness);
-    const double stretch = slowness * (1 + target.running(ask.now) / slotsOf(ask, target));
-    holder.wait = speed.prefill(ask.pool.tokensAhead(target, ask.call.priority, ask.now)) * stretch;
-    holder.total = holder.wait + speed.firstEvent(uncached) * stretch;
+    const ExpectedStart start = ask.pool.expectedStart(target, uncached, ask.call.priority, ask.now);
+    const double slowness = std::clamp(target.latency.value(1, ask.now), LeastSlowness, MostSlowness)
+        * ask.pool.delays.factor(ask.call.priority, ask.now);
+    holder.wait = start.wait * slowness;
+    holder.total = start.total * slowness;
+    holder.alone = ask.pool.speed.firstEvent(uncached);
     holder.cost = holder.total;
     if (kept < ask.chain.sharedTokens) {
         const auto unknown = static_cast<double>(ask.chain.sharedTokens - kept);
-        holder.cost += HomeWeight * speed.prefill(unknown) * (1 - unitRank(ask.chain.home, target));
+        holder.cost += HomeWeight * ask.pool.speed.prefill(unknown) * (1 - unitRank(homeOf(ask), target));
     }
 }
 
@@ -136,7 +137,7 @@
     const auto total = static_cast<double>(reported > 0 ? reported : ask.pool.engine->cacheTokens);
     const auto need = static_cast<double>(ask.call.promptTokens + ask.call.expectedOutput());
     const bool fits = calls < 1 || total == 0 || target.cacheTokens(ask.now) + need <= total * open;
-    const bool free = fits && calls < slotsOf(ask, target) * (open + SlotQueue);
+    const bool free = fits && calls < ask.pool.slotsOf(target) * (open + SlotQueue);
     const double most = CrowdedShare * ask.aim;
     const double refused = toSeconds(target.fullUntil - ask.now);
     holder.room = free && refused <= 0 && (holder.wait <= most || target.waiting(ask.now) < 1);
@@ -159,7 +160,7 @@
         held += model.adapters.size();
     }
     const double full = held >= ask.pool.engine->adapterSlots ? AdapterFull : 0;
-    return AdapterLoad + AdapterSpread * (1 - unitRank(stableHash(ask.item), target)) + full + declined;
+    return AdapterLoad + AdapterSpread * (1 - unitRank(homeOf(ask), target)) + full + declined;
 }
 
 std::uint64_t HolderFinder::random()
