--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -26,9 +26,11 @@
 constexpr Duration ActiveRead = 150ms;
 constexpr Duration IdleRead = 1s;
 constexpr Duration UnreachableRead = 250ms;
-constexpr Duration FirstBlock = 10ms;
-constexpr Duration FirstRefusedBlock = 250ms;
-constexpr Duration LongestBlock = 4s;
+constexpr Duration FirstBlock = 10ms; ///< Of an item whose order met a conflict.
+constexpr Duration LongestBlock = 150ms;
+constexpr Duration FirstRefusedBlock = 250ms; ///< Of an item whose order was refused for good.
+constexpr Duration LongestRefusedBlock = 4s;
+constexpr Duration BlockMemory = 1s; ///< In which a further conflict doubles the time.
 constexpr Duration DueChange = 200ms; ///< Of which entries hear at once.
 constexpr double PrefetchUse = 0.05; ///< Mean calls in flight.
 
@@ -168,9 +170,11 @@
 void ModelKeeper::block(const TargetOrder &order, OrderOutcome outcome, TimePoint now)
 {
     Block &block = m_blocks[toString(itemOf(order))];
-    block.refused = outcome == OrderOutcome::Rejected;
-    const Duration first = block.refused ? FirstRefusedBlock : FirstBlock;
-    block.delay = std::clamp(2 * block.delay, first, LongestBlock);
+    const bool refused = outcome == OrderOutcome::Rejected;
+    const bool again = refused == block.refused && now - block.until < BlockMemory;
+    const Duration first = refused ? FirstRefusedBlock : FirstBlock;
+    block.delay = again ? std::min(2 * block.delay, refused ? LongestRefusedBlock : LongestBlock) : first;
+    block.refused = refused;
     block.until = now + block.delay;
 }
 
