Give every type of the namespace a name of its own

Five names stood for two types each, one pair in code that was there before: an attempt of the agent and one of the entry, both held by std::unique_ptr. Their destructors and deleters are merged by the linker, so one of the two destroyed the other's layout.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export CCACHE_BASEDIR ?= $(abspath $(CURDIR)/..)
 export CCACHE_NOHASHDIR ?= 1
 
-.PHONY: help quickstart scale packages build test model format format-fix lint check check-asan check-tsan proto clean capacity slopes platform-names
+.PHONY: help quickstart scale packages build test model format format-fix lint check check-asan check-tsan proto clean capacity slopes platform-names type-names
 
 help: ## List the chores.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -37,10 +37,13 @@
 lint: build ## Run clang-tidy.
 	CELERYROUTE_JOBS=$(JOBS) scripts/check-lint.sh $(BUILD)
 
+type-names: ## Fail when two headers define types of one name.
+	scripts/check-type-names.sh
+
 platform-names: ## Fail when a name of the platform appears outside platform/.
 	scripts/check-platform-names.sh
 
-check: packages build format lint platform-names model capacity test ## All that CI checks.
+check: packages build format lint platform-names type-names model capacity test ## All that CI checks.
 
 capacity: build ## Check that docs/CAPACITY.md matches its slopes.
 	BUILD=$(abspath $(BUILD)) scripts/capacity.py --check
--- a/include/celeryroute/detail/entry/flight.h
+++ b/include/celeryroute/detail/entry/flight.h
@@ -11,7 +11,7 @@
 namespace celeryroute {
 
 /// One try of a call at one host.
-struct Attempt {
+struct EntryAttempt {
     std::string id;
     std::string host;
     TimePoint sent;
@@ -25,7 +25,7 @@
 struct Flight {
     CallerCall call;
     std::shared_ptr<HttpResponder> responder;
-    std::unique_ptr<Attempt> attempt;
+    std::unique_ptr<EntryAttempt> attempt;
     std::set<std::string> triedHosts;
     std::string wholeBody; ///< Of an answer that is not streamed.
     bool headSent = false; ///< Whether the caller has received a part of the answer.
--- a/include/celeryroute/detail/feed/feedcalls.h
+++ b/include/celeryroute/detail/feed/feedcalls.h
@@ -69,9 +69,9 @@
 };
 
 /// Answer of AppendRecord.
-struct Appended {
+struct RecordAppended {
     std::uint64_t offset = 0;
-    bool operator==(const Appended &) const = default;
+    bool operator==(const RecordAppended &) const = default;
 };
 
 /// The store did not serve the call.
@@ -80,6 +80,6 @@
     bool operator==(const FeedUnavailable &) const = default;
 };
 
-using FeedAnswer = std::variant<NewestPage, RecordPage, RecordsExpired, Appended, FeedUnavailable>;
+using FeedAnswer = std::variant<NewestPage, RecordPage, RecordsExpired, RecordAppended, FeedUnavailable>;
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/keeper/demandbook.h
+++ b/include/celeryroute/detail/keeper/demandbook.h
@@ -11,12 +11,12 @@
 namespace celeryroute {
 
 /// What all entries together want of one item.
-struct ItemDemand {
+struct JointWant {
     ItemName item;
     std::uint32_t calls = 0;
     std::uint32_t priority = 0;
     Duration age{};
-    bool operator==(const ItemDemand &) const = default;
+    bool operator==(const JointWant &) const = default;
 };
 
 /// Demand of all entries at one target, and how much each item was used.
@@ -27,7 +27,7 @@
     void note(const std::string &entry, EntryDemand demand, TimePoint now);
 
     /// @brief Wants of entries that were heard lately, one per item.
-    std::vector<ItemDemand> wants(TimePoint now) const;
+    std::vector<JointWant> wants(TimePoint now) const;
 
     /// @brief Calls in flight by item; calls of an adapter count for its model too.
     std::unordered_map<std::string, std::uint32_t> inFlight(TimePoint now) const;
--- a/include/celeryroute/detail/keeper/modelkeeper.h
+++ b/include/celeryroute/detail/keeper/modelkeeper.h
@@ -4,10 +4,10 @@
 #include <celeryroute/detail/keeper/enginecatalog.h>
 #include <celeryroute/detail/keeper/keepersettings.h>
 #include <celeryroute/detail/keeper/keeperview.h>
-#include <celeryroute/detail/keeper/orderplan.h>
 #include <celeryroute/detail/keeper/memoryuse.h>
 #include <celeryroute/detail/keeper/orderblocks.h>
 #include <celeryroute/detail/keeper/orderledger.h>
+#include <celeryroute/detail/keeper/orderplan.h>
 #include <celeryroute/detail/keeper/storeloadshare.h>
 #include <celeryroute/detail/serving/enginespec.h>
 
@@ -45,7 +45,7 @@
     void noteUnreachable(TimePoint now);
 
     void noteUsage(const std::string &entry, const EntryDemand &demand, TimePoint now);
-    void noteOutcome(const TargetOrder &order, OrderOutcome outcome, TimePoint now);
+    void noteOutcome(const TargetOrder &order, OrderAnswer outcome, TimePoint now);
 
     /// @brief The order to send now, if any. No other comes before its outcome is noted.
     std::optional<TargetOrder> nextOrder(TimePoint now);
--- a/include/celeryroute/detail/keeper/orderblocks.h
+++ b/include/celeryroute/detail/keeper/orderblocks.h
@@ -13,7 +13,7 @@
 {
 public:
     /// @brief The target answered @p order with a conflict or a rejection.
-    void note(const TargetOrder &order, OrderOutcome outcome, TimePoint now);
+    void note(const TargetOrder &order, OrderAnswer outcome, TimePoint now);
 
     /// @brief The target took an order for @p item.
     void clear(const std::string &item)
--- a/include/celeryroute/detail/keeper/orderledger.h
+++ b/include/celeryroute/detail/keeper/orderledger.h
@@ -31,7 +31,7 @@
 
     /// @brief An order that has not been answered yet.
     void noteSent(const TargetOrder &order, bool storeLoad);
-    void noteOutcome(const TargetOrder &order, OrderOutcome outcome, TimePoint now);
+    void noteOutcome(const TargetOrder &order, OrderAnswer outcome, TimePoint now);
     ReportEffect noteReport(const TargetReport &report, TimePoint readBegan, TimePoint now);
 
     /// @brief Orders of an earlier agent may still take effect until @p until.
--- a/include/celeryroute/detail/keeper/orderplanner.h
+++ b/include/celeryroute/detail/keeper/orderplanner.h
@@ -2,10 +2,10 @@
 
 #include <celeryroute/detail/keeper/demandbook.h>
 #include <celeryroute/detail/keeper/enginecatalog.h>
-#include <celeryroute/detail/keeper/orderplan.h>
 #include <celeryroute/detail/keeper/memoryuse.h>
 #include <celeryroute/detail/keeper/orderblocks.h>
 #include <celeryroute/detail/keeper/orderledger.h>
+#include <celeryroute/detail/keeper/orderplan.h>
 #include <celeryroute/detail/keeper/roomplan.h>
 #include <celeryroute/detail/keeper/storeloadshare.h>
 
@@ -18,7 +18,7 @@
 namespace celeryroute {
 
 /// What a OrderPlanner decides by.
-struct PlannerInput {
+struct OrderPlannerInput {
     const OrderLedger &ledger;
     const DemandBook &demand;
     const EngineCatalog &catalog;
@@ -37,7 +37,7 @@
 class OrderPlanner
 {
 public:
-    OrderPlanner(PlannerInput input, TimePoint now);
+    OrderPlanner(OrderPlannerInput input, TimePoint now);
 
     OrderPlan plan();
 
@@ -45,7 +45,7 @@
     OrderPlan prefetch(const EngineSpec &spec);
 
 private:
-    std::vector<ItemDemand> sortedWants() const;
+    std::vector<JointWant> sortedWants() const;
     void fillRoom();
     RoomModel roomModel(const ResidentModel &model) const;
     RoomAdapter roomAdapter(const ItemName &item) const;
@@ -61,7 +61,7 @@
     bool fits(const MemoryUse &use) const;
     void expectRunning();
 
-    PlannerInput m_input;
+    OrderPlannerInput m_input;
     TimePoint m_now;
     RoomPlan m_room;
     std::unordered_map<std::string, std::uint32_t> m_inFlight;
--- a/include/celeryroute/detail/node/platformtranslation.h
+++ b/include/celeryroute/detail/node/platformtranslation.h
@@ -35,7 +35,7 @@
     std::function<std::optional<TargetReport>(const std::string &)> targetReport;
     PlainCall reportCall;
     std::function<PlainCall(const TargetOrder &)> orderCall;
-    std::function<OrderOutcome(int status)> orderOutcome;
+    std::function<OrderAnswer(int status)> orderOutcome;
     std::function<PlainCall(const FeedCall &)> feedCall;
     std::function<FeedAnswer(const FeedCall &, int status, const std::string &body)> feedAnswer;
 };
--- a/include/celeryroute/detail/serving/targetorder.h
+++ b/include/celeryroute/detail/serving/targetorder.h
@@ -23,7 +23,7 @@
 };
 
 /// How a target answered an order.
-enum class OrderOutcome {
+enum class OrderAnswer {
     Accepted, ///< Being carried out.
     AlreadyHolds,
     Conflict, ///< Another order is in progress, or the sequence differs.
--- a/include/celeryroute/detail/telemetry/metriclabels.h
+++ b/include/celeryroute/detail/telemetry/metriclabels.h
@@ -65,7 +65,7 @@
 {
     return {"load", "unload"};
 }
-constexpr std::array<std::string_view, 6> labelValues(OrderOutcome)
+constexpr std::array<std::string_view, 6> labelValues(OrderAnswer)
 {
     return {"accepted", "already_holds", "conflict", "fenced", "rejected", "in_doubt"};
 }
--- a/include/celeryroute/detail/telemetry/servingmetrics.h
+++ b/include/celeryroute/detail/telemetry/servingmetrics.h
@@ -47,7 +47,7 @@
     {
         m_storeCalls.add(kind, outcome);
     }
-    void countOrder(OrderKind kind, OrderOutcome outcome)
+    void countOrder(OrderKind kind, OrderAnswer outcome)
     {
         m_orders.add(kind, outcome);
     }
@@ -86,7 +86,7 @@
     NamedCounters m_retries;
     std::uint64_t m_retriesWithheld = 0;
     EnumPairCounters<StoreCallKind, StoreCallOutcome> m_storeCalls;
-    EnumPairCounters<OrderKind, OrderOutcome> m_orders;
+    EnumPairCounters<OrderKind, OrderAnswer> m_orders;
     EnumCounters<LoadSource> m_loads;
     EnumCounters<PromptSource> m_promptTokens;
     KindHistograms m_firstByte;
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -182,7 +182,7 @@
 
 void CallRunner::finish(Flight &flight, TimePoint now)
 {
-    Attempt &attempt = *flight.attempt;
+    EntryAttempt &attempt = *flight.attempt;
     if (!flight.claimId.empty()) {
         m_claims.answered(flight.call.requestId,
                           recordable(attempt.status, attempt.contentType, flight.wholeBody),
--- a/src/entry/callrunnerattempts.cpp
+++ b/src/entry/callrunnerattempts.cpp
@@ -29,7 +29,7 @@
 
 bool CallRunner::sendAttempt(Flight &flight, HostLink &link, TimePoint now)
 {
-    auto attempt = std::make_unique<Attempt>();
+    auto attempt = std::make_unique<EntryAttempt>();
     attempt->id = randomId(AttemptIdBytes);
     attempt->host = link.host().host;
     attempt->sent = now;
@@ -97,7 +97,7 @@
 
 void CallRunner::takeChunk(Flight &flight, HostLink &link, const proto::ResponseChunk &chunk, TimePoint now)
 {
-    Attempt &attempt = *flight.attempt;
+    EntryAttempt &attempt = *flight.attempt;
     const std::uint64_t before = attempt.relay.nextSequence();
     const std::string text = attempt.relay.take(chunk.sequence(), chunk.data());
     if (before == 0 && attempt.relay.nextSequence() > 0) {
@@ -147,7 +147,7 @@
 
 void CallRunner::takeEnd(Flight &flight, HostLink &link, const proto::ResponseEnd &end, TimePoint now)
 {
-    Attempt &attempt = *flight.attempt;
+    EntryAttempt &attempt = *flight.attempt;
     if (end.result_code() == 0) {
         attempt.relay.finish(end.chunks());
         if (attempt.relay.complete()) {
--- a/src/entry/flighttable.cpp
+++ b/src/entry/flighttable.cpp
@@ -25,7 +25,7 @@
     return found == m_requestOfAttempt.end() ? nullptr : find(found->second);
 }
 
-void FlightTable::setAttempt(Flight &flight, std::unique_ptr<Attempt> attempt)
+void FlightTable::setAttempt(Flight &flight, std::unique_ptr<EntryAttempt> attempt)
 {
     clearAttempt(flight);
     m_requestOfAttempt[attempt->id] = flight.call.requestId;
--- a/src/entry/flighttable.h
+++ b/src/entry/flighttable.h
@@ -19,7 +19,7 @@
     Flight *find(const std::string &requestId);
     Flight *findAttempt(const std::string &attemptId);
     /// @brief Makes @p attempt the current attempt of @p flight; an earlier one is forgotten.
-    void setAttempt(Flight &flight, std::unique_ptr<Attempt> attempt);
+    void setAttempt(Flight &flight, std::unique_ptr<EntryAttempt> attempt);
     void clearAttempt(Flight &flight);
     void remove(const std::string &requestId);
     /// @brief Request ids whose deadline is at or before @p now; each is returned once.
--- a/src/keeper/demandbook.cpp
+++ b/src/keeper/demandbook.cpp
@@ -64,9 +64,9 @@
     }
 }
 
-std::vector<ItemDemand> DemandBook::wants(TimePoint now) const
+std::vector<JointWant> DemandBook::wants(TimePoint now) const
 {
-    std::unordered_map<std::string, ItemDemand> byItem;
+    std::unordered_map<std::string, JointWant> byItem;
     for (const auto &[name, entry] : m_entries) {
         const Duration silence = now - entry.heard;
         if (silence > WantsKept) {
@@ -77,14 +77,14 @@
                 continue;
             }
             const auto [found, added] = byItem.try_emplace(want.item);
-            ItemDemand &demand = found->second;
+            JointWant &demand = found->second;
             demand.item = added ? parseItem(want.item) : demand.item;
             demand.priority = added ? want.priority : std::min(demand.priority, want.priority);
             demand.calls += want.calls;
             demand.age = std::max(demand.age, want.age + silence);
         }
     }
-    std::vector<ItemDemand> result;
+    std::vector<JointWant> result;
     result.reserve(byItem.size());
     for (auto &[name, demand] : byItem) {
         result.push_back(std::move(demand));
--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -113,27 +113,27 @@
     m_share.useTargets(m_demand.poolTargets());
 }
 
-void ModelKeeper::noteOutcome(const TargetOrder &order, OrderOutcome outcome, TimePoint now)
+void ModelKeeper::noteOutcome(const TargetOrder &order, OrderAnswer outcome, TimePoint now)
 {
     m_ledger.noteOutcome(order, outcome, now);
     switch (outcome) {
-    case OrderOutcome::Accepted:
+    case OrderAnswer::Accepted:
         if (m_sentFromStore) {
             m_share.noteBegan(now);
         }
         m_blocks.clear(toString(itemOf(order)));
         break;
-    case OrderOutcome::Fenced:
+    case OrderAnswer::Fenced:
         m_fenced = m_fence && *m_fence == order.fence;
         break;
-    case OrderOutcome::Conflict:
-    case OrderOutcome::Rejected:
+    case OrderAnswer::Conflict:
+    case OrderAnswer::Rejected:
         m_blocks.note(order, outcome, now);
         break;
-    case OrderOutcome::InDoubt:
+    case OrderAnswer::InDoubt:
         m_doubtSince = now;
         break;
-    case OrderOutcome::AlreadyHolds:
+    case OrderAnswer::AlreadyHolds:
         break;
     }
     m_sentFromStore = false;
@@ -169,15 +169,15 @@
 {
     const TimePoint busyUntil = m_ledger.busy() ? runningDue(now) : now;
     OrderPlanner planner({m_ledger,
-                         m_demand,
-                         m_catalog,
-                         m_share,
-                         m_blocks,
-                         unusedYet(now),
-                         reserved(),
-                         m_ledger.laterStoreLoads(m_instance),
-                         busyUntil},
-                        now);
+                          m_demand,
+                          m_catalog,
+                          m_share,
+                          m_blocks,
+                          unusedYet(now),
+                          reserved(),
+                          m_ledger.laterStoreLoads(m_instance),
+                          busyUntil},
+                         now);
     if (m_settings.prefetch && m_demand.wants(now).empty() && !m_ledger.busy()) {
         return planner.prefetch(*m_spec);
     }
--- a/src/keeper/orderblocks.cpp
+++ b/src/keeper/orderblocks.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-void OrderBlocks::note(const TargetOrder &order, OrderOutcome outcome, TimePoint now)
+void OrderBlocks::note(const TargetOrder &order, OrderAnswer outcome, TimePoint now)
 {
     Block &block = m_blocks[toString(itemOf(order))];
-    const bool refused = outcome == OrderOutcome::Rejected;
+    const bool refused = outcome == OrderAnswer::Rejected;
     const bool again = refused == block.refused && now - block.until < Memory;
     if (again) {
         block.delay = std::min(2 * block.delay, refused ? LongestRefusal : LongestConflict);
--- a/src/keeper/orderledger.cpp
+++ b/src/keeper/orderledger.cpp
@@ -23,7 +23,7 @@
     m_inTransit = true;
 }
 
-void OrderLedger::noteOutcome(const TargetOrder &order, OrderOutcome outcome, TimePoint now)
+void OrderLedger::noteOutcome(const TargetOrder &order, OrderAnswer outcome, TimePoint now)
 {
     const auto found = std::find_if(m_doubts.begin(), m_doubts.end(), [&order](const Doubt &doubt) {
         return doubt.until == TimePoint::max() && doubt.order == order;
@@ -33,18 +33,18 @@
     }
     m_inTransit = false;
     const Doubt doubt = *found;
-    if (outcome == OrderOutcome::InDoubt) {
+    if (outcome == OrderAnswer::InDoubt) {
         found->until = now + OrderLife;
         m_orderAfter = now;
         return;
     }
     m_doubts.erase(found);
-    if (outcome == OrderOutcome::Accepted) {
+    if (outcome == OrderAnswer::Accepted) {
         accept(doubt, now);
         return;
     }
     m_orderAfter = now;
-    if (outcome == OrderOutcome::AlreadyHolds) {
+    if (outcome == OrderAnswer::AlreadyHolds) {
         keepAnswered(doubt, now);
         return;
     }
--- a/src/keeper/orderplanner.cpp
+++ b/src/keeper/orderplanner.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-OrderPlanner::OrderPlanner(PlannerInput input, TimePoint now)
+OrderPlanner::OrderPlanner(OrderPlannerInput input, TimePoint now)
     : m_input(std::move(input))
     , m_now(now)
     , m_room(m_input.catalog.memoryMb() - m_input.reserved.memoryMb,
@@ -27,15 +27,15 @@
 
 OrderPlan OrderPlanner::plan()
 {
-    const std::vector<ItemDemand> wants = sortedWants();
+    const std::vector<JointWant> wants = sortedWants();
     if (!wants.empty()) {
         m_inFlight = m_input.demand.inFlight(m_now);
-        for (const ItemDemand &want : wants) {
+        for (const JointWant &want : wants) {
             m_wanted.insert(toString(want.item));
             m_wanted.insert(want.item.model);
         }
         fillRoom();
-        for (const ItemDemand &want : wants) {
+        for (const JointWant &want : wants) {
             meet(want.item);
         }
     }
@@ -44,14 +44,14 @@
 }
 
 // Urgent wants first; among equals those that serve the most waiting for the time that they take.
-std::vector<ItemDemand> OrderPlanner::sortedWants() const
+std::vector<JointWant> OrderPlanner::sortedWants() const
 {
-    std::vector<ItemDemand> wants = m_input.demand.wants(m_now);
-    const auto weight = [this](const ItemDemand &want) {
+    std::vector<JointWant> wants = m_input.demand.wants(m_now);
+    const auto weight = [this](const JointWant &want) {
         const double seconds = std::max(toSeconds(m_input.catalog.loadTime(want.item.model)), ShortestLoad);
         return want.calls * (1 + toSeconds(want.age)) / seconds;
     };
-    std::sort(wants.begin(), wants.end(), [&weight](const ItemDemand &left, const ItemDemand &right) {
+    std::sort(wants.begin(), wants.end(), [&weight](const JointWant &left, const JointWant &right) {
         if (left.priority != right.priority) {
             return left.priority < right.priority;
         }
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -102,9 +102,10 @@
                          ? FeedAnswer(FeedUnavailable{0})
                          : m_core.translation.feedAnswer(call, head.status, body);
                      m_core.metrics.countStoreCall(StoreCallKind::Append,
-                                                   std::holds_alternative<Appended>(answer) ? StoreCallOutcome::Answered
-                                                                                            : StoreCallOutcome::Lost);
-                     if (const auto *appended = std::get_if<Appended>(&answer)) {
+                                                   std::holds_alternative<RecordAppended>(answer)
+                                                       ? StoreCallOutcome::Answered
+                                                       : StoreCallOutcome::Lost);
+                     if (const auto *appended = std::get_if<RecordAppended>(&answer)) {
                          const std::uint64_t fence = appended->offset + 1;
                          m_core.log.write(DecisionEvent::AgentFenced,
                                           m_core.loop.now(),
@@ -203,9 +204,9 @@
 
 void AgentNode::orderAnswered(const TargetOrder &order, const MessageHead &head)
 {
-    OrderOutcome outcome = head.status == 0 ? OrderOutcome::InDoubt : m_core.translation.orderOutcome(head.status);
-    if (outcome == OrderOutcome::InDoubt && head.field(m_core.translation.headers.notRun) != nullptr) {
-        outcome = OrderOutcome::Rejected;
+    OrderAnswer outcome = head.status == 0 ? OrderAnswer::InDoubt : m_core.translation.orderOutcome(head.status);
+    if (outcome == OrderAnswer::InDoubt && head.field(m_core.translation.headers.notRun) != nullptr) {
+        outcome = OrderAnswer::Rejected;
     }
     m_core.metrics.countOrder(order.kind, outcome);
     m_core.log.write(DecisionEvent::AgentOutcome,
--- a/tests/src/unit-keeperschedules.cpp
+++ b/tests/src/unit-keeperschedules.cpp
@@ -149,22 +149,22 @@
             fault = "over the limit: " + std::to_string(held) + " MB, " + std::to_string(slots) + " slots";
         }
     }
-    OrderOutcome accept(const TargetOrder &order)
+    OrderAnswer accept(const TargetOrder &order)
     {
         if (order.instance != id) {
-            return OrderOutcome::Rejected;
+            return OrderAnswer::Rejected;
         }
         if (checksFences && order.fence < fence) {
-            return OrderOutcome::Fenced;
+            return OrderAnswer::Fenced;
         }
         fence = std::max(fence, order.fence);
         const bool load = order.kind == OrderKind::Load;
         const ItemName item = itemOf(order);
         if (order.expectedSequence != state.sequence || (order.adapter.empty() && running)) {
-            return OrderOutcome::Conflict;
+            return OrderAnswer::Conflict;
         }
         if (holds(item) == load) {
-            return OrderOutcome::AlreadyHolds;
+            return OrderAnswer::AlreadyHolds;
         }
         if (!order.adapter.empty()) {
             return acceptAdapter(order);
@@ -177,7 +177,7 @@
         } else {
             finishUnload(order);
         }
-        return OrderOutcome::Accepted;
+        return OrderAnswer::Accepted;
     }
     void beginLoad(const TargetOrder &order)
     {
@@ -205,17 +205,17 @@
         running.reset();
         state.busy = false;
     }
-    OrderOutcome acceptAdapter(const TargetOrder &order)
+    OrderAnswer acceptAdapter(const TargetOrder &order)
     {
         ResidentModel *model = resident(order.model);
         const std::string name = toString(itemOf(order));
         if (model == nullptr || state.pendingAdapters.size() >= 4) {
-            return OrderOutcome::Rejected;
+            return OrderAnswer::Rejected;
         }
         ++state.sequence;
         if (order.kind == OrderKind::Unload) {
             std::erase(model->adapters, order.adapter);
-            return OrderOutcome::AlreadyHolds;
+            return OrderAnswer::AlreadyHolds;
         }
         state.pendingAdapters.push_back(name);
         checkLimit();
@@ -225,7 +225,7 @@
                 held->adapters.push_back(order.adapter);
             }
         });
-        return OrderOutcome::Accepted;
+        return OrderAnswer::Accepted;
     }
 };
 
@@ -460,23 +460,23 @@
     {
         check(order);
         m_inTransit = true;
-        const auto answer = [this, order](OrderOutcome outcome) {
+        const auto answer = [this, order](OrderAnswer outcome) {
             m_inTransit = false;
-            m_accepted += outcome == OrderOutcome::Accepted ? 1 : 0;
-            m_refused += outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Rejected ? 1 : 0;
+            m_accepted += outcome == OrderAnswer::Accepted ? 1 : 0;
+            m_refused += outcome == OrderAnswer::Conflict || outcome == OrderAnswer::Rejected ? 1 : 0;
             m_keeper->noteOutcome(order, outcome, m_time.now());
             decide();
         };
         const bool late = chance(m_rates.late);
         const bool lost = late || !engine.up || chance(m_rates.lost);
         if (lost) {
-            inThisLife(800ms, [answer] { answer(OrderOutcome::InDoubt); });
+            inThisLife(800ms, [answer] { answer(OrderAnswer::InDoubt); });
         }
         if (late && chance(0.2)) {
             return;
         }
         m_time.after(late ? upTo(12s) : Duration(1ms), [this, order, lost, answer] {
-            const OrderOutcome outcome = engine.up ? engine.accept(order) : OrderOutcome::InDoubt;
+            const OrderAnswer outcome = engine.up ? engine.accept(order) : OrderAnswer::InDoubt;
             if (!lost) {
                 inThisLife(1ms, [answer, outcome] { answer(outcome); });
             }
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -165,18 +165,18 @@
                         R"("operation":"load","precondition":2})"}));
     const PlainCall unload = platform.orderCall({OrderKind::Unload, "\xff", "", 0, "h", 1, ""});
     CHECK(unload.body.find("\"unload\"") != std::string::npos && unload.body.find("adapter") == std::string::npos);
-    const std::pair<int, OrderOutcome> outcomes[] = {
-        {202, OrderOutcome::Accepted},
-        {200, OrderOutcome::AlreadyHolds},
-        {409, OrderOutcome::Conflict},
-        {412, OrderOutcome::Fenced},
-        {400, OrderOutcome::Rejected},
-        {421, OrderOutcome::Rejected},
-        {503, OrderOutcome::InDoubt},
-        {429, OrderOutcome::InDoubt},
-        {0, OrderOutcome::InDoubt},
-        {500, OrderOutcome::InDoubt},
-        {204, OrderOutcome::InDoubt},
+    const std::pair<int, OrderAnswer> outcomes[] = {
+        {202, OrderAnswer::Accepted},
+        {200, OrderAnswer::AlreadyHolds},
+        {409, OrderAnswer::Conflict},
+        {412, OrderAnswer::Fenced},
+        {400, OrderAnswer::Rejected},
+        {421, OrderAnswer::Rejected},
+        {503, OrderAnswer::InDoubt},
+        {429, OrderAnswer::InDoubt},
+        {0, OrderAnswer::InDoubt},
+        {500, OrderAnswer::InDoubt},
+        {204, OrderAnswer::InDoubt},
     };
     for (const auto &[status, outcome] : outcomes) {
         CHECK(platform.orderOutcome(status) == outcome);
@@ -257,7 +257,7 @@
          NewestPage{{{"config", "{}", 3}, {"gone", "", 4}}, true, 6}},
         {newest, 200, R"({"items":[]})", FeedUnavailable{200}},
         {newest, 200, R"({"items":{},"end":6})", FeedUnavailable{200}},
-        {append, 200, R"({"offset":4,"end":5})", Appended{4}},
+        {append, 200, R"({"offset":4,"end":5})", RecordAppended{4}},
         {append, 200, R"([4])", FeedUnavailable{200}},
         {append, 507, R"({"offset":4})", FeedUnavailable{507}},
     };
--- a/tests/src/unit-telemetry.cpp
+++ b/tests/src/unit-telemetry.cpp
@@ -224,7 +224,7 @@
     metrics.countRetry("not_run");
     metrics.countRetryWithheld();
     metrics.countStoreCall(StoreCallKind::ReadFrom, StoreCallOutcome::Lost);
-    metrics.countOrder(OrderKind::Unload, OrderOutcome::InDoubt);
+    metrics.countOrder(OrderKind::Unload, OrderAnswer::InDoubt);
     metrics.countLoad(LoadSource::Disk);
     metrics.countPromptTokens(6300, 2890);
     gauges.ready = true;
