--- a/standins/include/standins/loadreport.h
+++ b/standins/include/standins/loadreport.h
@@ -28,20 +28,20 @@
 };
 
 /// The outcome of a run.
-struct LoadReport {
+struct LoadRunReport {
     LoadCounts chats;
     LoadCounts bookings;
     LoadCounts directChats;
     std::map<std::string, LoadCounts> byCustomer;
     LatencySamples routed;
     LatencySamples direct;
-    bool operator==(const LoadReport &) const = default;
+    bool operator==(const LoadRunReport &) const = default;
 };
 
 /// @brief The sample below which @p fraction of all lie; zero without samples.
 Duration quantile(std::vector<Duration> samples, double fraction);
 
 /// @brief The report as JSON, with ratios of routed to direct latencies when there are direct ones.
-std::string toJson(const LoadReport &report);
+std::string toJson(const LoadRunReport &report);
 
 } // namespace celeryroute
--- a/standins/include/standins/loadrunner.h
+++ b/standins/include/standins/loadrunner.h
@@ -18,7 +18,7 @@
     explicit LoadRunner(const LoadSettings &settings);
 
     /// @brief Returns when every call has ended.
-    LoadReport run();
+    LoadRunReport run();
 
 private:
     struct Call;
@@ -33,7 +33,7 @@
 
     const LoadSettings m_settings;
     HttpMultiClient m_client;
-    LoadReport m_report;
+    LoadRunReport m_report;
 };
 
 } // namespace celeryroute
--- a/standins/load/loadreport.cpp
+++ b/standins/load/loadreport.cpp
@@ -62,7 +62,7 @@
     return samples[index];
 }
 
-std::string toJson(const LoadReport &report)
+std::string toJson(const LoadRunReport &report)
 {
     Json customers = Json::object();
     for (const auto &[customer, counts] : report.byCustomer) {
--- a/standins/load/loadrunner.cpp
+++ b/standins/load/loadrunner.cpp
@@ -53,7 +53,7 @@
     : m_settings(settings)
 {}
 
-LoadReport LoadRunner::run()
+LoadRunReport LoadRunner::run()
 {
     const std::vector<PlannedCall> plan = planLoad(m_settings);
     const TimePoint start = MonotonicClock::now();
--- a/standins/programs/standin-load.cpp
+++ b/standins/programs/standin-load.cpp
@@ -65,7 +65,7 @@
     if (const std::optional<ExitCode> code = answerCheck(parsed, reader)) {
         return static_cast<int>(*code);
     }
-    const LoadReport report = LoadRunner(settings).run();
+    const LoadRunReport report = LoadRunner(settings).run();
     std::printf("%s\n", toJson(report).c_str());
     const std::uint64_t bad = report.chats.unanswered + report.chats.wrong + report.bookings.unanswered
         + report.bookings.wrong;
