--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -120,8 +120,10 @@
     if (!m_customer->countsTokens) {
         return 1;
     }
-    return m_fields.countsTokens ? static_cast<double>(m_fields.promptTokens + m_fields.maxOutputTokens)
-                                 : m_customer->plainCost;
+    // Added as numbers that cannot wrap: the caller chooses both.
+    return m_fields.countsTokens
+        ? static_cast<double>(m_fields.promptTokens) + static_cast<double>(m_fields.maxOutputTokens)
+        : m_customer->plainCost;
 }
 
 bool Call::takeAllowance()
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -553,6 +553,7 @@
     const std::pair<const char *, double> rows[] = {
         {"", 7},
         {"X-Tokens: 100,20\r\n", 120},
+        {"X-Tokens: 18446744073709551615,1\r\n", 1.8446744073709552e19},
         {"X-Tokens: none\r\n", 7},
     };
     for (const auto &[field, cost] : rows) {
