--- a/src/gateway/callfields.cpp
+++ b/src/gateway/callfields.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/gateway/callfields.h>
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -7,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint64_t LongestDeadlineMs = 86'400'000; ///< A day; longer ones may not fit a time.
+
 std::string_view trimmed(std::string_view text)
 {
     const std::size_t first = text.find_first_not_of(" \t");
@@ -87,7 +90,7 @@
             fields.requestId = field.value;
         } else if (is(names.deadline)) {
             if (const auto ms = readNumber(field.value)) {
-                fields.deadline = std::chrono::milliseconds(*ms);
+                fields.deadline = std::chrono::milliseconds(std::min(*ms, LongestDeadlineMs));
             }
         } else if (is(names.authorization)) {
             fields.key = readKey(field.value, names.keyScheme);
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -167,6 +167,15 @@
     check("Last-Event-Id", "41");
 }
 
+TEST(CallFields, longestDeadline_isStillATime)
+{
+    for (const char *text : {"9223372036854775807", "18446744073709551615", "9000000000000000"}) {
+        const std::optional<Duration> deadline = read("X-Deadline-Ms", text).deadline;
+        CHECK_TRUE_TEXT(!deadline || *deadline >= 24h, text);
+        CHECK_TRUE_TEXT(TimePoint(1000h) + deadline.value_or(24h) > TimePoint(1000h), text);
+    }
+}
+
 TEST_GROUP(TargetHead)
 {
     HeaderNames names;
