--- a/include/celeryroute/detail/placement/callqueue.h
+++ b/include/celeryroute/detail/placement/callqueue.h
@@ -63,7 +63,7 @@
         TimePoint deadline;
         std::uint64_t number = 0;
         std::uint64_t call = 0;
-        auto operator<=>(const Rank &) const = default;
+        bool operator<(const Rank &other) const;
     };
     struct Held {
         WaitingCall call;
--- a/src/placement/callqueue.cpp
+++ b/src/placement/callqueue.cpp
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/placement/itemkey.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace celeryroute {
 
@@ -19,6 +20,12 @@
 
 } // namespace
 
+bool CallQueue::Rank::operator<(const Rank &other) const
+{
+    return std::tie(priority, deadline, number, call)
+        < std::tie(other.priority, other.deadline, other.number, other.call);
+}
+
 std::string CallQueue::key(const std::string &pool, const std::string &item)
 {
     return pool + '\n' + modelOfItem(item);
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -684,12 +684,9 @@
             } else if (held) {
                 wanted = engine.wants.erase(wanted);
                 later(std::chrono::milliseconds(8), [this, &engine, model, item] { addAdapter(engine, model, item); });
-            } else if (model != item || !engine.loading.empty()) {
-                ++wanted;
-            } else if (load(engine, item)) {
-                wanted = engine.wants.erase(wanted);
             } else {
-                ++wanted;
+                const bool begun = model == item && engine.loading.empty() && load(engine, item);
+                wanted = begun ? engine.wants.erase(wanted) : std::next(wanted);
             }
         }
     }
