--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -6,6 +6,7 @@
 #include <celeryroute/detail/http1/messagewriter.h>
 #include <celeryroute/detail/net/clock.h>
 #include <celeryroute/detail/placement/itemkey.h>
+#include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
 #include <numeric>
@@ -49,7 +50,7 @@
         return;
     }
     if (m_gateway.suspects().quarantined(digest(), m_gateway.loop().now())) {
-        refuse(HttpStatus::ServiceUnavailable, "quarantined", QuarantineRetryAfter);
+        refuse(HttpStatus::ServiceUnavailable, reasons::Suspect, QuarantineRetryAfter);
         return;
     }
     const Duration deadline = m_fields.deadline.value_or(UnlimitedCall);
@@ -76,7 +77,7 @@
 {
     m_table = m_gateway.table();
     if (m_table == nullptr) {
-        refuse(HttpStatus::ServiceUnavailable, "no_state", NoStateRetryAfter);
+        refuse(HttpStatus::ServiceUnavailable, reasons::NoState, NoStateRetryAfter);
         return false;
     }
     return findRoute() && findCustomer();
@@ -87,7 +88,7 @@
     const std::string *host = m_request.head.field("Host");
     m_route = host == nullptr ? nullptr : m_table->route(*host, m_request.head.target);
     if (m_route == nullptr) {
-        refuse(HttpStatus::NotFound, "unknown_route", {});
+        refuse(HttpStatus::NotFound, reasons::RouteUnknown, {});
         return false;
     }
     return true;
@@ -100,15 +101,12 @@
         return true;
     }
     if (!m_gateway.admission().keysFresh(bootTimeNow())) {
-        if (m_route->open) {
-            return true;
-        }
-        refuse(HttpStatus::ServiceUnavailable, "keys_stale", StaleKeysRetryAfter);
+        refuse(HttpStatus::ServiceUnavailable, reasons::KeysStale, StaleKeysRetryAfter);
         return false;
     }
     m_customer = m_fields.key ? m_table->customer(*m_fields.key) : nullptr;
-    if (m_customer == nullptr && !m_route->open) {
-        refuse(HttpStatus::Unauthorized, "unknown_key", {});
+    if (m_customer == nullptr) {
+        refuse(HttpStatus::Unauthorized, m_fields.key ? reasons::KeyUnknown : reasons::KeyMissing, {});
         return false;
     }
     m_customerName = m_customer == nullptr ? std::string() : m_customer->name;
@@ -134,7 +132,7 @@
     m_cost = cost();
     const auto retryAfter = m_gateway.admission().spend(m_customerName, m_cost, m_gateway.loop().now());
     if (retryAfter) {
-        refuse(HttpStatus::TooManyRequests, "allowance", *retryAfter);
+        refuse(HttpStatus::TooManyRequests, reasons::Allowance, *retryAfter);
         return false;
     }
     m_charged = true;
@@ -164,6 +162,10 @@
 void Call::callerLeft()
 {
     m_caller = nullptr;
+    // What may run once and has been sent goes on: breaking it off would leave its outcome in doubt.
+    if (m_route != nullptr && m_route->kind == CallKind::AtMostOnce && m_exchange != nullptr && m_exchange->sentAny()) {
+        return;
+    }
     m_gateway.log().write(DecisionEvent::RequestAbandoned,
                           m_gateway.loop().now(),
                           m_fields.requestId,
@@ -225,8 +227,13 @@
         m_gateway.admission().refund(m_customerName, m_cost, m_request.received, m_gateway.loop().now());
         m_charged = false;
     }
+    answerCaller(head, {});
+}
+
+void Call::answerCaller(const AnswerHead &head, std::string_view body)
+{
     if (m_caller != nullptr) {
-        m_caller->answer(head, {});
+        m_caller->answer(head, body);
     }
     done();
 }
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/gateway/gateway.h>
 #include <celeryroute/detail/gateway/httpstatus.h>
 #include <celeryroute/detail/gateway/targethead.h>
+#include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
 #include <charconv>
@@ -61,7 +62,7 @@
     if (m_answer.body.size() > MaxBufferedAnswer) {
         ++m_runs;
         endAttempt(CallEnd::Failed);
-        failFinally("answer_too_large");
+        failFinally(reasons::TooLarge);
     }
 }
 
@@ -105,7 +106,7 @@
         if (full || !usesEngine()) {
             m_excluded.push_back(m_target);
         }
-        tryAgain(full ? "target_full" : "misplaced");
+        tryAgain(full ? reasons::TargetRefused : reasons::WrongInstance);
         return;
     }
     ++m_runs;
@@ -123,15 +124,17 @@
     }
     const bool targetFailed = status >= HttpStatus::InternalError || success;
     endAttempt(targetFailed ? CallEnd::Failed : CallEnd::Answered);
-    if (!success) {
+    // Handed on, such a status would promise that the call did not run, which the target has not said.
+    const bool promise = HttpStatus::promisesNotRun(status);
+    if (!success && (m_route->repeatable() || !promise)) {
         m_failure = std::move(m_answer);
     }
     if (targetFailed && mayRunAgain()) {
         m_excluded.push_back(m_target);
-        tryAgain("target_failed");
+        tryAgain(reasons::TargetFailed);
         return;
     }
-    failFinally("target_failed");
+    failFinally(reasons::TargetFailed);
 }
 
 void Call::finishStream()
@@ -168,8 +171,7 @@
                            {fieldnames::Target, m_target},
                            {"status", m_answer.head.status},
                            {"total_ms", toMilliseconds(now - m_request.received)}});
-    m_caller->answer(callerAnswerHead(std::move(m_answer.head), m_gateway.names()), m_answer.body);
-    done();
+    answerCaller(callerAnswerHead(std::move(m_answer.head), m_gateway.names()), m_answer.body);
 }
 
 // A target that is silent for long while the call may run elsewhere is given up.
@@ -208,7 +210,7 @@
     }
     m_excluded.push_back(m_target);
     endAttempt(CallEnd::Unreachable);
-    tryAgain("stalled");
+    tryAgain(reasons::TargetSilent);
 }
 
 } // namespace celeryroute
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -5,6 +5,7 @@
 #include <celeryroute/detail/gateway/targethead.h>
 #include <celeryroute/detail/net/clock.h>
 #include <celeryroute/detail/placement/itemkey.h>
+#include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
 #include <charconv>
@@ -104,13 +105,13 @@
 void Call::decide(const Refuse &verdict)
 {
     if (m_sends > 0) {
-        failFinally("no_further_target");
+        failFinally(reasons::NoSuccessor);
         return;
     }
     refuse(HttpStatus::ServiceUnavailable,
-           verdict.reason == RefuseReason::UnknownModel    ? "unknown_model"
-               : verdict.reason == RefuseReason::NoTargets ? "no_targets"
-                                                           : "too_late",
+           verdict.reason == RefuseReason::UnknownModel    ? reasons::NotLoaded
+               : verdict.reason == RefuseReason::NoTargets ? reasons::NoTarget
+                                                           : reasons::TooLate,
            verdict.retryAfter);
 }
 
@@ -188,15 +189,15 @@
     const auto endpoint = target == nullptr ? std::nullopt : parseEndpoint(target->record.address);
     if (!endpoint) {
         m_excluded.push_back(targetId);
-        tryAgain("bad_address");
+        tryAgain(reasons::NoTarget);
         return;
     }
     // The process may have stood still since the call was admitted.
     if (m_customer != nullptr && !m_gateway.admission().keysFresh(bootTimeNow())) {
         if (m_sends > 0) {
-            failFinally("keys_stale");
+            failFinally(reasons::KeysStale);
         } else {
-            refuse(HttpStatus::ServiceUnavailable, "keys_stale", RoomRetryAfter);
+            refuse(HttpStatus::ServiceUnavailable, reasons::KeysStale, RoomRetryAfter);
         }
         return;
     }
@@ -204,7 +205,7 @@
         m_gateway.admission().noteFirstSend(m_pool, now);
     } else if (!m_gateway.admission().takeFurtherSend(m_pool, now)) {
         m_gateway.metrics().countRetryWithheld();
-        failFinally("retry_allowance");
+        failFinally(reasons::RetryAllowance);
         return;
     }
     ++m_sends;
@@ -295,10 +296,13 @@
     endAttempt(torn ? CallEnd::Failed : CallEnd::Unreachable);
     m_excluded.push_back(m_target);
     if (!sent || m_answer.notRun || mayRunAgain()) {
-        tryAgain(!sent ? "not_connected" : m_answer.notRun ? "not_run" : torn ? "torn" : "no_answer");
+        tryAgain(!sent                 ? reasons::ConnectionLost
+                     : m_answer.notRun ? reasons::TargetRefused
+                     : torn            ? reasons::ConnectionLost
+                                       : reasons::ConnectionLost);
         return;
     }
-    failFinally(torn ? "torn" : "no_answer");
+    failFinally(torn ? reasons::ConnectionLost : reasons::ConnectionLost);
 }
 
 void Call::failFinally(std::string_view reason)
@@ -331,9 +335,9 @@
         return;
     }
     const bool run = m_runs > 0;
-    const int status = !run      ? HttpStatus::ServiceUnavailable
-        : reason == "time_limit" ? HttpStatus::GatewayTimeout
-                                 : HttpStatus::BadGateway;
+    const int status = !run          ? HttpStatus::ServiceUnavailable
+        : reason == reasons::Timeout ? HttpStatus::GatewayTimeout
+                                     : HttpStatus::BadGateway;
     m_gateway.log().write(DecisionEvent::RequestFailed,
                           now,
                           m_fields.requestId,
@@ -352,7 +356,7 @@
 
 void Call::limitReached()
 {
-    endNow("time_limit");
+    endNow(reasons::Timeout);
 }
 
 void Call::endNow(std::string_view reason)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,4 +1,5 @@
 #include <celeryroute/detail/gateway/gateway.h>
+#include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
 
@@ -64,8 +65,8 @@
 {
     m_parts.log.write(DecisionEvent::RequestRefused,
                       m_parts.loop.now(),
-                      {{"status", status}, {fieldnames::Reason, "unreadable"}});
-    m_parts.metrics.countRefusal("unreadable");
+                      {{"status", status}, {fieldnames::Reason, reasons::Malformed}});
+    m_parts.metrics.countRefusal(reasons::Malformed);
 }
 
 void Gateway::connectionEnded(CallerConnection &connection)
@@ -157,7 +158,7 @@
     for (const WaitingCall &expired : m_queue.takeExpired(m_parts.loop.now())) {
         const auto found = m_calls.find(expired.call);
         if (found != m_calls.end()) {
-            found->second->giveUp("time_limit");
+            found->second->giveUp(reasons::Timeout);
         }
     }
     for (const std::uint64_t call : m_queue.inOrder(WakeLimit)) {
@@ -174,14 +175,14 @@
 void Gateway::giveUpWaiting()
 {
     for (const auto &[number, call] : m_calls) {
-        call->giveUp("stopping");
+        call->giveUp(reasons::Stopping);
     }
 }
 
 void Gateway::endCalls()
 {
     for (const auto &[number, call] : m_calls) {
-        call->endNow("stopping");
+        call->endNow(reasons::Stopping);
     }
 }
 
