Count a peer once that is met and joins with one report

With two peers counted as three, what they had heard of seemed to stay behind for ever. Ruled out: acknowledgements that got lost, the level (it was full), the part (it was whole). Found by logging the level of refused requests, which the log now carries.

--- a/include/celeryroute/detail/gateway/admissioncontrol.h
+++ b/include/celeryroute/detail/gateway/admissioncontrol.h
@@ -22,6 +22,8 @@
     virtual bool keysFresh(TimePoint now) const = 0;
     /// @brief Spends @p cost of a customer's allowance; else the time after which it may succeed.
     virtual std::optional<Duration> spend(const std::string &customer, double cost, TimePoint now) = 0;
+    /// @brief What may be spent of a customer's allowance now; for the log.
+    virtual double level(const std::string &customer) const = 0;
     /// @brief Gives back what a call spent at @p spentAt that never ran.
     virtual void refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now) = 0;
     virtual void noteFirstSend(const std::string &pool, TimePoint now) = 0;
--- a/src/allowance/customeraccount.cpp
+++ b/src/allowance/customeraccount.cpp
@@ -109,6 +109,7 @@
 
 void CustomerAccount::meet(const std::string &peer, double total)
 {
+    leave(peer); // An account that is new counts all peers as joined, this one too.
     m_peers[peer] = Peer{total, total, 0, false};
 }
 
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -200,6 +200,7 @@
                            {fieldnames::StateVersion, m_table == nullptr ? 0 : m_table->state().version},
                            {"retry_after_ms", toMilliseconds(retryAfter)},
                            {"held_ms", toMilliseconds(now - m_request.received)},
+                           {"level", m_cost > 0 ? m_gateway.admission().level(m_customerName) : 0.0},
                            {"cost", m_cost},
                            {fieldnames::Item, itemKey(m_fields.model, m_fields.adapter)},
                            {fieldnames::Target, m_target}});
--- a/src/node/entryadmission.cpp
+++ b/src/node/entryadmission.cpp
@@ -22,6 +22,12 @@
     return std::nullopt;
 }
 
+double EntryAdmission::level(const std::string &customer) const
+{
+    const CustomerAccount *account = m_pool.find(customer);
+    return account == nullptr ? 0 : account->bucket().level();
+}
+
 void EntryAdmission::refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now)
 {
     m_pool.refund({customer, cost, spentAt}, now);
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -308,11 +308,12 @@
     }
     m_loggedFraction = members.poolFraction();
     m_loggedMembers = members.memberCount();
-    m_core.log.write(DecisionEvent::AllowanceChanged,
-                     m_core.loop.now(),
-                     {{"share", m_loggedFraction},
-                      {"entries", m_loggedMembers},
-                      {fieldnames::StateVersion, m_gateway.table() == nullptr ? 0 : m_gateway.table()->state().version}});
+    m_core.log.write(
+        DecisionEvent::AllowanceChanged,
+        m_core.loop.now(),
+        {{"share", m_loggedFraction},
+         {"entries", m_loggedMembers},
+         {fieldnames::StateVersion, m_gateway.table() == nullptr ? 0 : m_gateway.table()->state().version}});
 }
 
 void EntryNode::sendGossip()
--- /dev/null
+++ b/tests/src/unit-allowancemeeting.cpp
@@ -0,0 +1,44 @@
+#include <celeryroute/detail/allowance/allowancepool.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace celeryroute;
+using namespace std::chrono_literals;
+
+TEST_GROUP(AllowanceMeeting)
+{
+    TimePoint now{1h};
+    ServingBounds bounds;
+    AllowancePool own{"10.0.0.1", 1, bounds, now};
+
+    EntryReport report(std::uint64_t sequence)
+    {
+        EntryReport report;
+        report.sender = "10.0.0.2";
+        report.incarnation = 1;
+        report.sequence = sequence;
+        report.spent = {{"crews", 1000}};
+        report.members = {{"10.0.0.1", 1, own.makeReport(now).report.sequence, true}};
+        return report;
+    }
+};
+
+// A peer that is met and joins with one report, which names a customer that is new here.
+TEST(AllowanceMeeting, peerMetWithItsFirstAcknowledgement_countsOnce)
+{
+    ServingCustomer crews;
+    crews.name = "crews";
+    crews.countsTokens = true;
+    crews.ratePerSecond = 50'000;
+    crews.burst = 50'000;
+    own.hear(report(1), now);
+    own.setCustomers({crews}, now);
+    std::uint64_t sequence = 1;
+    std::uint32_t refused = 0;
+    for (int i = 0; i < 400; ++i) {
+        now += 50ms;
+        own.hear(report(++sequence), now);
+        refused += std::holds_alternative<AllowanceRefusal>(own.admit("crews", 1000, now)) ? 1 : 0;
+    }
+    UNSIGNED_LONGS_EQUAL(0, refused);
+}
