Mend what the linters and a test of the settings found

Sizes are multiplied as std::size_t, a route that may be absent is asked first, and the test of the settings template gives a value to the setting for the first start, which it did not know yet.

--- a/include/celeryroute/detail/net/endpoint.h
+++ b/include/celeryroute/detail/net/endpoint.h
@@ -10,7 +10,7 @@
 struct Endpoint {
     std::uint32_t ip = 0; ///< Host byte order.
     std::uint16_t port = 0;
-    auto operator<=>(const Endpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default; // NOLINT(modernize-use-nullptr): it takes <=> for 0.
 };
 
 /// @brief Reads `A.B.C.D:PORT`.
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t MaxBufferedAnswer = 16 * 1024 * 1024;
+constexpr std::size_t MaxBufferedAnswer = std::size_t{16} * 1024 * 1024;
 
 std::optional<ServedLoad> readLoad(const std::string &text)
 {
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -323,7 +323,7 @@
                                {"events", m_events.events()},
                                {"last_event", m_events.lastId()},
                                {"total_ms", total},
-                               {"resumable", m_route->resumable}});
+                               {"resumable", m_route != nullptr && m_route->resumable}});
         m_gateway.metrics().countRequest(kind, RequestOutcome::Cut);
         m_caller->cut();
         done();
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::size_t PipelinedBytes = 64 * 1024; ///< Read ahead while an answer is being made.
-constexpr std::size_t CongestedBytes = 256 * 1024;
+constexpr std::size_t PipelinedBytes = std::size_t{64} * 1024; ///< Read ahead while an answer is being made.
+constexpr std::size_t CongestedBytes = std::size_t{256} * 1024;
 constexpr Duration LingerTime = std::chrono::seconds(1);
 constexpr int BadRequest = 400;
 constexpr int RequestTimeout = 408;
--- a/src/net/tcpchannel.cpp
+++ b/src/net/tcpchannel.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::size_t ReadSize = 64 * 1024;
-constexpr std::size_t KeptCapacity = 16 * 1024; ///< A larger empty buffer is given back.
+constexpr std::size_t ReadSize = std::size_t{64} * 1024;
+constexpr std::size_t KeptCapacity = std::size_t{16} * 1024; ///< A larger empty buffer is given back.
 
 void releaseIfLarge(std::string &buffer)
 {
--- a/src/node/peersocket.cpp
+++ b/src/node/peersocket.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t LargestDatagram = 64 * 1024;
+constexpr std::size_t LargestDatagram = std::size_t{64} * 1024;
 constexpr int MessagesPerTurn = 64;
 
 } // namespace
--- a/tests/src/unit-nodesettings.cpp
+++ b/tests/src/unit-nodesettings.cpp
@@ -134,6 +134,7 @@
         {"node_name", "side-1"},
         {"zone", "a"},
         {"service", "llm"},
+        {"bootstrap", "true"},
     };
     std::string filled = text;
     for (const auto &[name, value] : values) {
@@ -152,6 +153,7 @@
     expected.pool = "llm";
     expected.memoryLimitMb = expected.maxDescriptors = 77;
     expected.cpuShare = 77;
+    expected.firstStart = true;
     expected.heartbeat = 77ms;
     expected.bounds = ServingBounds{400ms, 77ms, 77ms, 77s, 77s, 77, 77s, 77, 77s, 77, 77, 77s, 77, 77ms, true};
     CHECK(settings == expected);
