--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export CCACHE_NOHASHDIR ?= 1
 
 .PHONY: help quickstart scale packages build test model format format-fix lint check check-asan check-tsan proto clean capacity slopes platform-names type-names \
-	configure-again
+	configure-again deploy-build
 
 help: ## List the chores.
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 16
@@ -47,7 +47,10 @@
 configure-again: build ## Fail when configuring a second time would build everything anew.
 	scripts/check-configure.sh $(abspath $(BUILD))
 
-check: packages build format lint platform-names type-names configure-again model capacity test ## All that CI checks.
+deploy-build: ## Build as the users' machines do, in a clean checkout of HEAD, and check what comes out.
+	scripts/deploy-build.py $(abspath $(BUILD))
+
+check: packages build format lint platform-names type-names configure-again model capacity test deploy-build ## All that CI checks.
 
 capacity: build ## Check that docs/CAPACITY.md matches its slopes.
 	BUILD=$(abspath $(BUILD)) scripts/capacity.py --check
