Refuse requests whose body could end in two places

The standalone HTTP server took a request with two different lengths, and one with a length and chunks, since libmicrohttpd reads the first length and lets chunks go before it. The library shows all fields before it reads the body, so such a request, and one with another transfer coding, is now answered with 400 before its body is read, and its connection is closed. The new test failed before.

--- a/include/celeryroute/detail/http/httpreception.h
+++ b/include/celeryroute/detail/http/httpreception.h
@@ -28,4 +28,8 @@
 /// @brief Whether the Content-Length header names more than @p limit bytes.
 bool announcesMoreThan(const HttpFields &headers, std::size_t limit);
 
+/// @brief Whether two readers could see the end of the body in different places: more than one length, a
+/// length that is not digits, a length beside chunks, or another transfer coding than one of chunks.
+bool hasAmbiguousEnd(const HttpFields &headers);
+
 } // namespace celeryroute
--- a/src/http/httpreception.cpp
+++ b/src/http/httpreception.cpp
@@ -1,8 +1,10 @@
 #include <celeryroute/detail/http/httpreception.h>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <microhttpd.h>
@@ -68,4 +70,16 @@
     return std::from_chars(found->second.data(), end, length).ec == std::errc{} && length > limit;
 }
 
+// Fields that come twice were joined with a comma, which neither digits nor the one coding contain.
+bool hasAmbiguousEnd(const HttpFields &headers)
+{
+    const auto length = headers.find("content-length");
+    const auto coding = headers.find("transfer-encoding");
+    if (coding != headers.end()) {
+        return length != headers.end() || !absl::EqualsIgnoreCase(coding->second, "chunked");
+    }
+    return length != headers.end()
+        && (length->second.empty() || !std::all_of(length->second.begin(), length->second.end(), absl::ascii_isdigit));
+}
+
 } // namespace celeryroute
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -147,6 +147,12 @@
         response.status = StatusHeaderFieldsTooLarge;
         return refuse(reception, std::move(response));
     }
+    // The library takes the first length, and chunks before any length, and would run the rest as a request.
+    if (hasAmbiguousEnd(reception.request.headers)) {
+        return refuse(
+            reception,
+            errorResponse(ResultCode::RequestMalformed, "the end of the body is ambiguous", RunState::NotRun));
+    }
     if (announcesMoreThan(reception.request.headers, settings.maxBodyBytes)) {
         return refuse(reception,
                       errorResponse(ResultCode::RequestTooLarge,
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -304,6 +304,33 @@
     LONGS_EQUAL(200, perform(post("/echo", "{}")).status);
 }
 
+TEST(HttpServer, bodyWhoseEndTwoReadersCouldSeeElsewhere_isRefusedAndNothingBehindItIsRead)
+{
+    serve();
+    const std::string smuggled = "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nsmuggled";
+    const std::string chunks = "5\r\nabcde\r\n0\r\n\r\n";
+    for (const char *fields : {"Content-Length: 5\r\nContent-Length: 6",
+                               "Content-Length: 5\r\nX-Other: a\r\ncontent-length: 5",
+                               "Content-Length: 5, 5",
+                               "Content-Length: +5",
+                               "Content-Length: 5\r\nTransfer-Encoding: chunked",
+                               "Transfer-Encoding: chunked\r\nContent-Length: 0",
+                               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                               "Transfer-Encoding: gzip, chunked",
+                               "Transfer-Encoding: identity"}) {
+        const bool chunked = std::string(fields).find("chunked") != std::string::npos;
+        RawConnection caller(testServer->port());
+        caller.send(absl::StrCat("POST /echo HTTP/1.1\r\nHost: a\r\n",
+                                 fields,
+                                 "\r\n\r\n",
+                                 chunked ? chunks : "abcde",
+                                 smuggled));
+        const std::string answer = caller.receiveUntil("no end");
+        CHECK_TEXT(answer.find("HTTP/1.1 400") == 0, fields);
+        CHECK_TEXT(answer.find("HTTP/1.1 200") == std::string::npos, fields);
+    }
+}
+
 TEST(HttpServer, malformedBytes_serverGoesOn)
 {
     serve();
