--- a/include/celeryroute/detail/node/nodesettings.h
+++ b/include/celeryroute/detail/node/nodesettings.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -43,4 +44,10 @@
 /// default. The error of a failure names every mistake with its number and bears the first one's code.
 Result<NodeSettings> readNodeSettings(const std::string &text);
 
+/// @brief Every mistake in such lines; empty when readNodeSettings() takes them.
+std::vector<Error> findMistakes(const std::string &text);
+
+/// @brief What each name means, one a line.
+std::string nodeSettingsHelp();
+
 } // namespace celeryroute
--- a/include/celeryroute/detail/settings/startup.h
+++ b/include/celeryroute/detail/settings/startup.h
@@ -1,20 +1,12 @@
 #pragma once
 
+#include <celeryroute/detail/settings/exitcode.h>
 #include <celeryroute/detail/settings/settingreader.h>
 
 #include <optional>
 
 namespace celeryroute {
 
-/// Exit codes of all programs.
-enum class ExitCode : int {
-    Ok = 0,
-    Refused = 1, ///< The operation was refused or failed.
-    Usage = 2, ///< Bad settings or arguments.
-    Unreachable = 3, ///< The platform or a peer cannot be reached.
-    InDoubt = 4, ///< Whether a change took effect is not known yet.
-};
-
 /// @brief Prints help or version when wanted; the program then ends with the returned code.
 std::optional<ExitCode> answerHelp(const std::string &program, const ParsedSettings &parsed);
 
--- a/src/daemon/standalone.cpp
+++ b/src/daemon/standalone.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr const char *Program = "celeryrouted";
+constexpr const char *SettingsFileHint =
+    "\nWith CELERYROUTE_CONFIG=FILE the role and its settings are read from FILE;\n"
+    "`CELERYROUTE_CONFIG=FILE celeryrouted --help` names them.";
 constexpr long StopPollNanoseconds = 50'000'000;
 
 using Role = std::variant<std::unique_ptr<EntryProcess>, std::unique_ptr<AgentProcess>>;
@@ -88,6 +91,9 @@
     const SettingsParser parser(Program, "--role=entry|agent [SETTING...]", daemonSettingSpecs());
     const ParsedSettings parsed = parser.parse(commandLineWords(argc, argv), processEnvironment());
     if (const auto exitCode = answerHelp(Program, parsed)) {
+        if (parsed.helpWanted) {
+            std::puts(SettingsFileHint);
+        }
         return static_cast<int>(*exitCode);
     }
     SettingReader reader(parsed);
--- a/src/node/nodemain.cpp
+++ b/src/node/nodemain.cpp
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/node/entrynode.h>
 #include <celeryroute/detail/node/nodecore.h>
 #include <celeryroute/detail/node/signalpipe.h>
+#include <celeryroute/detail/settings/exitcode.h>
 
 #include <csignal>
 #include <cstdio>
@@ -16,8 +17,6 @@
 
 namespace {
 
-constexpr int RefusedExit = 2;
-
 using Role = std::variant<std::unique_ptr<EntryNode>, std::unique_ptr<AgentNode>>;
 
 Role makeRole(NodeCore &core)
@@ -30,13 +29,14 @@
 
 Result<NodeSettings> loadSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return fail(ResultCode::SettingMissing, "cannot read the settings file " + path);
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return readNodeSettings(text.str());
+    BOOST_LEAF_AUTO(text, readSettingsFile(path));
+    return readNodeSettings(text);
+}
+
+bool isSettingError(ResultCode code)
+{
+    return code == ResultCode::SettingUnknown || code == ResultCode::SettingMissing
+        || code == ResultCode::SettingInvalid || code == ResultCode::SettingConflict;
 }
 
 void reload(NodeCore &core, Role &role, const std::string &path)
@@ -80,6 +80,17 @@
 
 } // namespace
 
+Result<std::string> readSettingsFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return fail(ResultCode::SettingMissing, "cannot read the settings file " + path);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 int runNode(const std::string &settingsFile, const PlatformTranslation &translation)
 {
     return handleErrors(
@@ -93,7 +104,7 @@
         },
         [](const Error &error) {
             std::fprintf(stderr, "%s\n", toString(error).c_str());
-            return RefusedExit;
+            return static_cast<int>(isSettingError(error.code) ? ExitCode::Usage : ExitCode::Refused);
         });
 }
 
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -285,21 +285,34 @@
     return error;
 }
 
-} // namespace
-
-Result<NodeSettings> readNodeSettings(const std::string &text)
+NodeSettings readAll(SettingsFile &file)
 {
-    SettingsFile file(text);
     NodeSettings settings;
     readRole(file, settings);
     readPlace(file, settings);
     readPeerPorts(file, settings);
     readLimits(file, settings);
     readBounds(file, settings.bounds);
+    return settings;
+}
+
+} // namespace
+
+Result<NodeSettings> readNodeSettings(const std::string &text)
+{
+    SettingsFile file(text);
+    NodeSettings settings = readAll(file);
     if (!file.mistakes().empty()) {
         return fail(together(file.mistakes()));
     }
     return settings;
 }
 
+std::vector<Error> findMistakes(const std::string &text)
+{
+    SettingsFile file(text);
+    readAll(file);
+    return file.mistakes();
+}
+
 } // namespace celeryroute
--- a/src/programs/celeryrouted.cpp
+++ b/src/programs/celeryrouted.cpp
@@ -1,28 +1,20 @@
-#include <celeryroute/detail/node/nodemain.h>
+#include <celeryroute/detail/node/nodecommand.h>
 #include <celeryroute/platform/translation.h>
 #ifdef CELERYROUTE_STANDALONE
 #include <celeryroute/detail/daemon/standalone.h>
 #endif
 
-#include <cstdio>
 #include <cstdlib>
 
-namespace {
-
-constexpr const char *SettingsFileVariable = "CELERYROUTE_CONFIG";
-
-} // namespace
-
 int main(int argc, char **argv)
 {
-    if (const char *settingsFile = std::getenv(SettingsFileVariable)) {
-        return celeryroute::runNode(settingsFile, celeryroute::platform::translation());
-    }
+    const char *settingsFile = std::getenv(celeryroute::SettingsFileVariable);
 #ifdef CELERYROUTE_STANDALONE
-    return celeryroute::runStandalone(argc, argv);
-#else
-    (void)argc;
-    std::fprintf(stderr, "%s: %s names no settings file\n", argv[0], SettingsFileVariable);
-    return 2;
+    if (settingsFile == nullptr) {
+        return celeryroute::runStandalone(argc, argv);
+    }
 #endif
+    return celeryroute::runNodeCommand(std::vector<std::string>(argv + 1, argv + argc),
+                                       settingsFile == nullptr ? "" : settingsFile,
+                                       celeryroute::platform::translation());
 }
--- a/tests/src/unit-nodesettings.cpp
+++ b/tests/src/unit-nodesettings.cpp
@@ -118,6 +118,24 @@
     }
 }
 
+TEST(NodeSettings, mistakes_areListedInTheOrderOfTheFirstErrorAndNoneForValidText)
+{
+    const std::vector<Error> mistakes = findMistakes("name = a\nrole = entry\nip = x\n");
+    CHECK(errorOf("name = a\nrole = entry\nip = x\n").code == mistakes.front().code);
+    CHECK(mistakes.size() > 2);
+    CHECK(findMistakes(EntryText).empty());
+}
+
+TEST(NodeSettings, help_namesEverySettingOfTheTemplate)
+{
+    const std::regex name("(?:^|\n)([a-z-]+) =");
+    const std::string text = templateText();
+    for (std::sregex_iterator found(text.begin(), text.end(), name), end; found != end; ++found) {
+        CHECK_TEXT(nodeSettingsHelp().find("  " + (*found)[1].str() + ' ') != std::string::npos,
+                   (*found)[1].str().c_str());
+    }
+}
+
 TEST(NodeSettings, templateOfTheDeployFolder_fillsEverySettingOfTheReader)
 {
     const std::string text = templateText();
