Serve the metrics of entries and agents

An entry answers /metrics on its readiness address, and both roles on the first free TCP port behind the one for messages between processes, which the log names. The gauges tell readiness, age of state and registry, allowances, what waits and runs, connections, targets, peers, lines of the log and what the process takes from its host.

--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -59,6 +59,15 @@
     {
         return m_calls.size();
     }
+    /// @brief Calls in work that were not sent yet, or not again.
+    std::size_t callsWaiting() const
+    {
+        return m_queue.size();
+    }
+    std::size_t targetConnections() const
+    {
+        return m_channels.size();
+    }
     std::size_t callersConnected() const
     {
         return m_server.connections();
--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/feed/retrydelay.h>
 #include <celeryroute/detail/keeper/modelkeeper.h>
 #include <celeryroute/detail/node/feeddriver.h>
+#include <celeryroute/detail/node/metricsserver.h>
 #include <celeryroute/detail/node/nodecore.h>
 #include <celeryroute/detail/node/peerroster.h>
 #include <celeryroute/detail/node/peersocket.h>
@@ -40,6 +41,7 @@
     void orderAnswered(const TargetOrder &order, const MessageHead &head);
     void publish(bool urgent);
     void broadcast();
+    ServingGauges gauges() const;
 
     NodeCore &m_core;
     PlainCaller m_store;
@@ -50,6 +52,7 @@
     PeerSocket m_peers;
     PeerRoster m_entries;
     RetryDelay m_fenceDelay;
+    MetricsServer m_metrics;
     std::string m_instance;
     bool m_successor = false; ///< Another instance had the target's address before.
     bool m_reading = false;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -6,6 +6,7 @@
 #include <celeryroute/detail/node/demandsender.h>
 #include <celeryroute/detail/node/entryadmission.h>
 #include <celeryroute/detail/node/feeddriver.h>
+#include <celeryroute/detail/node/metricsserver.h>
 #include <celeryroute/detail/node/nodecore.h>
 #include <celeryroute/detail/node/peerroster.h>
 #include <celeryroute/detail/node/peersocket.h>
@@ -60,6 +61,10 @@
     bool ready() const;
     void advanceStop();
 
+    ServingGauges gauges() const;
+    std::vector<AllowanceGauge> allowanceGauges() const;
+    std::uint64_t shunnedTargets() const;
+
     NodeCore &m_core;
     Endpoint m_peerEndpoint;
     PlainCaller m_store;
@@ -76,6 +81,7 @@
     FeedDriver m_desiredDriver;
     FeedDriver m_targetsDriver;
     ReadinessServer m_readiness;
+    MetricsServer m_metrics;
     std::map<std::string, KnownAgent> m_agents; ///< By target id.
     std::set<std::string> m_entries; ///< IP numbers of the other entries.
     EventLoop::TimerId m_gossipTimer = 0;
--- a/include/celeryroute/detail/node/plaincaller.h
+++ b/include/celeryroute/detail/node/plaincaller.h
@@ -24,6 +24,12 @@
     /// @brief @p answered is called once, later. A call that times out closes its channel.
     void call(const PlainCall &call, Duration timeout, Answered answered);
 
+    /// @brief Open channels, idle or not.
+    std::size_t connections() const
+    {
+        return m_channels.size();
+    }
+
 private:
     class Exchange;
 
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/net/clock.h>
 #include <celeryroute/detail/node/gossipmessages.h>
+#include <celeryroute/detail/node/processgauges.h>
 
 #include <serving.pb.h>
 
@@ -57,6 +58,7 @@
               [this](const Endpoint &, const wire::Envelope &envelope) { received(envelope); })
     , m_entries(EntryMemory)
     , m_fenceDelay(LeastFenceRetry, MostFenceRetry, core.seed)
+    , m_metrics(core, [this] { return gauges(); })
 {}
 
 AgentNode::~AgentNode()
@@ -67,6 +69,7 @@
 Result<void> AgentNode::start()
 {
     BOOST_LEAF_CHECK(m_peers.open({parseIp(m_core.settings.ip).value_or(0), m_core.settings.firstPeerPort}));
+    m_metrics.listen();
     m_desiredDriver.advance();
     acquireFence();
     readReport();
@@ -257,6 +260,23 @@
     }
 }
 
+ServingGauges AgentNode::gauges() const
+{
+    const TimePoint now = m_core.loop.now();
+    const KeeperView view = m_keeper.view(now);
+    ServingGauges gauges = processGauges(m_core);
+    if (m_desired.state() != nullptr) {
+        gauges.stateVersion = m_desired.state()->version;
+    }
+    gauges.stateAge = ageOf(m_desired.follower(), now);
+    gauges.queuedRequests = view.queued;
+    gauges.runningRequests = view.active;
+    gauges.targetConnections = m_target.connections();
+    gauges.storeConnections = m_store.connections();
+    gauges.peers = m_entries.peers().size();
+    return gauges;
+}
+
 void AgentNode::beginStop()
 {
     m_core.log.write(DecisionEvent::ProcessStop, m_core.loop.now(), {{fieldnames::Reason, "signal"}});
--- /dev/null
+++ b/src/node/entrygauges.cpp
@@ -0,0 +1,57 @@
+#include <celeryroute/detail/node/entrynode.h>
+
+#include <celeryroute/detail/node/processgauges.h>
+
+namespace celeryroute {
+
+std::vector<AllowanceGauge> EntryNode::allowanceGauges() const
+{
+    std::vector<AllowanceGauge> gauges;
+    if (m_desired.state() == nullptr) {
+        return gauges;
+    }
+    const double share = m_allowances.members().poolFraction();
+    for (const ServingCustomer &customer : m_desired.state()->customers) {
+        const CustomerAccount *account = m_allowances.find(customer.name);
+        if (account != nullptr && account->limited()) {
+            gauges.push_back({customer.name, share, account->bucket().level()});
+        }
+    }
+    return gauges;
+}
+
+std::uint64_t EntryNode::shunnedTargets() const
+{
+    std::uint64_t count = 0;
+    for (const auto &[id, record] : m_targets.targets()) {
+        const KnownTarget *target = m_book.target(id);
+        if (target != nullptr && target->health.standing(m_core.loop.now()) != TargetHealth::Standing::Good) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+ServingGauges EntryNode::gauges() const
+{
+    const TimePoint now = m_core.loop.now();
+    ServingGauges gauges = processGauges(m_core);
+    gauges.ready = ready();
+    if (m_desired.state() != nullptr) {
+        gauges.stateVersion = m_desired.state()->version;
+    }
+    gauges.stateAge = ageOf(m_desired.follower(), now);
+    gauges.targetsAge = ageOf(m_targets.follower(), now);
+    gauges.allowances = allowanceGauges();
+    gauges.queuedRequests = m_gateway.callsWaiting();
+    gauges.runningRequests = m_gateway.callsInWork() - m_gateway.callsWaiting();
+    gauges.callerConnections = m_gateway.callersConnected();
+    gauges.targetConnections = m_gateway.targetConnections();
+    gauges.storeConnections = m_store.connections();
+    gauges.targets = m_targets.targets().size();
+    gauges.shunnedTargets = shunnedTargets();
+    gauges.peers = m_agentsHeard.peers().size() + m_entries.size();
+    return gauges;
+}
+
+} // namespace celeryroute
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -76,7 +76,8 @@
           core.loop,
           core.translation.readinessPath,
           [this] { return ready(); },
-          [](const std::string &) { return std::optional<std::string>(); })
+          [this](const std::string &path) { return m_metrics.textFor(path); })
+    , m_metrics(core, [this] { return gauges(); })
 {}
 
 EntryNode::~EntryNode()
@@ -90,6 +91,7 @@
     BOOST_LEAF_CHECK(m_peers.open(m_peerEndpoint));
     BOOST_LEAF_CHECK(m_gateway.listen(endpointOf(m_core.settings.listenAddress)));
     BOOST_LEAF_CHECK(m_readiness.listen(endpointOf(m_core.settings.readinessAddress)));
+    m_metrics.listen();
     m_desiredDriver.advance();
     m_targetsDriver.advance();
     scheduleGossip();
--- a/tests/src/process-nodecommand.cpp
+++ b/tests/src/process-nodecommand.cpp
@@ -127,3 +127,40 @@
     LONGS_EQUAL(0, runUnprepared({"--help"}));
     CHECK(absl::StrContains(output, Variable));
 }
+
+TEST(NodeCommand, metricsOfAnAgent_areAtTheFirstFreePortBehindThatOfItsMessages)
+{
+    prepare(validAgent());
+    ChildProcess process("celeryrouted", {});
+    CHECK(process.waitForOutput("metrics.served"));
+    const std::string lines = process.output();
+    std::smatch found;
+    CHECK_TEXT(std::regex_search(lines, found, std::regex("metrics.served.*\"port\":(\\d+)")), lines.c_str());
+    const std::string base = absl::StrCat("http://127.0.0.1:", found[1].str());
+    const HttpResponse metrics = callHttp("GET", base + "/metrics");
+    LONGS_EQUAL(200, metrics.status);
+    for (const char *line :
+         {"celeryroute_orders_total{", "celeryroute_log_lines_total{", "process_cpu_seconds_total "}) {
+        CHECK_TEXT(absl::StrContains(metrics.body, line), line);
+    }
+    CHECK(!absl::StrContains(metrics.body, "celeryroute_ready"));
+    LONGS_EQUAL(404, callHttp("GET", base + "/other").status);
+    process.signal(SIGTERM);
+    LONGS_EQUAL(0, process.wait());
+}
+
+TEST(NodeCommand, metricsOfAnEntry_areAtItsReadinessAddress)
+{
+    const std::string readiness = absl::StrCat("127.0.0.1:", freePort());
+    prepare(settingsFor("entry",
+                        std::min(freePort(), 65'000),
+                        absl::StrCat("listen-address = 127.0.0.1:", freePort(), "\nreadiness-address = ", readiness)));
+    ChildProcess process("celeryrouted", {});
+    CHECK(process.waitForOutput("metrics.served"));
+    const HttpResponse metrics = callHttp("GET", absl::StrCat("http://", readiness, "/metrics"));
+    LONGS_EQUAL(200, metrics.status);
+    for (const char *line : {"\nceleryroute_ready 0\n", "\nceleryroute_connections{peer=\"caller\"} 0\n"}) {
+        CHECK_TEXT(absl::StrContains(metrics.body, line), line);
+    }
+    CHECK(!absl::StrContains(metrics.body, "celeryroute_state_version"));
+}
