--- a/tests/src/unit-nodesettings.cpp
+++ b/tests/src/unit-nodesettings.cpp
@@ -118,6 +118,24 @@
     }
 }
 
+TEST(NodeSettings, mistakes_areListedInTheOrderOfTheFirstErrorAndNoneForValidText)
+{
+    const std::vector<Error> mistakes = findMistakes("name = a\nrole = entry\nip = x\n");
+    CHECK(errorOf("name = a\nrole = entry\nip = x\n").code == mistakes.front().code);
+    CHECK(mistakes.size() > 2);
+    CHECK(findMistakes(EntryText).empty());
+}
+
+TEST(NodeSettings, help_namesEverySettingOfTheTemplate)
+{
+    const std::regex name("(?:^|\n)([a-z-]+) =");
+    const std::string text = templateText();
+    for (std::sregex_iterator found(text.begin(), text.end(), name), end; found != end; ++found) {
+        CHECK_TEXT(nodeSettingsHelp().find("  " + (*found)[1].str() + ' ') != std::string::npos,
+                   (*found)[1].str().c_str());
+    }
+}
+
 TEST(NodeSettings, templateOfTheDeployFolder_fillsEverySettingOfTheReader)
 {
     const std::string text = templateText();
@@ -134,6 +152,7 @@
         {"node_name", "side-1"},
         {"zone", "a"},
         {"service", "llm"},
+        {"bootstrap", "true"},
     };
     std::string filled = text;
     for (const auto &[name, value] : values) {
@@ -152,6 +171,7 @@
     expected.pool = "llm";
     expected.memoryLimitMb = expected.maxDescriptors = 77;
     expected.cpuShare = 77;
+    expected.firstStart = true;
     expected.heartbeat = 77ms;
     expected.bounds = ServingBounds{400ms, 77ms, 77ms, 77s, 77s, 77, 77s, 77, 77s, 77, 77, 77s, 77, 77ms, true};
     CHECK(settings == expected);
