See a model become busy within seconds, and keep off dark targets

A replica came late after the demand had moved, since the rate was taken over half a minute. A holder whose host is silent is not probed; its calls wait for a sign of it.

--- a/include/celeryroute/detail/placement/enginechooser.h
+++ b/include/celeryroute/detail/placement/enginechooser.h
@@ -28,7 +28,8 @@
     double mostHeld(const EngineAsk &ask, const Holder &best) const;
     double heldFor(const EngineAsk &ask, const Holder &best) const;
     std::optional<LoadPlan> spare(const EngineAsk &ask, const Holder &best);
-    LoadWant wantOf(const EngineAsk &ask, const LoadPlan &plan);
+    EngineDecision lastResort(const EngineAsk &ask, const Holder &bad);
+    std::optional<LoadWant> spareWant(const EngineAsk &ask, const LoadPlan &plan);
     EngineDecision waitFor(const EngineAsk &ask, const LoadPlan &plan);
 
     TargetBook &m_book;
--- a/include/celeryroute/detail/placement/holderfinder.h
+++ b/include/celeryroute/detail/placement/holderfinder.h
@@ -17,6 +17,8 @@
 
     /// @brief The best holder for a call; without a target if no holder may get it.
     Holder best(const EngineAsk &ask);
+    /// @brief Whether any target of the pool is in good standing, as far as a sample shows.
+    bool anySound(const EngineAsk &ask);
 
 private:
     Holder assess(const EngineAsk &ask, KnownTarget &target);
--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -43,7 +43,8 @@
 
     std::optional<LoadPlan> plan(TargetPool &pool, const EngineModel &model, const LoadNeed &need, TimePoint now);
     /// @brief The target of @p plan is being asked for @p model.
-    void noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now);
+    /// @return whether its agent has to be told (again)
+    bool noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now);
 
 private:
     struct Asked {
@@ -51,6 +52,7 @@
         TimePoint at;
         TimePoint ready;
         TimePoint until;
+        TimePoint told;
     };
     struct Offer;
 
--- a/include/celeryroute/detail/placement/trafficmeter.h
+++ b/include/celeryroute/detail/placement/trafficmeter.h
@@ -17,7 +17,7 @@
     /// @brief A call was held for @p seconds before it could be sent.
     void noteHeld(const std::string &model, double seconds, TimePoint now);
 
-    /// @brief Calls per second, over about half a minute.
+    /// @brief Calls per second, over about half a minute, or lately if there are certainly more.
     double rate(const std::string &model, TimePoint now) const;
     /// @brief Wanted seconds to the first event.
     double aim(const std::string &model, TimePoint now) const;
@@ -28,7 +28,8 @@
     struct Traffic {
         Traffic();
 
-        double calls = 0;
+        double calls = 0; ///< Fades slowly.
+        double lately = 0; ///< Fades fast.
         TimePoint at;
         RelaxingMean aim;
         RelaxingMean wait;
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -10,6 +10,7 @@
 
 constexpr Duration UnknownRetry = 1s;
 constexpr double AdapterLoad = 0.01; // Seconds.
+constexpr Duration ProbeTime = 100ms; // Until a probe that is under way is answered.
 constexpr double GainHorizon = 5; // Seconds over which a further replica has to pay.
 constexpr double LoadPrice = 0.1; // Late calls that a load has to save beside those that it costs.
 constexpr double HeldShare = 0.5; // Of the time to spare that a call may be held for room.
@@ -74,7 +75,7 @@
 {
     EngineDecision decision;
     if (const std::optional<LoadPlan> plan = spare(ask, best)) {
-        decision.want = wantOf(ask, *plan);
+        decision.want = spareWant(ask, *plan);
     }
     if (best.total > ask.remaining) {
         decision.verdict = Refuse{fromSeconds(best.wait), RefuseReason::TooLate};
@@ -97,7 +98,7 @@
         if (plan->ready < held) {
             return waitFor(ask, *plan);
         }
-        decision.want = wantOf(ask, *plan);
+        decision.want = spareWant(ask, *plan);
     }
     if (held > mostHeld(ask, best)) {
         decision.verdict = Refuse{fromSeconds(held), RefuseReason::TooLate};
@@ -138,7 +139,7 @@
     const std::optional<LoadPlan> plan = m_planner.plan(ask.pool, ask.model, need, ask.now);
     const bool dear = !plan || (plan->source == CopyPlace::Store && !plan->underWay) || plan->ready > ask.remaining;
     if (bad.target != nullptr && dear) {
-        return {SendTo{bad.target->record.id}, std::nullopt};
+        return lastResort(ask, bad);
     }
     if (!plan) {
         return {Refuse{ask.model.diskLoad, RefuseReason::NoTargets}, std::nullopt};
@@ -146,6 +147,21 @@
     return waitFor(ask, *plan);
 }
 
+// The next probe shows whether it is back. Only when no target of the pool is in good standing may
+// the fault be elsewhere, so that trying costs nothing.
+EngineDecision EngineChooser::lastResort(const EngineAsk &ask, const Holder &bad)
+{
+    const bool shunned = bad.target->health.standing(ask.now) == TargetHealth::Standing::Shunned;
+    if (!shunned || !m_finder.anySound(ask)) {
+        return {SendTo{bad.target->record.id}, std::nullopt};
+    }
+    const Duration probe = std::max(bad.target->health.shunnedFor(ask.now), ProbeTime);
+    if (toSeconds(probe) + bad.alone > ask.remaining) {
+        return {Refuse{probe, RefuseReason::TooLate}, std::nullopt};
+    }
+    return {WaitForRoom{probe}, std::nullopt};
+}
+
 // Worth it if it saves more calls from being late than the models that must go for it cost.
 std::optional<LoadPlan> EngineChooser::spare(const EngineAsk &ask, const Holder &best)
 {
@@ -167,19 +183,23 @@
     return plan->wait < wait / 2 && gain > plan->cost + LoadPrice ? plan : std::nullopt;
 }
 
-LoadWant EngineChooser::wantOf(const EngineAsk &ask, const LoadPlan &plan)
+// No call waits for it, so it is said again only now and then.
+std::optional<LoadWant> EngineChooser::spareWant(const EngineAsk &ask, const LoadPlan &plan)
 {
-    m_planner.noteAsked(ask.pool, ask.model, plan, ask.now);
-    return {ask.call.model, plan.target};
+    if (!m_planner.noteAsked(ask.pool, ask.model, plan, ask.now)) {
+        return std::nullopt;
+    }
+    return LoadWant{ask.call.model, plan.target};
 }
 
 // The load is wanted also when this call cannot wait for it: the next one shall find it.
 EngineDecision EngineChooser::waitFor(const EngineAsk &ask, const LoadPlan &plan)
 {
-    const LoadWant want = wantOf(ask, plan);
+    const bool news = m_planner.noteAsked(ask.pool, ask.model, plan, ask.now);
+    const LoadWant want{ask.call.model, plan.target};
     const Duration ready = fromSeconds(plan.ready);
     if (plan.ready + ask.pool.speed.firstEvent(ask.call.promptTokens) > ask.remaining) {
-        return {Refuse{ready, RefuseReason::TooLate}, want};
+        return {Refuse{ready, RefuseReason::TooLate}, news ? std::optional(want) : std::nullopt};
     }
     return {WaitFor{want.item, want.target, ready}, std::nullopt};
 }
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -18,7 +18,7 @@
 constexpr double AdapterFull = 0.05; // Seconds; of a target whose adapter places are taken.
 constexpr double AdapterDeclined = 1; // Seconds.
 constexpr double OtherDomain = 0.001; // Seconds; bytes between domains are priced.
-constexpr double CrowdedShare = 0.25; // Of the wanted latency that may go into waiting at the target.
+constexpr double CrowdedShare = 0.6; // Of the time to spare that may go into waiting at the target.
 constexpr double DoubtfulTrust = 0.3; // Below which a target counts as bad.
 constexpr double UnknownDuration = 1; // Seconds of a call.
 constexpr double LeastSlowness = 0.5;
@@ -76,6 +76,14 @@
     return best;
 }
 
+bool HolderFinder::anySound(const EngineAsk &ask)
+{
+    ask.pool.open.sample(random(), random(), SampleSize, m_sample);
+    return std::any_of(m_sample.begin(), m_sample.end(), [&ask](const KnownTarget *target) {
+        return target->health.standing(ask.now) == TargetHealth::Standing::Good;
+    });
+}
+
 Holder HolderFinder::assess(const EngineAsk &ask, KnownTarget &target)
 {
     const ResidentModel *resident = target.model(ask.call.model, ask.now);
@@ -97,7 +105,10 @@
 Holder::Grade HolderFinder::grade(const EngineAsk &ask, const KnownTarget &target)
 {
     const TargetHealth::Standing standing = target.health.standing(ask.now);
-    if (standing == TargetHealth::Standing::Shunned || (target.viewFresh(ask.now) && !target.view->reachable)) {
+    const bool heard = target.viewFresh(ask.now);
+    // While the agent beside it is silent as well, a probe would be lost.
+    const bool dark = standing == TargetHealth::Standing::Probe && target.view && !heard;
+    if (standing == TargetHealth::Standing::Shunned || dark || (heard && !target.view->reachable)) {
         return Holder::Grade::Bad;
     }
     const double trust = target.health.trust(ask.pool.failures.value(0, ask.now), ask.now);
@@ -138,7 +149,7 @@
     const auto need = static_cast<double>(ask.call.promptTokens + ask.call.expectedOutput());
     const bool fits = calls < 1 || total == 0 || target.cacheTokens(ask.now) + need <= total * open;
     const bool free = fits && calls < ask.pool.slotsOf(target) * (open + SlotQueue);
-    const double most = CrowdedShare * ask.aim;
+    const double most = CrowdedShare * std::max(ask.aim - holder.alone, ask.aim / 4);
     const double refused = toSeconds(target.fullUntil - ask.now);
     holder.room = free && refused <= 0 && (holder.wait <= most || target.waiting(ask.now) < 1);
     const double next = ask.pool.duration.value(UnknownDuration, ask.now) / std::max(1.0, calls);
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -22,6 +22,7 @@
 constexpr double UnheardCost = 0.2; // Seconds; of an agent that was not heard yet.
 constexpr double SilentCost = 2; // Seconds; of an agent that went silent.
 constexpr double DeclinedTime = 1; // Seconds; until what is in use there has changed.
+constexpr Duration TellInterval = 300ms; // After which an agent is told again what it is wanted to load.
 constexpr Duration LeastPatience = 500ms; // For an agent that shows no sign of what it was asked for.
 constexpr std::uint32_t LeastUrgent = 9;
 constexpr double LeastAim = 0.01; // Seconds.
@@ -138,13 +139,20 @@
     return LoadPlan{asked->second.target, ready, 0, 0, CopyPlace::Disk, true};
 }
 
-void LoadPlanner::noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now)
+bool LoadPlanner::noteAsked(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now)
 {
-    if (plan.underWay) {
-        return;
+    const std::string key = pool.name + '\n' + model.name;
+    const auto known = m_asked.find(key);
+    if (!plan.underWay) {
+        const Duration load = fromSeconds(plan.ready);
+        m_asked[key] = {plan.target, now, now + load, now + load * 2 + LeastPatience, now};
+        return true;
     }
-    const Duration load = fromSeconds(plan.ready);
-    m_asked[pool.name + '\n' + model.name] = {plan.target, now, now + load, now + load * 2 + LeastPatience};
+    if (known == m_asked.end() || known->second.target != plan.target || now < known->second.told + TellInterval) {
+        return false;
+    }
+    known->second.told = now;
+    return true;
 }
 
 std::optional<LoadPlanner::Offer> LoadPlanner::best(const TargetPool &pool,
@@ -197,8 +205,9 @@
     if (!fresh) {
         offer.ready += target.view ? SilentCost : UnheardCost;
     }
-    offer.cost = eviction;
-    offer.wait = pool.speed.prefill(pool.tokensAhead(target, LeastUrgent, now));
+    offer.cost = eviction + 1 - target.health.trust(pool.failures.value(0, now), now);
+    const ExpectedStart start = pool.expectedStart(target, meanTokens(pool, now), LeastUrgent, now);
+    offer.wait = start.wait + start.total * std::max(0.0, target.latency.value(1, now) - 1);
     return offer;
 }
 
--- a/src/placement/trafficmeter.cpp
+++ b/src/placement/trafficmeter.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/placement/trafficmeter.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace celeryroute {
@@ -9,6 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr double RateMemory = 30; // Seconds.
+constexpr double RecentMemory = 5; // Seconds; shows a model that has just become busy.
 constexpr double UnknownAim = 1; // Seconds.
 constexpr double AimWeight = 0.1;
 constexpr Duration AimMemory = 600s;
@@ -17,9 +19,9 @@
 constexpr double HeldWeight = 0.5;
 constexpr Duration HeldMemory = 5s;
 
-double faded(double value, TimePoint at, TimePoint now)
+double faded(double value, double memory, TimePoint at, TimePoint now)
 {
-    return value * std::exp(-toSeconds(now - at) / RateMemory);
+    return value > 0 ? value * std::exp(-toSeconds(now - at) / memory) : 0;
 }
 
 } // namespace
@@ -33,7 +35,8 @@
 void TrafficMeter::noteCall(const std::string &model, double aim, double wait, TimePoint now)
 {
     Traffic &traffic = m_models[model];
-    traffic.calls = (traffic.calls > 0 ? faded(traffic.calls, traffic.at, now) : 0) + 1;
+    traffic.calls = faded(traffic.calls, RateMemory, traffic.at, now) + 1;
+    traffic.lately = faded(traffic.lately, RecentMemory, traffic.at, now) + 1;
     traffic.at = now;
     traffic.aim.add(aim, aim, now);
     traffic.wait.add(wait, 0, now);
@@ -53,7 +56,12 @@
 double TrafficMeter::rate(const std::string &model, TimePoint now) const
 {
     const Traffic *traffic = find(model);
-    return traffic == nullptr ? 0 : faded(traffic->calls, traffic->at, now) / RateMemory;
+    if (traffic == nullptr) {
+        return 0;
+    }
+    const double lately = faded(traffic->lately, RecentMemory, traffic->at, now);
+    const double certain = lately - std::sqrt(lately);
+    return std::max(faded(traffic->calls, RateMemory, traffic->at, now) / RateMemory, certain / RecentMemory);
 }
 
 double TrafficMeter::aim(const std::string &model, TimePoint now) const
