--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -3,9 +3,7 @@
 #include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/gateway/gateway.h>
 #include <celeryroute/detail/gateway/httpstatus.h>
-#include <celeryroute/detail/http1/messagewriter.h>
 #include <celeryroute/detail/net/clock.h>
-#include <celeryroute/detail/placement/itemkey.h>
 #include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
@@ -159,25 +157,6 @@
     }
 }
 
-void Call::callerLeft()
-{
-    m_caller = nullptr;
-    // What may run once and has been sent goes on: breaking it off would leave its outcome in doubt.
-    if (m_route != nullptr && m_route->kind == CallKind::AtMostOnce && m_exchange != nullptr && m_exchange->sentAny()) {
-        return;
-    }
-    m_gateway.log().write(DecisionEvent::RequestAbandoned,
-                          m_gateway.loop().now(),
-                          m_fields.requestId,
-                          {{fieldnames::Target, m_target},
-                           {fieldnames::Attempt, m_sends},
-                           {"total_ms", toMilliseconds(m_gateway.loop().now() - m_request.received)}});
-    m_gateway.metrics().countRequest(m_route == nullptr ? CallKind::Idempotent : m_route->kind,
-                                     RequestOutcome::Abandoned);
-    endAttempt(CallEnd::Abandoned);
-    done();
-}
-
 void Call::callerDrained()
 {
     if (m_held && m_exchange != nullptr) {
@@ -186,69 +165,4 @@
     }
 }
 
-void Call::refuse(int status, std::string_view reason, Duration retryAfter)
-{
-    const TimePoint now = m_gateway.loop().now();
-    m_gateway.log().write(DecisionEvent::RequestRefused,
-                          now,
-                          m_fields.requestId,
-                          {{"status", status},
-                           {fieldnames::Reason, reason},
-                           {"kind", m_route == nullptr ? std::string_view() : labelValue(m_route->kind)},
-                           {fieldnames::Customer, m_customerName},
-                           {"route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name)},
-                           {fieldnames::StateVersion, m_table == nullptr ? 0 : m_table->state().version},
-                           {"retry_after_ms", toMilliseconds(retryAfter)},
-                           {"held_ms", toMilliseconds(now - m_request.received)},
-                           {"level", m_cost > 0 ? m_gateway.admission().level(m_customerName) : 0.0},
-                           {"cost", m_cost},
-                           {fieldnames::Item, itemKey(m_fields.model, m_fields.adapter)},
-                           {fieldnames::Target, m_target}});
-    m_gateway.metrics().countRefusal(reason);
-    m_gateway.metrics().countRequest(m_route == nullptr ? CallKind::Idempotent : m_route->kind,
-                                     RequestOutcome::Refused);
-    const bool promise = status == HttpStatus::ServiceUnavailable || status == HttpStatus::TooManyRequests;
-    answerOwn(status, promise ? std::optional(retryAfter) : std::nullopt);
-}
-
-void Call::answerOwn(int status, std::optional<Duration> retryAfter)
-{
-    constexpr double MsPerSecond = 1000;
-    AnswerHead head{status, {}, {}};
-    if (!m_fields.requestId.empty()) {
-        head.fields.push_back({m_gateway.names().requestId, m_fields.requestId});
-    }
-    if (retryAfter) {
-        const double seconds = std::max(0.05, static_cast<double>(toMilliseconds(*retryAfter)) / MsPerSecond); // NOLINT
-        std::string text = std::to_string(seconds);
-        text.resize(text.find('.') + 4);
-        head.fields.push_back({"Retry-After", std::move(text)});
-    }
-    if (m_charged && m_runs == 0) {
-        m_gateway.admission().refund(m_customerName, m_cost, m_request.received, m_gateway.loop().now());
-        m_charged = false;
-    }
-    answerCaller(head, {});
-}
-
-void Call::answerCaller(const AnswerHead &head, std::string_view body)
-{
-    if (m_caller != nullptr) {
-        m_caller->answer(head, body);
-    }
-    done();
-}
-
-void Call::done()
-{
-    m_phase = Phase::Done;
-    m_gateway.queue().remove(m_number);
-    m_gateway.loop().cancel(m_limitTimer);
-    m_limitTimer = 0;
-    m_gateway.loop().cancel(m_stallTimer);
-    m_stallTimer = 0;
-    m_caller = nullptr;
-    m_gateway.finished(*this);
-}
-
 } // namespace celeryroute
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -146,18 +146,6 @@
     }
 }
 
-void Call::giveUp(std::string_view reason)
-{
-    if (m_phase != Phase::Waiting) {
-        return;
-    }
-    if (m_sends > 0) {
-        failFinally(reason);
-    } else {
-        refuse(HttpStatus::ServiceUnavailable, reason, RoomRetryAfter);
-    }
-}
-
 std::optional<TargetRequest> Call::targetRequest(const KnownTarget &target)
 {
     TargetFields fields;
@@ -305,69 +293,4 @@
     failFinally(torn ? reasons::ConnectionLost : reasons::ConnectionLost);
 }
 
-void Call::failFinally(std::string_view reason)
-{
-    const TimePoint now = m_gateway.loop().now();
-    const CallKind kind = m_route == nullptr ? CallKind::Idempotent : m_route->kind;
-    endAttempt(CallEnd::Abandoned);
-    const auto total = toMilliseconds(now - m_request.received);
-    if (begun()) {
-        m_gateway.log().write(DecisionEvent::RequestCut,
-                              now,
-                              m_fields.requestId,
-                              {{fieldnames::Attempt, m_sends},
-                               {fieldnames::Target, m_target},
-                               {fieldnames::Reason, reason},
-                               {"kind", labelValue(kind)},
-                               {fieldnames::Customer, m_customerName},
-                               {"events", m_events.events()},
-                               {"last_event", m_events.lastId()},
-                               {"total_ms", total},
-                               {"resumable", m_route != nullptr && m_route->resumable}});
-        m_gateway.metrics().countRequest(kind, RequestOutcome::Cut);
-        m_caller->cut();
-        done();
-        return;
-    }
-    if (m_failure) {
-        m_answer = std::move(*m_failure);
-        passAnswer();
-        return;
-    }
-    const bool run = m_runs > 0;
-    const int status = !run          ? HttpStatus::ServiceUnavailable
-        : reason == reasons::Timeout ? HttpStatus::GatewayTimeout
-                                     : HttpStatus::BadGateway;
-    m_gateway.log().write(DecisionEvent::RequestFailed,
-                          now,
-                          m_fields.requestId,
-                          {{fieldnames::Attempt, m_sends},
-                           {fieldnames::Target, m_target},
-                           {"status", status},
-                           {fieldnames::Reason, reason},
-                           {"kind", labelValue(kind)},
-                           {fieldnames::Customer, m_customerName},
-                           {"sent_ms", toMilliseconds(now - m_sentAt)},
-                           {"total_ms", total},
-                           {"not_run", !run}});
-    m_gateway.metrics().countRequest(kind, RequestOutcome::Failed);
-    answerOwn(status, run ? std::nullopt : std::optional(RoomRetryAfter));
-}
-
-void Call::limitReached()
-{
-    endNow(reasons::Timeout);
-}
-
-void Call::endNow(std::string_view reason)
-{
-    if (m_phase == Phase::Done) {
-        return;
-    }
-    if (m_exchange != nullptr && m_exchange->sentAny() && !m_answer.notRun) {
-        ++m_runs;
-    }
-    failFinally(reason);
-}
-
 } // namespace celeryroute
--- /dev/null
+++ b/src/node/entrynodepeers.cpp
@@ -0,0 +1,170 @@
+#include <celeryroute/detail/node/entrynode.h>
+
+#include <celeryroute/detail/node/gossipmessages.h>
+#include <celeryroute/detail/placement/agentstateview.h>
+
+#include <serving.pb.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+void EntryNode::updateAgents()
+{
+    const ServingStatePtr &state = m_desired.state();
+    if (state == nullptr) {
+        return;
+    }
+    for (const auto &[id, record] : m_targets.targets()) {
+        const ServingPool *pool = state->pool(record.pool);
+        const auto endpoint = parseEndpoint(record.address);
+        if (pool == nullptr || !pool->engine || !endpoint) {
+            continue;
+        }
+        KnownAgent &agent = m_agents[id];
+        agent.target = id;
+        agent.endpoint = {endpoint->ip, m_core.settings.firstPeerPort};
+        agent.pool = record.pool;
+        m_demand.add(id);
+    }
+    markSuccessors();
+}
+
+void EntryNode::markSuccessors()
+{
+    std::map<std::string, std::int64_t> firstBorn; ///< By address.
+    for (const auto &[id, record] : m_targets.targets()) {
+        const auto [known, added] = firstBorn.emplace(record.address, record.bornMs);
+        known->second = std::min(known->second, record.bornMs);
+    }
+    for (const auto &[id, record] : m_targets.targets()) {
+        const auto agent = m_agents.find(id);
+        if (agent != m_agents.end() && firstBorn[record.address] < record.bornMs) {
+            agent->second.successor = true;
+        }
+    }
+}
+
+bool EntryNode::sendDemand(const std::string &target)
+{
+    const auto agent = m_agents.find(target);
+    const KnownTarget *known = m_book.target(target);
+    if (agent == m_agents.end() || known == nullptr) {
+        return false;
+    }
+    wire::Envelope envelope;
+    wire::EntryUsage &usage = *envelope.mutable_usage();
+    usage.set_instance(target);
+    usage.set_successor(agent->second.successor);
+    const TargetPool *pool = m_book.pool(agent->second.pool);
+    usage.set_pool_targets(pool == nullptr ? 0 : static_cast<std::uint32_t>(pool->open.size()));
+    for (const auto &[item, calls] : known->own.items) {
+        wire::EntryUsage::InFlight &inFlight = *usage.add_in_flight();
+        inFlight.set_item(item);
+        inFlight.set_calls(calls);
+    }
+    for (const WantedItem &wanted : m_gateway.wantsAt(target)) {
+        wire::EntryUsage::Want &want = *usage.add_wants();
+        want.set_item(wanted.item);
+        want.set_calls(wanted.calls);
+        want.set_priority(wanted.priority);
+        want.set_age_ms(
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(m_core.loop.now() - wanted.since))));
+    }
+    m_peers.send(agent->second.endpoint, envelope);
+    return usage.wants_size() > 0;
+}
+
+void EntryNode::received(const wire::Envelope &envelope)
+{
+    if (envelope.has_agent()) {
+        receivedAgent(envelope);
+    } else if (envelope.has_gossip()) {
+        receivedGossip(envelope);
+    }
+}
+
+void EntryNode::receivedAgent(const wire::Envelope &envelope)
+{
+    const TimePoint now = m_core.loop.now();
+    if (!m_agentsHeard.hear(envelope.sender(), envelope.incarnation(), envelope.sequence(), now)) {
+        return;
+    }
+    const wire::AgentState &state = envelope.agent();
+    for (const std::string &entry : state.entries()) {
+        learnEntry(entry);
+    }
+    if (m_agents.contains(state.instance())) {
+        m_gateway.targetsChanged(m_book.setView(state.instance(), viewOf(state), now));
+    }
+}
+
+void EntryNode::receivedGossip(const wire::Envelope &envelope)
+{
+    learnEntry(envelope.sender());
+    for (const wire::EntryGossip::Member &member : envelope.gossip().members()) {
+        learnEntry(member.address());
+    }
+    for (const wire::EntryGossip::Crash &crash : envelope.gossip().crashes()) {
+        m_gateway.suspects().merge({crash.request(), crash.target()}, m_core.loop.now());
+    }
+    m_allowances.hear(readReport(envelope), m_core.loop.now());
+    m_book.setEntries(static_cast<std::uint32_t>(m_allowances.members().memberCount()));
+    scheduleGossip();
+}
+
+void EntryNode::learnEntry(const std::string &address)
+{
+    if (address != m_core.settings.ip && parseIp(address) && m_entries.insert(address).second) {
+        scheduleGossip();
+    }
+}
+
+void EntryNode::scheduleGossip()
+{
+    m_core.loop.cancel(m_gossipTimer);
+    m_gossipAt = std::max(m_allowances.reportDue(), m_core.loop.now());
+    m_gossipTimer = m_core.loop.at(m_gossipAt, [this] {
+        m_gossipTimer = 0;
+        sendGossip();
+    });
+}
+
+void EntryNode::logAllowances()
+{
+    const MemberView &members = m_allowances.members();
+    if (members.poolFraction() == m_loggedFraction && members.memberCount() == m_loggedMembers) {
+        return;
+    }
+    m_loggedFraction = members.poolFraction();
+    m_loggedMembers = members.memberCount();
+    m_core.log.write(
+        DecisionEvent::AllowanceChanged,
+        m_core.loop.now(),
+        {{"share", m_loggedFraction},
+         {"entries", m_loggedMembers},
+         {fieldnames::StateVersion, m_gateway.table() == nullptr ? 0 : m_gateway.table()->state().version}});
+}
+
+void EntryNode::sendGossip()
+{
+    m_allowances.advance(m_core.loop.now());
+    logAllowances();
+    if (m_allowances.reportDue() <= m_core.loop.now()) {
+        const OutgoingReport outgoing = m_allowances.makeReport(m_core.loop.now());
+        wire::Envelope envelope;
+        writeReport(outgoing.report, *envelope.mutable_gossip());
+        for (const CrashMark &mark : m_gateway.suspects().marks()) {
+            wire::EntryGossip::Crash &crash = *envelope.mutable_gossip()->add_crashes();
+            crash.set_request(mark.request);
+            crash.set_target(mark.crash);
+        }
+        const std::vector<std::string> all(m_entries.begin(), m_entries.end());
+        for (const std::string &address : outgoing.receivers.empty() ? all : outgoing.receivers) {
+            m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
+        }
+    }
+    scheduleGossip();
+}
+
+} // namespace celeryroute
