--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -68,7 +68,7 @@
     void exchangeFailed(ExchangeFailure failure) override;
 
     // AdmissionControl.
-    bool findRoute();
+    bool findRoute(const std::shared_ptr<const RouteTable> &table);
     bool findCustomer();
     bool takeAllowance();
     void pickPool();
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -75,23 +75,27 @@
 // Asked again before each send: routes and keys may have changed while the call waited.
 bool Call::stateHolds()
 {
-    m_table = m_gateway.table();
-    if (m_table == nullptr) {
+    const std::shared_ptr<const RouteTable> &table = m_gateway.table();
+    if (table == nullptr) {
         refuse(HttpStatus::ServiceUnavailable, reasons::NoState, NoStateRetryAfter);
         return false;
     }
-    return findRoute() && findCustomer();
+    return findRoute(table) && findCustomer();
 }
 
-bool Call::findRoute()
+// A route that was found before stays until there is another: what has run is ended by its rules.
+bool Call::findRoute(const std::shared_ptr<const RouteTable> &table)
 {
     const std::string *host = m_request.head.field("Host");
-    m_route = host == nullptr ? nullptr : m_table->route(*host, m_request.head.target);
-    if (m_route == nullptr) {
+    const ServingRoute *route = host == nullptr ? nullptr : table->route(*host, m_request.head.target);
+    if (route != nullptr || m_route == nullptr) {
+        m_table = table;
+        m_route = route;
+    }
+    if (route == nullptr) {
         refuse(HttpStatus::NotFound, reasons::RouteUnknown, {});
-        return false;
     }
-    return true;
+    return route != nullptr;
 }
 
 bool Call::findCustomer()
@@ -188,6 +192,10 @@
 
 void Call::refuse(int status, std::string_view reason, Duration retryAfter)
 {
+    if (m_runs > 0) {
+        failFinally(reason); // A refusal would say that it did not run.
+        return;
+    }
     const TimePoint now = m_gateway.loop().now();
     m_gateway.log().write(DecisionEvent::RequestRefused,
                           now,
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -732,3 +732,49 @@
         CHECK_EQUAL_TEXT(1U, countOf(answer, "HTTP/1.1 "), row.name);
     }
 }
+
+TEST(Gateway, callThatHasRun_isNotRefusedWhenTheStateNoLongerAllowsIt)
+{
+    struct Row {
+        const char *path;
+        std::string first;
+        int status;
+        std::string body;
+    };
+    const Row rows[] = {
+        {"/idempotent/a", "", 502, ""},
+        {"/idempotent/a", signedAnswer(500, "own"), 500, "own"},
+        {"/resumable/a", StreamHead + chunk(event(1)), 200, chunk(event(1))},
+    };
+    const std::function<void(GatewayWorld &)> changes[] = {
+        [](GatewayWorld &fresh) { fresh.admission.freshChecks = 0; },
+        [](GatewayWorld &fresh) { fresh.state.customers[0].keys.clear(); },
+        [](GatewayWorld &fresh) { fresh.state.routes.clear(); },
+    };
+    for (const Row &row : rows) {
+        for (const auto &change : changes) {
+            GatewayWorld fresh(2);
+            fresh.apply();
+            fresh.scripts = {[&](const ServingTarget::Request &) {}};
+            RawCaller caller(fresh.loop, fresh.endpoint);
+            caller.send(GatewayWorld::request(row.path));
+            CHECK(fresh.waitForArrivals(1));
+            if (!row.first.empty()) {
+                fresh.answer(0, row.first.substr(0, row.first.size() - 1));
+                settle(fresh.loop);
+            }
+            change(fresh);
+            fresh.apply();
+            if (!row.first.empty()) {
+                fresh.answer(0, row.first.substr(row.first.size() - 1));
+                settle(fresh.loop);
+            }
+            fresh.targetOf(0).close(0);
+            CHECK(caller.waitForEnd());
+            CHECK_EQUAL_TEXT(row.status, statusOf(caller.received()), row.path);
+            STRCMP_EQUAL(row.body.c_str(), bodyOf(caller.received()).c_str());
+            STRCMP_EQUAL("(none)", fieldOf(caller.received(), "Retry-After").c_str());
+            CHECK_EQUAL(1U, fresh.arrived.size());
+        }
+    }
+}
