--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -117,7 +117,7 @@
         finishStream();
         return;
     }
-    if (success && m_answer.signedByTarget) {
+    if (success && m_answer.signedByTarget && !begun()) {
         endAttempt(CallEnd::Answered);
         passAnswer();
         return;
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -708,6 +708,15 @@
          "1",
          "7"},
         {"failing elsewhere", "/resumable/a", one, Then::Close, {signedAnswer(500, "bad"), rest}, whole, 3, "1", "7"},
+        {"no stream elsewhere",
+         "/resumable/a",
+         one,
+         Then::Close,
+         {signedAnswer(200, "{}", "Content-Type: application/json\r\n"), rest},
+         whole,
+         3,
+         "1",
+         "7"},
         {"failing everywhere", "/resumable/a", one, Then::Close, {signedAnswer(500, "bad")}, event(1), 3, "1", "7"},
     };
     for (const Row &row : rows) {
