--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -56,7 +56,7 @@
     /// What came of the exchange in progress so far.
     struct Answer {
         MessageHead head;
-        std::string body;
+        std::string body; ///< Of a stream, what is no whole event yet.
         bool notRun = false; ///< The target says that it did not run the call.
         bool signedByTarget = false;
         bool events = false;
@@ -93,7 +93,7 @@
     // Answers.
     void passAnswer();
     void beginStream();
-    void passEvents(std::string &body);
+    void passEvents();
     void finishStream();
     bool mayRunAgain() const;
     void endAttempt(CallEnd end);
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -53,12 +53,11 @@
 void Call::exchangeBody(std::string &body)
 {
     m_lastProgress = m_gateway.loop().now();
-    if (m_answer.events) {
-        passEvents(body);
-        return;
-    }
     m_answer.body += body;
     body.clear();
+    if (m_answer.events) {
+        passEvents();
+    }
     if (m_answer.body.size() > MaxBufferedAnswer) {
         ++m_runs;
         endAttempt(CallEnd::Failed);
@@ -66,10 +65,10 @@
     }
 }
 
-void Call::passEvents(std::string &body)
+void Call::passEvents()
 {
     const std::uint64_t before = m_events.events();
-    const std::string whole = m_events.takeWhole(body);
+    const std::string whole = m_events.takeWhole(m_answer.body);
     if (whole.empty()) {
         return;
     }
@@ -154,6 +153,7 @@
                            {"status", m_answer.head.status},
                            {"total_ms", toMilliseconds(now - m_request.received)},
                            {"events", m_events.events()}});
+    m_caller->append(m_answer.body);
     m_caller->finish();
     done();
 }
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -428,6 +428,7 @@
         {"/once/a", signedAnswer(503, "own"), Then::Keep, 502, 1},
         {"/once/a", signedAnswer(429, "own"), Then::Keep, 502, 1},
         {"/once/a", signedAnswer(408, "own"), Then::Keep, 502, 1},
+        {"/stream/a", Full, Then::Keep, 200, 2},
         {"/stream/a", "", Then::Close, 502, 1},
         {"/stream/a", signedAnswer(500, "own"), Then::Keep, 500, 1},
         {"/idempotent/a", Full, Then::Keep, 200, 2},
@@ -437,6 +438,7 @@
         {"/idempotent/a", signedAnswer(500, "own"), Then::Keep, 200, 2},
         {"/idempotent/a", signedAnswer(503, "own"), Then::Keep, 200, 2},
         {"/idempotent/a", signedAnswer(404, "own"), Then::Keep, 404, 1},
+        {"/resumable/a", signedAnswer(500, "own"), Then::Keep, 200, 2},
     };
     for (const Row &row : rows) {
         GatewayWorld fresh(2);
