--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -100,6 +100,7 @@
     void tryAgain(std::string_view reason);
     void failFinally(std::string_view reason);
     void armStall();
+    Duration patience() const;
     void stalled();
     void limitReached();
     void refuse(int status, std::string_view reason, Duration retryAfter);
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -77,6 +77,7 @@
     }
     if (before == 0) {
         beginStream();
+        armStall(); // From now on the pauses between events count.
     }
     m_phase = Phase::Streaming;
     m_caller->append(whole);
@@ -179,29 +180,28 @@
 {
     m_gateway.loop().cancel(m_stallTimer);
     m_stallTimer = 0;
-    if (!m_route->repeatable() || m_runs + 1 >= m_route->maxAttempts) {
+    if (patience() <= Duration::zero() || !mayRunAgain() || m_runs + 1 >= m_route->maxAttempts) {
         return;
     }
-    constexpr int GapsBeforeStall = 2;
-    const Duration patience = begun() ? m_route->targetGap * GapsBeforeStall
-                                      : std::max(m_route->targetLatency, remaining() / 3);
-    if (patience <= Duration::zero()) {
-        return;
-    }
-    m_stallTimer = m_gateway.loop().at(m_lastProgress + patience, [this] {
+    m_stallTimer = m_gateway.loop().at(m_lastProgress + patience(), [this] {
         m_stallTimer = 0;
         stalled();
     });
 }
 
+Duration Call::patience() const
+{
+    constexpr int GapsBeforeStall = 2;
+    return begun() ? m_route->targetGap * GapsBeforeStall : std::max(m_route->targetLatency, remaining() / 3);
+}
+
 void Call::stalled()
 {
-    if (m_exchange == nullptr || m_held) {
+    // What has come meanwhile may have changed how long to wait, and whether to wait at all.
+    if (m_exchange == nullptr || m_held || patience() <= Duration::zero() || !mayRunAgain()) {
         return;
     }
-    constexpr int GapsBeforeStall = 2;
-    const Duration silent = m_gateway.loop().now() - m_lastProgress;
-    if (begun() && silent < m_route->targetGap * GapsBeforeStall) {
+    if (m_gateway.loop().now() - m_lastProgress < patience()) {
         armStall();
         return;
     }
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -789,3 +789,63 @@
         }
     }
 }
+
+TEST(Gateway, silentTarget_isLeftOnlyWhereTheCallCanGoOnElsewhere)
+{
+    struct Row {
+        const char *path;
+        std::string first;
+        Duration gap;
+        std::size_t arrivals;
+    };
+    const Row rows[] = {
+        {"/resumable/a", StreamHead + chunk(event(1)), 20ms, 2},
+        {"/resumable/a", StreamHead + chunk(event(1)), 0ms, 1},
+        {"/resumable/a", StreamHead + chunk("data: no id\n\n"), 20ms, 1},
+        {"/idempotent/a", "", 0ms, 2},
+        {"/once/a", "", 20ms, 1},
+        {"/stream/a", StreamHead + chunk(event(1)), 20ms, 1},
+    };
+    for (const Row &row : rows) {
+        GatewayWorld fresh(2);
+        for (ServingRoute &route : fresh.state.routes) {
+            route.targetGap = row.gap;
+            route.targetLatency = 40ms;
+            route.timeout = 120ms; // A third of it is the patience for the first bytes.
+        }
+        fresh.apply();
+        const bool stream = !row.first.empty();
+        fresh.scripts = {fresh.replies(row.first),
+                         fresh.replies(stream ? SecondHead + chunk(event(2)) + LastChunk : Ok)};
+        const std::string answer = fresh.call(row.path);
+        CHECK_EQUAL_TEXT(row.arrivals, fresh.arrived.size(), row.path);
+        CHECK_TRUE(turnUntil(fresh.loop, [&] { return fresh.targetOf(0).wasReset(0); }));
+        if (row.arrivals == 2) {
+            STRCMP_EQUAL(stream ? (event(1) + event(2) + "<end>").c_str() : "ok",
+                         stream ? chunksOf(answer).c_str() : bodyOf(answer).c_str());
+        }
+    }
+}
+
+TEST(Gateway, answerThatComesInPieces_isNoSilence)
+{
+    world.route("idempotent").targetLatency = 300ms;
+    world.route("idempotent").timeout = 900ms;
+    world.apply();
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/idempotent/a"));
+    CHECK(world.waitForArrivals(1));
+    const std::string bytes = signedAnswer(200, "0123456789");
+    world.answer(0, bytes.substr(0, bytes.size() - 10));
+    std::size_t sent = 0;
+    std::function<void()> sendOne = [&] {
+        world.answer(0, std::to_string(sent));
+        if (++sent < 10) {
+            world.loop.at(world.loop.now() + 50ms, sendOne);
+        }
+    };
+    sendOne();
+    CHECK(caller.waitForEnd());
+    STRCMP_EQUAL("0123456789", bodyOf(caller.received()).c_str());
+    CHECK_EQUAL(1U, world.arrived.size());
+}
