--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -56,7 +56,7 @@
     /// What came of the exchange in progress so far.
     struct Answer {
         MessageHead head;
-        std::string body;
+        std::string body; ///< Of a stream, what is no whole event yet.
         bool notRun = false; ///< The target says that it did not run the call.
         bool signedByTarget = false;
         bool events = false;
@@ -67,8 +67,8 @@
     void exchangeComplete() override;
     void exchangeFailed(ExchangeFailure failure) override;
 
-    // AdmissionControl.
-    bool findRoute();
+    // Admission.
+    bool findRoute(const std::shared_ptr<const RouteTable> &table);
     bool findCustomer();
     bool takeAllowance();
     void pickPool();
@@ -93,13 +93,14 @@
     // Answers.
     void passAnswer();
     void beginStream();
-    void passEvents(std::string &body);
+    void passEvents();
     void finishStream();
     bool mayRunAgain() const;
     void endAttempt(CallEnd end);
     void tryAgain(std::string_view reason);
     void failFinally(std::string_view reason);
     void armStall();
+    Duration patience() const;
     void stalled();
     void limitReached();
     void refuse(int status, std::string_view reason, Duration retryAfter);
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -53,12 +53,11 @@
 void Call::exchangeBody(std::string &body)
 {
     m_lastProgress = m_gateway.loop().now();
-    if (m_answer.events) {
-        passEvents(body);
-        return;
-    }
     m_answer.body += body;
     body.clear();
+    if (m_answer.events) {
+        passEvents();
+    }
     if (m_answer.body.size() > MaxBufferedAnswer) {
         ++m_runs;
         endAttempt(CallEnd::Failed);
@@ -66,10 +65,10 @@
     }
 }
 
-void Call::passEvents(std::string &body)
+void Call::passEvents()
 {
     const std::uint64_t before = m_events.events();
-    const std::string whole = m_events.takeWhole(body);
+    const std::string whole = m_events.takeWhole(m_answer.body);
     if (whole.empty()) {
         return;
     }
@@ -78,6 +77,7 @@
     }
     if (before == 0) {
         beginStream();
+        armStall(); // From now on the pauses between events count.
     }
     m_phase = Phase::Streaming;
     m_caller->append(whole);
@@ -117,7 +117,7 @@
         finishStream();
         return;
     }
-    if (success && m_answer.signedByTarget) {
+    if (success && m_answer.signedByTarget && !begun()) {
         endAttempt(CallEnd::Answered);
         passAnswer();
         return;
@@ -154,6 +154,7 @@
                            {"status", m_answer.head.status},
                            {"total_ms", toMilliseconds(now - m_request.received)},
                            {"events", m_events.events()}});
+    m_caller->append(m_answer.body);
     m_caller->finish();
     done();
 }
@@ -179,29 +180,28 @@
 {
     m_gateway.loop().cancel(m_stallTimer);
     m_stallTimer = 0;
-    if (!m_route->repeatable() || m_runs + 1 >= m_route->maxAttempts) {
+    if (patience() <= Duration::zero() || !mayRunAgain() || m_runs + 1 >= m_route->maxAttempts) {
         return;
     }
-    constexpr int GapsBeforeStall = 2;
-    const Duration patience = begun() ? m_route->targetGap * GapsBeforeStall
-                                      : std::max(m_route->targetLatency, remaining() / 3);
-    if (patience <= Duration::zero()) {
-        return;
-    }
-    m_stallTimer = m_gateway.loop().at(m_lastProgress + patience, [this] {
+    m_stallTimer = m_gateway.loop().at(m_lastProgress + patience(), [this] {
         m_stallTimer = 0;
         stalled();
     });
 }
 
+Duration Call::patience() const
+{
+    constexpr int GapsBeforeStall = 2;
+    return begun() ? m_route->targetGap * GapsBeforeStall : std::max(m_route->targetLatency, remaining() / 3);
+}
+
 void Call::stalled()
 {
-    if (m_exchange == nullptr || m_held) {
+    // What has come meanwhile may have changed how long to wait, and whether to wait at all.
+    if (m_exchange == nullptr || m_held || patience() <= Duration::zero() || !mayRunAgain()) {
         return;
     }
-    constexpr int GapsBeforeStall = 2;
-    const Duration silent = m_gateway.loop().now() - m_lastProgress;
-    if (begun() && silent < m_route->targetGap * GapsBeforeStall) {
+    if (m_gateway.loop().now() - m_lastProgress < patience()) {
         armStall();
         return;
     }
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -36,6 +36,10 @@
 
 void Call::refuse(int status, std::string_view reason, Duration retryAfter)
 {
+    if (m_runs > 0) {
+        failFinally(reason); // A refusal would say that it did not run.
+        return;
+    }
     const TimePoint now = m_gateway.loop().now();
     m_gateway.log().write(DecisionEvent::RequestRefused,
                           now,
