Let the tests of the gateway build with all warnings again

The admission control tells its level now, and values of which only the first members were given do not pass -Wextra, which all tests are compiled with.

--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -78,7 +78,11 @@
     route.pathPrefix = prefix;
     state.routes.push_back(route);
 }
-state.customers = {{"alpha", {"k1", "k2"}}, {"beta", {"k3"}}};
+state.customers.resize(2);
+state.customers[0].name = "alpha";
+state.customers[0].keys = {"k1", "k2"};
+state.customers[1].name = "beta";
+state.customers[1].keys = {"k3"};
 return RouteTable(std::make_shared<const ServingState>(std::move(state)));
 }
 }
--- a/tests/support/servingworld.cpp
+++ b/tests/support/servingworld.cpp
@@ -16,6 +16,17 @@
 constexpr int MostIdleTurns = 1000;
 constexpr int MostTurns = 1'000'000;
 
+TargetRecord appRecord(std::string id, std::string address)
+{
+    TargetRecord record;
+    record.id = std::move(id);
+    record.pool = "apps";
+    record.address = std::move(address);
+    record.domain = "here";
+    record.slots = 8;
+    return record;
+}
+
 } // namespace
 
 bool turnUntil(EventLoop &loop, const std::function<bool()> &condition)
@@ -140,6 +151,11 @@
     return refusal;
 }
 
+double TestAdmission::level(const std::string &) const
+{
+    return refunded - spent;
+}
+
 void TestAdmission::refund(const std::string &, double cost, TimePoint, TimePoint)
 {
     refunded += cost;
@@ -225,14 +241,13 @@
             scripts[std::min(arrived.size(), scripts.size()) - 1](request);
         }
     });
-    TargetRecord record{"t" + std::to_string(targets.size() - 1), "apps", target.address(), "here", 8};
-    book.setRecord(record, loop.now());
+    book.setRecord(appRecord("t" + std::to_string(targets.size() - 1), target.address()), loop.now());
     return target;
 }
 
 void GatewayWorld::addDeadTarget()
 {
-    book.setRecord({"dead", "apps", toString(freeEndpoint()), "here", 8}, loop.now());
+    book.setRecord(appRecord("dead", toString(freeEndpoint())), loop.now());
 }
 
 void GatewayWorld::load(std::size_t number, std::uint32_t running)
--- a/tests/support/servingworld.h
+++ b/tests/support/servingworld.h
@@ -67,6 +67,7 @@
 
     bool keysFresh(TimePoint now) const override;
     std::optional<Duration> spend(const std::string &customer, double cost, TimePoint now) override;
+    double level(const std::string &customer) const override;
     void refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now) override;
     void noteFirstSend(const std::string &pool, TimePoint now) override;
     bool takeFurtherSend(const std::string &pool, TimePoint now) override;
