Hold a resumed stream back too, and watch a target again that was held back

A stream that broke while its slow reader held it back went on elsewhere without being held, so that the entry took in all of it; and a target that fell silent after it had been held back was never left. Failing before: Gateway slowReader_ (turnUntil(arrivals 2), and unsent bytes at the second target).

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -165,7 +165,9 @@
 {
     if (m_held && m_exchange != nullptr) {
         m_held = false;
+        m_lastProgress = m_gateway.loop().now();
         m_exchange->setReading(true);
+        armStall();
     }
 }
 
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -201,6 +201,7 @@
     m_target = targetId;
     m_sentAt = now;
     m_lastProgress = now;
+    m_held = false;
     m_answer = {};
     m_phase = begun() ? Phase::Streaming : Phase::Sent;
     const ServingPool *pool = m_table->state().pool(m_pool);
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -849,3 +849,56 @@
     STRCMP_EQUAL("0123456789", bodyOf(caller.received()).c_str());
     CHECK_EQUAL(1U, world.arrived.size());
 }
+
+TEST(Gateway, slowReader_holdsItsTargetBackAlsoAfterAResumption)
+{
+    constexpr int Events = 1500; // Far more bytes than the system's buffers take in.
+    const std::string data(16384, 'x');
+    const auto events = [&data](int from) {
+        std::string all;
+        for (int id = from; id < from + Events; ++id) {
+            all += chunk(event(id, data));
+        }
+        return all;
+    };
+    // Turns enough to take in all of it.
+    const auto takeIn = [](GatewayWorld &fresh) {
+        for (int i = 0; i < 40; ++i) {
+            settle(fresh.loop);
+        }
+    };
+    for (const bool breaks : {true, false}) {
+        GatewayWorld fresh(2);
+        fresh.route("resumable").targetGap = 20ms;
+        fresh.route("resumable").timeout = 0ms;
+        fresh.apply();
+        RawCaller caller(fresh.loop, fresh.endpoint, 4096);
+        caller.send(GatewayWorld::request("/resumable/a"));
+        CHECK(fresh.waitForArrivals(1));
+        fresh.answer(0, StreamHead + events(1));
+        takeIn(fresh);
+        CHECK(fresh.targetOf(0).unsent(0) > 0);
+        if (breaks) {
+            fresh.targetOf(0).reset(0);
+        } else {
+            // A target that only its reader holds back is not silent; behind the last event it is.
+            bool later = false;
+            fresh.loop.at(fresh.loop.now() + 100ms, [&later] { later = true; });
+            CHECK(turnUntil(fresh.loop, [&later] { return later; }));
+            CHECK_EQUAL(1U, fresh.arrived.size());
+            caller.readFaster();
+        }
+        CHECK(
+            turnUntil(fresh.loop, [&] { return fresh.arrived.size() == 2 || (!breaks && caller.received().empty()); }));
+        const int last = std::stoi(fresh.arrived[1].field("Last-Event-Id"));
+        CHECK(breaks ? last < Events : last == Events);
+        fresh.answer(1, SecondHead + events(last + 1) + LastChunk);
+        takeIn(fresh);
+        CHECK(fresh.targetOf(1).unsent(0) > 0);
+        caller.readFaster();
+        CHECK(caller.waitForEnd());
+        const std::string all = chunksOf(caller.received());
+        CHECK_EQUAL(static_cast<std::size_t>(last) + Events, countOf(all, "\n\n"));
+        CHECK(all.ends_with(event(last + Events, data) + "<end>"));
+    }
+}
--- a/tests/support/servingworld.cpp
+++ b/tests/support/servingworld.cpp
@@ -306,13 +306,14 @@
 std::string chunksOf(const std::string &text)
 {
     constexpr int Hexadecimal = 16;
-    std::string rest = bodyOf(text);
+    constexpr std::size_t LineEnd = 2;
+    const std::string rest = bodyOf(text);
     std::string body;
-    while (!rest.empty()) {
-        const std::size_t size = std::strtoul(rest.c_str(), nullptr, Hexadecimal);
-        const std::size_t begin = rest.find("\r\n") + 2;
+    for (std::size_t at = 0; at < rest.size();) {
+        const std::size_t size = std::strtoul(rest.c_str() + at, nullptr, Hexadecimal);
+        const std::size_t begin = rest.find("\r\n", at) + LineEnd;
         body += size == 0 ? "<end>" : rest.substr(begin, size);
-        rest.erase(0, begin + size + 2);
+        at = begin + size + LineEnd;
     }
     return body;
 }
