--- a/src/keeper/loadplanner.cpp
+++ b/src/keeper/loadplanner.cpp
@@ -12,6 +12,7 @@
 constexpr Duration AdapterTime = 10ms;
 constexpr std::size_t AdaptersInTransit = 4; ///< At most, to one target.
 constexpr double PrefetchUse = 0.05; ///< Mean calls in flight.
+constexpr double Recency = 0.1; ///< Mean calls in flight that a use just now is worth.
 constexpr double ShortestLoad = 0.001; ///< Seconds, where a load takes none.
 
 } // namespace
@@ -107,7 +108,7 @@
 double LoadPlanner::worthOf(const std::string &model) const
 {
     const double idle = std::max(toSeconds(m_now - m_input.demand.lastUsed(model)), 0.0);
-    return toSeconds(m_input.catalog.loadTime(model)) * (m_input.demand.useOf(model, m_now) + 1 / (1 + idle));
+    return toSeconds(m_input.catalog.loadTime(model)) * (m_input.demand.useOf(model, m_now) + Recency / (1 + idle));
 }
 
 bool LoadPlanner::awaitsAdapter(const std::string &model) const
