--- a/include/celeryroute/detail/keeper/demandbook.h
+++ b/include/celeryroute/detail/keeper/demandbook.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace celeryroute {
@@ -30,7 +31,10 @@
     std::vector<ItemDemand> wants(TimePoint now) const;
 
     /// @brief Calls in flight by item; calls of an adapter count for its model too.
-    std::unordered_map<std::string, std::uint32_t> inFlight(TimePoint now) const;
+    const std::unordered_map<std::string, std::uint32_t> &inFlight() const
+    {
+        return m_inFlight;
+    }
 
     /// @brief Whether any entry that was heard lately has calls in flight or waiting.
     bool active(TimePoint now) const;
@@ -47,12 +51,13 @@
         return m_poolTargets;
     }
 
-    /// @brief Drops entries that fell silent and items long out of use.
-    void prune(TimePoint now);
+    /// @brief Drops what entries said that fell silent, and items long out of use. To be called before
+    /// the book is read.
+    void expire(TimePoint now);
 
 private:
     struct Entry {
-        EntryDemand demand;
+        EntryDemand demand; ///< Without what has expired.
         TimePoint heard;
     };
     struct Use {
@@ -62,12 +67,18 @@
     };
 
     void addUse(const std::string &item, double callSeconds, TimePoint now);
-    void countTargets();
+    void count(const EntryDemand &demand, bool add);
+    void count(const std::string &item, std::uint32_t calls, bool add);
+    void expireCalls(TimePoint now);
+    void forgetOld(TimePoint now);
 
     std::unordered_map<std::string, Entry> m_entries;
     std::unordered_map<std::string, Use> m_uses;
+    std::unordered_map<std::string, std::uint32_t> m_inFlight; ///< Sums over the entries.
+    std::unordered_set<std::string> m_wanting; ///< Entries with wants.
     std::uint32_t m_poolTargets = 0;
-    TimePoint m_nextPrune;
+    TimePoint m_nextSweep;
+    TimePoint m_nextForget;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/keeper/loadplanner.h
+++ b/include/celeryroute/detail/keeper/loadplanner.h
@@ -64,7 +64,6 @@
     PlannerInput m_input;
     TimePoint m_now;
     RoomPlan m_room;
-    std::unordered_map<std::string, std::uint32_t> m_inFlight;
     std::unordered_set<std::string> m_wanted; ///< Items, and models of adapters.
     std::unordered_map<std::string, TimePoint> m_coming; ///< Models that are or will be loading.
     TimePoint m_free; ///< When the order in progress and those planned are done.
--- a/src/keeper/demandbook.cpp
+++ b/src/keeper/demandbook.cpp
@@ -14,7 +14,8 @@
 constexpr Duration EntryKept = 60s; ///< For its count of targets.
 constexpr Duration UseMemory = 30s; ///< Over which use fades to a third.
 constexpr Duration UseKept = 600s;
-constexpr Duration PruneInterval = 10s;
+constexpr Duration SweepInterval = 250ms;
+constexpr Duration ForgetInterval = 10s;
 
 double faded(double callSeconds, Duration age)
 {
@@ -33,9 +34,39 @@
     for (const ItemCalls &calls : demand.inFlight) {
         addUse(calls.item, 0, now);
     }
+    count(known.demand, false);
+    count(demand, true);
+    if (demand.wants.empty()) {
+        m_wanting.erase(entry);
+    } else {
+        m_wanting.insert(entry);
+    }
+    m_poolTargets = std::max(m_poolTargets, demand.poolTargets);
     known.demand = std::move(demand);
     known.heard = now;
-    countTargets();
+}
+
+void DemandBook::count(const EntryDemand &demand, bool add)
+{
+    for (const ItemCalls &calls : demand.inFlight) {
+        count(calls.item, calls.calls, add);
+        const ItemName item = parseItem(calls.item);
+        if (!item.adapter.empty()) {
+            count(item.model, calls.calls, add);
+        }
+    }
+}
+
+void DemandBook::count(const std::string &item, std::uint32_t calls, bool add)
+{
+    if (calls == 0) {
+        return;
+    }
+    std::uint32_t &sum = m_inFlight[item];
+    sum = add ? sum + calls : sum - calls;
+    if (sum == 0) {
+        m_inFlight.erase(item);
+    }
 }
 
 void DemandBook::addUse(const std::string &item, double callSeconds, TimePoint now)
@@ -53,21 +84,11 @@
     }
 }
 
-void DemandBook::countTargets()
-{
-    std::uint32_t most = 0;
-    for (const auto &[name, entry] : m_entries) {
-        most = std::max(most, entry.demand.poolTargets);
-    }
-    if (most > 0) {
-        m_poolTargets = most;
-    }
-}
-
 std::vector<ItemDemand> DemandBook::wants(TimePoint now) const
 {
     std::unordered_map<std::string, ItemDemand> byItem;
-    for (const auto &[name, entry] : m_entries) {
+    for (const std::string &name : m_wanting) {
+        const Entry &entry = m_entries.at(name);
         const Duration silence = now - entry.heard;
         if (silence > WantsKept) {
             continue;
@@ -92,31 +113,10 @@
     return result;
 }
 
-std::unordered_map<std::string, std::uint32_t> DemandBook::inFlight(TimePoint now) const
-{
-    std::unordered_map<std::string, std::uint32_t> result;
-    for (const auto &[name, entry] : m_entries) {
-        if (now - entry.heard > CallsKept) {
-            continue;
-        }
-        for (const ItemCalls &calls : entry.demand.inFlight) {
-            result[calls.item] += calls.calls;
-            const ItemName item = parseItem(calls.item);
-            if (!item.adapter.empty()) {
-                result[item.model] += calls.calls;
-            }
-        }
-    }
-    return result;
-}
-
 bool DemandBook::active(TimePoint now) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [now](const auto &named) {
-        const Entry &entry = named.second;
-        const Duration silence = now - entry.heard;
-        return (silence <= WantsKept && !entry.demand.wants.empty())
-            || (silence <= CallsKept && !entry.demand.inFlight.empty());
+    return !m_inFlight.empty() || std::any_of(m_wanting.begin(), m_wanting.end(), [&](const std::string &name) {
+        return now - m_entries.at(name).heard <= WantsKept;
     });
 }
 
@@ -135,18 +135,39 @@
     return found == m_uses.end() ? TimePoint() : found->second.last;
 }
 
-void DemandBook::prune(TimePoint now)
+void DemandBook::expire(TimePoint now)
 {
-    if (now < m_nextPrune) {
-        return;
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + SweepInterval;
+        expireCalls(now);
+    }
+    if (now >= m_nextForget) {
+        m_nextForget = now + ForgetInterval;
+        forgetOld(now);
     }
-    m_nextPrune = now + PruneInterval;
-    const auto erased = std::erase_if(m_entries,
-                                      [now](const auto &named) { return now - named.second.heard > EntryKept; });
+}
+
+void DemandBook::expireCalls(TimePoint now)
+{
+    for (auto &[name, entry] : m_entries) {
+        if (now - entry.heard > CallsKept && !entry.demand.inFlight.empty()) {
+            count(entry.demand, false);
+            entry.demand.inFlight.clear();
+        }
+    }
+    std::erase_if(m_wanting, [&](const std::string &name) { return now - m_entries.at(name).heard > WantsKept; });
+}
+
+// The count of targets outlives the entries that named it: none knows a better one.
+void DemandBook::forgetOld(TimePoint now)
+{
+    std::erase_if(m_entries, [now](const auto &named) { return now - named.second.heard > EntryKept; });
     std::erase_if(m_uses, [now](const auto &named) { return now - named.second.last > UseKept; });
-    if (erased > 0) {
-        countTargets();
+    std::uint32_t most = 0;
+    for (const auto &[name, entry] : m_entries) {
+        most = std::max(most, entry.demand.poolTargets);
     }
+    m_poolTargets = most > 0 ? most : m_poolTargets;
 }
 
 } // namespace celeryroute
--- a/src/keeper/loadplanner.cpp
+++ b/src/keeper/loadplanner.cpp
@@ -30,7 +30,6 @@
 {
     const std::vector<ItemDemand> wants = sortedWants();
     if (!wants.empty()) {
-        m_inFlight = m_input.demand.inFlight(m_now);
         for (const ItemDemand &want : wants) {
             m_wanted.insert(toString(want.item));
             m_wanted.insert(want.item.model);
@@ -86,7 +85,7 @@
 RoomModel LoadPlanner::roomModel(const ResidentModel &model) const
 {
     RoomModel result{model.name, m_input.catalog.modelMb(model.name), true, worthOf(model.name), {}};
-    result.evictable = !m_inFlight.contains(model.name) && !m_wanted.contains(model.name)
+    result.evictable = !m_input.demand.inFlight().contains(model.name) && !m_wanted.contains(model.name)
         && !m_input.unusedYet.contains(model.name) && !awaitsAdapter(model.name);
     for (const std::string &adapter : model.adapters) {
         if (!m_input.ledger.unloading({model.name, adapter})) {
@@ -99,7 +98,7 @@
 RoomAdapter LoadPlanner::roomAdapter(const ItemName &item) const
 {
     const std::string name = toString(item);
-    const bool evictable = !m_inFlight.contains(name) && !m_wanted.contains(name);
+    const bool evictable = !m_input.demand.inFlight().contains(name) && !m_wanted.contains(name);
     const double lastUsed = toSeconds(m_input.demand.lastUsed(name).time_since_epoch());
     return {item.adapter, m_input.catalog.adapterMb(item.model), evictable, lastUsed};
 }
--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -149,7 +149,7 @@
 
 std::optional<TargetOrder> ModelKeeper::nextOrder(TimePoint now)
 {
-    m_demand.prune(now);
+    m_demand.expire(now);
     m_plan = ordering() && m_ledger.known() ? plan(now) : LoadPlan();
     std::optional<TargetOrder> result;
     if (m_plan.order && mayOrder(now)) {
