--- a/src/keeper/orderplanner.cpp
+++ b/src/keeper/orderplanner.cpp
@@ -12,6 +12,7 @@
 constexpr Duration AdapterTime = 10ms;
 constexpr std::size_t AdaptersInTransit = 4; ///< At most, to one target.
 constexpr double PrefetchUse = 0.05; ///< Mean calls in flight.
+constexpr double Recency = 0.1; ///< Mean calls in flight that a use just now is worth.
 constexpr double ShortestLoad = 0.001; ///< Seconds, where a load takes none.
 
 } // namespace
@@ -29,7 +30,6 @@
 {
     const std::vector<JointWant> wants = sortedWants();
     if (!wants.empty()) {
-        m_inFlight = m_input.demand.inFlight(m_now);
         for (const JointWant &want : wants) {
             m_wanted.insert(toString(want.item));
             m_wanted.insert(want.item.model);
@@ -85,7 +85,7 @@
 RoomModel OrderPlanner::roomModel(const ResidentModel &model) const
 {
     RoomModel result{model.name, m_input.catalog.modelMb(model.name), true, worthOf(model.name), {}};
-    result.evictable = !m_inFlight.contains(model.name) && !m_wanted.contains(model.name)
+    result.evictable = !m_input.demand.inFlight().contains(model.name) && !m_wanted.contains(model.name)
         && !m_input.unusedYet.contains(model.name) && !awaitsAdapter(model.name);
     for (const std::string &adapter : model.adapters) {
         if (!m_input.ledger.unloading({model.name, adapter})) {
@@ -98,7 +98,7 @@
 RoomAdapter OrderPlanner::roomAdapter(const ItemName &item) const
 {
     const std::string name = toString(item);
-    const bool evictable = !m_inFlight.contains(name) && !m_wanted.contains(name);
+    const bool evictable = !m_input.demand.inFlight().contains(name) && !m_wanted.contains(name);
     const double lastUsed = toSeconds(m_input.demand.lastUsed(name).time_since_epoch());
     return {item.adapter, m_input.catalog.adapterMb(item.model), evictable, lastUsed};
 }
@@ -107,7 +107,7 @@
 double OrderPlanner::worthOf(const std::string &model) const
 {
     const double idle = std::max(toSeconds(m_now - m_input.demand.lastUsed(model)), 0.0);
-    return toSeconds(m_input.catalog.loadTime(model)) * (m_input.demand.useOf(model, m_now) + 1 / (1 + idle));
+    return toSeconds(m_input.catalog.loadTime(model)) * (m_input.demand.useOf(model, m_now) + Recency / (1 + idle));
 }
 
 bool OrderPlanner::awaitsAdapter(const std::string &model) const
