--- a/tests/support/servingworld.cpp
+++ b/tests/support/servingworld.cpp
@@ -171,11 +171,6 @@
     return --furtherSends >= 0;
 }
 
-double TestAdmission::level(const std::string &) const
-{
-    return refunded - spent;
-}
-
 std::string signedAnswer(int status, const std::string &body, const std::string &fields)
 {
     return "HTTP/1.1 " + std::to_string(status) + " Any\r\nX-Request-Id: {id}\r\nX-Signature: sig\r\n" + fields
--- a/tests/support/servingworld.h
+++ b/tests/support/servingworld.h
@@ -71,7 +71,6 @@
     void refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now) override;
     void noteFirstSend(const std::string &pool, TimePoint now) override;
     bool takeFurtherSend(const std::string &pool, TimePoint now) override;
-    double level(const std::string &customer) const override;
 };
 
 /// What a target does behind its answer.
