--- a/include/celeryroute/detail/allowance/allowancebucket.h
+++ b/include/celeryroute/detail/allowance/allowancebucket.h
@@ -3,6 +3,8 @@
 #include <celeryroute/detail/allowance/refundroom.h>
 #include <celeryroute/time.h>
 
+#include <cstdint>
+
 namespace celeryroute {
 
 /// Tokens that accrue at a rate up to a capacity; the level may be negative.
@@ -20,11 +22,17 @@
     /// @brief Takes @p tokens; a negative number puts them back.
     void charge(double tokens);
 
-    /// @brief Puts back what a request took at @p takenAt; returns what there was room for.
-    double refund(double tokens, TimePoint takenAt);
+    /// @brief Puts back what was taken after step @p since; returns what there was room for.
+    double refund(double tokens, std::uint64_t since);
+
+    /// @brief Step for refund(): the last time that the level was brought up to date.
+    std::uint64_t lastStep() const
+    {
+        return m_room.lastStep();
+    }
 
-    /// @brief Takes away all that is left, not the debt.
-    void empty();
+    /// @brief Takes away what is above @p level.
+    void limit(double level);
 
     /// @brief Time until the level is @p tokens.
     Duration timeUntil(double tokens) const;
--- a/include/celeryroute/detail/allowance/allowancepool.h
+++ b/include/celeryroute/detail/allowance/allowancepool.h
@@ -21,7 +21,7 @@
 struct Admission {
     std::string customer;
     double cost = 0;
-    TimePoint at{};
+    std::uint64_t step = 0; ///< Of the customer's bucket.
     bool operator==(const Admission &) const = default;
 };
 
@@ -49,7 +49,9 @@
     /// @brief Puts the limits of the desired state in force, at once.
     void setCustomers(const std::vector<ServingCustomer> &customers, TimePoint now);
 
-    /// @brief Counts at least @p members entries, this one included.
+    /// @brief Counts at least @p members entries, this one included: those that a look-up has found.
+    /// A new entry admits nothing that is limited before it is told, or hears of another, or the time
+    /// for that has passed.
     void expectMembers(std::size_t members, TimePoint now);
 
     /// @brief Brings everything up to @p now. Due at the latest when a report is due.
@@ -89,6 +91,7 @@
     AllowanceTiming m_timing;
     MemberView m_members;
     PoolPart m_part;
+    bool m_changed = false; ///< Peers have come or gone since the part was applied.
     std::unordered_map<std::string, CustomerAccount> m_accounts;
     TimePoint m_lastReport; ///< To all entries.
     TimePoint m_reportDue;
--- a/include/celeryroute/detail/allowance/customeraccount.h
+++ b/include/celeryroute/detail/allowance/customeraccount.h
@@ -16,7 +16,7 @@
 struct PoolPart {
     double fraction = 1;
     std::size_t members = 1;
-    Duration discovery{}; ///< While no other entry is known: how long that lasts at most.
+    bool undiscovered = false; ///< Other entries have not been looked for yet.
     bool operator==(const PoolPart &) const = default;
 };
 
@@ -33,7 +33,8 @@
     /// @brief Takes @p cost; otherwise the time after which to ask again.
     std::optional<Duration> take(double cost, TimePoint now);
 
-    void refund(double cost, TimePoint takenAt, TimePoint now);
+    /// @brief Puts @p cost back that was taken after step @p since of the bucket.
+    void refund(double cost, std::uint64_t since, TimePoint now);
 
     /// @brief The process has stood still: what is left may have been spent by others.
     void empty(TimePoint now);
@@ -41,9 +42,9 @@
     /// @brief Enters what @p peer has spent in all; returns what the bucket was charged.
     double hear(const std::string &peer, double total, TimePoint now);
     void meet(const std::string &peer, double total);
-    void forget(const std::string &peer);
+    void forget(const std::string &peer, TimePoint now);
     void join(const std::string &peer, Duration absence, std::uint64_t acknowledged, TimePoint now);
-    void leave(const std::string &peer);
+    void leave(const std::string &peer, TimePoint now);
     void acknowledge(const std::string &peer, std::uint64_t sequence);
 
     /// @brief Notes that report @p sequence carries the present total.
@@ -71,6 +72,7 @@
         double heard = 0; ///< Its newest total.
         double charged = 0; ///< Of which the bucket was charged.
         double acknowledged = 0; ///< Own total that it has heard of.
+        double share = 0; ///< Part of the level that it took along when it left.
         bool pooled = false;
     };
     struct Reported {
@@ -79,6 +81,7 @@
     };
 
     void reshape(double scale);
+    double startLevel() const;
     double ahead() const;
     double aheadLimit() const;
     double needed(double cost) const;
@@ -95,6 +98,7 @@
     std::map<std::string, Peer> m_peers;
     std::size_t m_pooled = 0;
     double m_acknowledgedSum = 0; ///< Over pooled peers.
+    double m_unheard = 0; ///< Spending that those who have just left, or are left, do not know of.
     double m_returnBalance = 0; ///< Of peers that came back shortly one after the other.
     TimePoint m_returnedAt{};
     TimePoint m_queueEnd{}; ///< When those that were told to come back are served.
--- a/include/celeryroute/detail/allowance/memberview.h
+++ b/include/celeryroute/detail/allowance/memberview.h
@@ -36,8 +36,8 @@
 public:
     MemberView(std::string address, std::uint64_t incarnation, TimePoint now, AllowanceTiming timing = {});
 
-    /// @brief Counts at least @p members entries, this one included.
-    void expect(std::size_t members);
+    /// @brief Counts at least @p members entries, this one included: those that a look-up has found.
+    void expect(std::size_t members, TimePoint now);
 
     /// @brief Brings the view up to @p now; true when the process has stood still since the last call.
     bool advance(TimePoint now);
@@ -90,6 +90,7 @@
         TimePoint absentSince{};
         bool pooled = false;
         std::size_t hidden = 0; ///< Entries that use its share and are not heard here.
+        TimePoint hiddenSince{};
         std::vector<MemberMark> marks;
     };
     struct SentReport {
@@ -103,8 +104,9 @@
     void dropSilent(TimePoint now);
     void forgetGone(TimePoint now);
     std::size_t hiddenUsers(const Peer &peer) const;
-    void countMembers();
-    void updateFraction();
+    void countMembers(TimePoint now);
+    void noteHidden(Peer &peer, TimePoint now);
+    void updateFraction(TimePoint now);
 
     std::string m_address;
     std::uint64_t m_incarnation;
@@ -118,6 +120,7 @@
     std::map<std::string, Peer> m_peers;
     std::vector<PeerChange> m_changes;
     std::size_t m_expected = 1;
+    bool m_told = false; ///< How many entries there are has been looked up.
     std::size_t m_memberCount = 1;
     double m_poolFraction = 1;
 };
--- a/include/celeryroute/detail/allowance/refundroom.h
+++ b/include/celeryroute/detail/allowance/refundroom.h
@@ -2,34 +2,42 @@
 
 #include <celeryroute/time.h>
 
+#include <cstdint>
 #include <deque>
 
 namespace celeryroute {
 
-/// The least free room that a bucket had since some earlier time.
+/// The least free room that a bucket had since some earlier step.
 ///
 /// What comes back late may fill only room that was free ever since it was taken: a bucket that ran
 /// full in between has already given it to others.
 class RefundRoom
 {
 public:
-    /// @brief Notes the room that is free at @p now.
+    /// @brief Notes the room that is free at @p now, as the next step.
     void note(double room, TimePoint now);
 
-    /// @brief The least room at or after @p since; 0 when that is forgotten.
-    double least(TimePoint since) const;
+    /// @brief The least room after step @p since; 0 when that is forgotten.
+    double least(std::uint64_t since) const;
 
-    /// @brief Takes @p tokens from the room at all times at or after @p since.
-    void lower(TimePoint since, double tokens);
+    /// @brief Takes @p tokens from the room of all steps after @p since.
+    void lower(std::uint64_t since, double tokens);
+
+    std::uint64_t lastStep() const
+    {
+        return m_lastStep;
+    }
 
 private:
     struct Minimum {
+        std::uint64_t step;
         TimePoint at;
         double room;
     };
 
-    std::deque<Minimum> m_minima; ///< Times and rooms both ascend.
-    TimePoint m_forgotten = TimePoint::min(); ///< Nothing is known up to here.
+    std::deque<Minimum> m_minima; ///< Steps and rooms both ascend.
+    std::uint64_t m_lastStep = 0;
+    std::uint64_t m_forgotten = 0; ///< Nothing is known up to this step.
 };
 
 } // namespace celeryroute
--- a/src/allowance/allowancebucket.cpp
+++ b/src/allowance/allowancebucket.cpp
@@ -31,17 +31,17 @@
     m_level = std::clamp(m_level - tokens, m_floor, m_capacity);
 }
 
-double AllowanceBucket::refund(double tokens, TimePoint takenAt)
+double AllowanceBucket::refund(double tokens, std::uint64_t since)
 {
-    const double returned = std::min(tokens, m_room.least(takenAt));
-    m_room.lower(takenAt, returned);
+    const double returned = std::min(tokens, m_room.least(since));
+    m_room.lower(since, returned);
     charge(-returned);
     return returned;
 }
 
-void AllowanceBucket::empty()
+void AllowanceBucket::limit(double level)
 {
-    m_level = std::min(m_level, 0.0);
+    m_level = std::min(m_level, level);
 }
 
 Duration AllowanceBucket::timeUntil(double tokens) const
--- a/src/allowance/allowancepool.cpp
+++ b/src/allowance/allowancepool.cpp
@@ -36,7 +36,7 @@
 
 void AllowancePool::expectMembers(std::size_t members, TimePoint now)
 {
-    m_members.expect(members);
+    m_members.expect(members, now);
     advance(now);
 }
 
@@ -63,8 +63,9 @@
             return AllowanceRefusal{*wait};
         }
         noteSpending(found->second, cost, now);
+        return Admission{customer, cost, found->second.bucket().lastStep()};
     }
-    return Admission{customer, cost, now};
+    return Admission{customer, cost, 0};
 }
 
 void AllowancePool::refund(const Admission &admission, TimePoint now)
@@ -72,7 +73,7 @@
     advance(now);
     const auto found = m_accounts.find(admission.customer);
     if (found != m_accounts.end() && found->second.limited()) {
-        found->second.refund(admission.cost, admission.at, now);
+        found->second.refund(admission.cost, admission.step, now);
         noteSpending(found->second, 0, now);
     }
 }
@@ -128,7 +129,7 @@
             report.spent.push_back({name, account.total()});
         }
     }
-    if (now < m_reportDue && !m_unreported) {
+    if (now < m_reportDue && !m_unreported && !m_answerTo.empty()) {
         outgoing.receivers.assign(m_answerTo.begin(), m_answerTo.end());
     } else {
         m_lastReport = now;
@@ -182,17 +183,18 @@
 
 void AllowancePool::apply(const PeerChange &change, TimePoint now)
 {
+    m_changed = true;
     for (auto &[name, account] : m_accounts) {
         switch (change.event) {
         case PeerEvent::Met:
         case PeerEvent::Restarted:
-            account.forget(change.address);
+            account.forget(change.address, now);
             break;
         case PeerEvent::Joined:
             account.join(change.address, change.absence, m_members.acknowledged(change.address), now);
             break;
         case PeerEvent::Left:
-            account.leave(change.address);
+            account.leave(change.address, now);
             break;
         }
     }
@@ -200,13 +202,12 @@
 
 void AllowancePool::applyPart(TimePoint now)
 {
-    const PoolPart part{m_members.poolFraction(),
-                        m_members.memberCount(),
-                        m_members.undiscovered(now) ? m_timing.discovery : Duration::zero()};
-    if (part == m_part) {
+    const PoolPart part{m_members.poolFraction(), m_members.memberCount(), m_members.undiscovered(now)};
+    if (part == m_part && !m_changed) {
         return;
     }
     m_part = part;
+    m_changed = false;
     for (auto &[name, account] : m_accounts) {
         account.setPart(part, now);
     }
--- a/src/allowance/customeraccount.cpp
+++ b/src/allowance/customeraccount.cpp
@@ -1,6 +1,8 @@
 #include <celeryroute/detail/allowance/customeraccount.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace celeryroute {
 
@@ -10,12 +12,12 @@
 constexpr double AheadPart = 0.5;
 /// What a request may take beyond the level, so that large ones fare like small ones:
 constexpr double DebtPart = 0.25;
-/// What entries spend that start and do not know each other:
+/// Part of the slack that entries hold which start, or have stood still, over all entries.
 constexpr double StartPart = 0.25;
 
 /// Peers that come back within this time were in touch with each other.
 constexpr Duration ReturnEpisode = std::chrono::seconds(1);
-/// Time in which an acknowledgement usually arrives.
+/// Time in which an acknowledgement or a first report usually arrives.
 constexpr Duration AcknowledgementWait = std::chrono::milliseconds(100);
 constexpr Duration LongestQueue = std::chrono::seconds(2);
 constexpr std::size_t KeptReports = 128;
@@ -33,16 +35,20 @@
     reshape(1);
 }
 
-// Who leaves takes its part of the level along, tokens as well as debt; who comes brings none.
+// Who leaves takes its part of the level along, tokens as well as debt, but for what it has not heard
+// of; who comes brings none.
 void CustomerAccount::setPart(const PoolPart &part, TimePoint now)
 {
-    if (part == m_part) {
-        return;
-    }
     m_bucket.accrue(now);
     const double scale = std::min(1.0, part.fraction / m_part.fraction);
+    const bool discovered = m_part.undiscovered && !part.undiscovered;
     m_part = part;
+    m_bucket.charge(-m_unheard);
     reshape(scale);
+    m_bucket.charge(std::exchange(m_unheard, 0));
+    if (discovered && m_terms) {
+        m_bucket.charge(-startLevel());
+    }
 }
 
 void CustomerAccount::reshape(double scale)
@@ -51,10 +57,7 @@
         m_bucket.reshape(0, 0, 0, 0);
         return;
     }
-    double rate = m_terms->rate * m_part.fraction;
-    if (m_part.discovery > Duration::zero()) {
-        rate = std::min(rate, m_terms->tolerance * StartPart / toSeconds(m_part.discovery));
-    }
+    const double rate = m_part.undiscovered ? 0 : m_terms->rate * m_part.fraction;
     // A debt of more than a window is nothing that the rule still sees.
     const double floor = -rate * toSeconds(m_terms->window);
     m_bucket.reshape(rate, m_terms->burst * m_part.fraction, floor, scale);
@@ -65,6 +68,9 @@
     if (!m_terms) {
         return std::nullopt;
     }
+    if (m_part.undiscovered) {
+        return AcknowledgementWait;
+    }
     m_bucket.accrue(now);
     if (m_bucket.level() < needed(cost)) {
         return queueUp(cost, now);
@@ -77,18 +83,20 @@
     return std::nullopt;
 }
 
-void CustomerAccount::refund(double cost, TimePoint takenAt, TimePoint now)
+void CustomerAccount::refund(double cost, std::uint64_t since, TimePoint now)
 {
     if (m_terms) {
         m_bucket.accrue(now);
-        m_total -= m_bucket.refund(cost, takenAt);
+        m_total -= m_bucket.refund(cost, since);
     }
 }
 
 void CustomerAccount::empty(TimePoint now)
 {
-    m_bucket.accrue(now);
-    m_bucket.empty();
+    if (m_terms) {
+        m_bucket.accrue(now);
+        m_bucket.limit(startLevel());
+    }
 }
 
 double CustomerAccount::hear(const std::string &peer, double total, TimePoint now)
@@ -109,12 +117,12 @@
 
 void CustomerAccount::meet(const std::string &peer, double total)
 {
-    m_peers[peer] = Peer{total, total, 0, false};
+    m_peers[peer] = Peer{total, total};
 }
 
-void CustomerAccount::forget(const std::string &peer)
+void CustomerAccount::forget(const std::string &peer, TimePoint now)
 {
-    leave(peer);
+    leave(peer, now);
     m_peers.erase(peer);
 }
 
@@ -131,15 +139,18 @@
     entry.charged = entry.heard;
     if (m_terms && absence < m_terms->window) {
         const double share = m_terms->rate / static_cast<double>(m_part.members);
-        settleReturn(share * toSeconds(absence) - spent, now);
+        settleReturn(entry.share + share * toSeconds(absence) - spent, now);
     }
 }
 
-void CustomerAccount::leave(const std::string &peer)
+void CustomerAccount::leave(const std::string &peer, TimePoint now)
 {
     const auto found = m_peers.find(peer);
     if (found != m_peers.end() && found->second.pooled) {
+        m_bucket.accrue(now);
+        m_unheard = std::max(m_unheard, ahead());
         found->second.pooled = false;
+        found->second.share = std::max(0.0, m_bucket.level()) / (m_part.fraction * static_cast<double>(m_part.members));
         m_acknowledgedSum -= found->second.acknowledged;
         --m_pooled;
     }
@@ -173,6 +184,12 @@
     return m_terms && tokens > m_terms->tolerance * AheadPart / static_cast<double>(m_part.members) / 2;
 }
 
+double CustomerAccount::startLevel() const
+{
+    const auto members = static_cast<double>(m_part.members);
+    return std::min(m_terms->burst, m_terms->slack * StartPart) / members;
+}
+
 // What the entry has spent beyond what its peers, on average, have heard of.
 double CustomerAccount::ahead() const
 {
--- a/src/allowance/memberview.cpp
+++ b/src/allowance/memberview.cpp
@@ -26,10 +26,11 @@
     , m_nextCheck(now)
 {}
 
-void MemberView::expect(std::size_t members)
+void MemberView::expect(std::size_t members, TimePoint now)
 {
     m_expected = std::max<std::size_t>(members, 1);
-    countMembers();
+    m_told = true;
+    countMembers(now);
 }
 
 // After a stall the reports that wait in the socket are old: only an acknowledgement of what is sent
@@ -43,12 +44,13 @@
         for (auto &[address, peer] : m_peers) {
             leave(address, peer, before);
         }
-        updateFraction();
+        updateFraction(now);
     }
     if (now >= m_nextCheck) {
         m_nextCheck = now + m_timing.urgent;
         dropSilent(now);
         forgetGone(now);
+        updateFraction(now);
     }
     return stalled;
 }
@@ -67,13 +69,10 @@
         }
     }
     if (!sameMembers) {
-        countMembers();
+        countMembers(now);
     }
     confirm(report.sender, *peer, now);
-    const std::size_t hidden = hiddenUsers(*peer);
-    if (std::exchange(peer->hidden, hidden) != hidden) {
-        updateFraction();
-    }
+    noteHidden(*peer, now);
     return true;
 }
 
@@ -103,7 +102,7 @@
 
 bool MemberView::undiscovered(TimePoint now) const
 {
-    return m_peers.empty() && now - m_started < m_timing.discovery;
+    return m_peers.empty() && !m_told && now - m_started < m_timing.discovery;
 }
 
 std::uint64_t MemberView::acknowledged(const std::string &address) const
@@ -144,7 +143,7 @@
     peer.sequence = report.sequence;
     peer.heardAt = now;
     if (isNew) {
-        countMembers();
+        countMembers(now);
     }
     return &peer;
 }
@@ -159,14 +158,14 @@
         m_sent.end(),
         peer.acknowledged,
         [](const SentReport &report, std::uint64_t sequence) { return report.sequence < sequence; });
-    if (sent == m_sent.end() || now - sent->sentAt > m_timing.silence) {
+    if (sent == m_sent.end() || sent->sequence != peer.acknowledged || now - sent->sentAt > m_timing.silence) {
         return;
     }
     peer.confirmedAt = sent->sentAt;
     if (!peer.pooled) {
         peer.pooled = true;
         m_changes.push_back({address, PeerEvent::Joined, now - peer.absentSince});
-        updateFraction();
+        updateFraction(now);
     }
 }
 
@@ -182,16 +181,11 @@
 
 void MemberView::dropSilent(TimePoint now)
 {
-    bool dropped = false;
     for (auto &[address, peer] : m_peers) {
         if (peer.pooled && now - peer.confirmedAt > m_timing.silence) {
             leave(address, peer, now);
-            dropped = true;
         }
     }
-    if (dropped) {
-        updateFraction();
-    }
 }
 
 void MemberView::forgetGone(TimePoint now)
@@ -200,12 +194,12 @@
         return !peer.second.pooled && now - peer.second.heardAt > m_timing.memberMemory;
     });
     if (forgotten > 0) {
-        countMembers();
+        countMembers(now);
     }
 }
 
 // A peer lists only what it has heard itself: lists of lists would keep a dead entry known for ever.
-void MemberView::countMembers()
+void MemberView::countMembers(TimePoint now)
 {
     std::set<std::string> addresses{m_address};
     for (const auto &[address, peer] : m_peers) {
@@ -215,7 +209,7 @@
         }
     }
     m_memberCount = std::max(addresses.size(), m_expected);
-    updateFraction();
+    updateFraction(now);
 }
 
 // Entries that use the peer's share and are alive, as their sequence shows, but not heard here.
@@ -233,15 +227,24 @@
     }));
 }
 
+void MemberView::noteHidden(Peer &peer, TimePoint now)
+{
+    const std::size_t before = std::exchange(peer.hidden, hiddenUsers(peer));
+    if (before == 0 && peer.hidden > 0) {
+        peer.hiddenSince = now;
+    }
+}
+
 // Entries that do not hear each other must not both use the whole share of a third one that hears
-// both: each takes one part of it. See docs/design/allowances.md for the proof.
-void MemberView::updateFraction()
+// both: each takes one part of it. See docs/design/allowances.md for the proof. Entries that come or
+// go are hidden for a moment, since the others do not hear of it all at once.
+void MemberView::updateFraction(TimePoint now)
 {
     double shares = 1;
     for (auto &[address, peer] : m_peers) {
         if (peer.pooled) {
-            peer.hidden = hiddenUsers(peer);
-            shares += 1.0 / static_cast<double>(1 + peer.hidden);
+            const bool lasting = peer.hidden > 0 && now - peer.hiddenSince >= m_timing.grace;
+            shares += 1.0 / static_cast<double>(1 + (lasting ? peer.hidden : 0));
         }
     }
     m_poolFraction = std::min(1.0, shares / static_cast<double>(m_memberCount));
--- a/src/allowance/refundroom.cpp
+++ b/src/allowance/refundroom.cpp
@@ -16,25 +16,25 @@
     while (!m_minima.empty() && m_minima.back().room >= room) {
         m_minima.pop_back();
     }
-    m_minima.push_back({now, room});
+    m_minima.push_back({++m_lastStep, now, room});
     while (now - m_minima.front().at > RefundMemory) {
-        m_forgotten = m_minima.front().at;
+        m_forgotten = m_minima.front().step;
         m_minima.pop_front();
     }
 }
 
-double RefundRoom::least(TimePoint since) const
+double RefundRoom::least(std::uint64_t since) const
 {
-    const auto found = std::lower_bound(m_minima.begin(),
+    const auto found = std::upper_bound(m_minima.begin(),
                                         m_minima.end(),
                                         since,
-                                        [](const Minimum &minimum, TimePoint at) { return minimum.at < at; });
-    return found == m_minima.end() || since <= m_forgotten ? 0 : std::max(0.0, found->room);
+                                        [](std::uint64_t step, const Minimum &minimum) { return step < minimum.step; });
+    return found == m_minima.end() || since < m_forgotten ? 0 : std::max(0.0, found->room);
 }
 
-void RefundRoom::lower(TimePoint since, double tokens)
+void RefundRoom::lower(std::uint64_t since, double tokens)
 {
-    for (auto minimum = m_minima.rbegin(); minimum != m_minima.rend() && minimum->at >= since; ++minimum) {
+    for (auto minimum = m_minima.rbegin(); minimum != m_minima.rend() && minimum->step > since; ++minimum) {
         minimum->room -= tokens;
     }
     // What the earlier minima hid is not known any more; they stay valid as lower bounds.
--- a/src/allowance/retryallowance.cpp
+++ b/src/allowance/retryallowance.cpp
@@ -5,8 +5,7 @@
 namespace {
 
 constexpr int SlicesPerWindow = 40;
-/// Part of the ratio that is used: first sends that one entry still counts may just have left the
-/// window of another observer.
+/// Part of the ratio that is used: what is counted spans a little more than a window.
 constexpr double RatioPart = 0.9;
 /// Part of the slack that is used: an entry that restarts takes its share once more.
 constexpr double SlackPart = 0.5;
@@ -49,7 +48,7 @@
     return sends.slices.back();
 }
 
-// Further sends are kept for one slice longer than a window: a slice counts from its start.
+// A slice counts as long as its last send may still be in the window.
 void RetryAllowance::expire(Sends &sends, TimePoint now) const
 {
     const Duration kept = m_bounds.retryWindow + m_bounds.retryWindow / SlicesPerWindow;
