--- a/include/celeryroute/detail/gateway/admissioncontrol.h
+++ b/include/celeryroute/detail/gateway/admissioncontrol.h
@@ -9,6 +9,13 @@
 
 namespace celeryroute {
 
+/// What became of a wish to spend.
+struct Spending {
+    std::optional<Duration> retryAfter; ///< Set when nothing was spent: after this it may succeed.
+    std::uint64_t step = 0; ///< For refund().
+    bool operator==(const Spending &) const = default;
+};
+
 /// What an entry may spend and admit; the state of all entries stands behind it.
 class AdmissionControl
 {
@@ -20,12 +27,12 @@
 
     /// @brief Whether calls with keys may be admitted on the keys that are known.
     virtual bool keysFresh(TimePoint now) const = 0;
-    /// @brief Spends @p cost of a customer's allowance; else the time after which it may succeed.
-    virtual std::optional<Duration> spend(const std::string &customer, double cost, TimePoint now) = 0;
+    /// @brief Spends @p cost of a customer's allowance, if it suffices.
+    virtual Spending spend(const std::string &customer, double cost, TimePoint now) = 0;
     /// @brief What may be spent of a customer's allowance now; for the log.
     virtual double level(const std::string &customer) const = 0;
-    /// @brief Gives back what a call spent at @p spentAt that never ran.
-    virtual void refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now) = 0;
+    /// @brief Gives back what a call spent in @p step that never ran.
+    virtual void refund(const std::string &customer, double cost, std::uint64_t step, TimePoint now) = 0;
     virtual void noteFirstSend(const std::string &pool, TimePoint now) = 0;
     /// @brief Takes one further send to @p pool.
     virtual bool takeFurtherSend(const std::string &pool, TimePoint now) = 0;
--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -129,6 +129,7 @@
     TimePoint m_limit;
     double m_cost = 0;
     bool m_charged = false;
+    std::uint64_t m_spendingStep = 0;
     bool m_asked = false;
 
     TargetConnection *m_exchange = nullptr;
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -132,12 +132,13 @@
         return true;
     }
     m_cost = cost();
-    const auto retryAfter = m_gateway.admission().spend(m_customerName, m_cost, m_gateway.loop().now());
-    if (retryAfter) {
-        refuse(HttpStatus::TooManyRequests, reasons::Allowance, *retryAfter);
+    const Spending spending = m_gateway.admission().spend(m_customerName, m_cost, m_gateway.loop().now());
+    if (spending.retryAfter) {
+        refuse(HttpStatus::TooManyRequests, reasons::Allowance, *spending.retryAfter);
         return false;
     }
     m_charged = true;
+    m_spendingStep = spending.step;
     return true;
 }
 
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -80,7 +80,7 @@
         head.fields.push_back({"Retry-After", std::move(text)});
     }
     if (m_charged && m_runs == 0) {
-        m_gateway.admission().refund(m_customerName, m_cost, m_request.received, m_gateway.loop().now());
+        m_gateway.admission().refund(m_customerName, m_cost, m_spendingStep, m_gateway.loop().now());
         m_charged = false;
     }
     answerCaller(head, {});
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -124,6 +124,7 @@
 void AgentNode::received(const wire::Envelope &envelope)
 {
     const TimePoint now = m_core.loop.now();
+    const bool known = m_entries.peers().contains(envelope.sender());
     if (!envelope.has_usage() || !m_entries.hear(envelope.sender(), envelope.incarnation(), envelope.sequence(), now)) {
         return;
     }
@@ -134,6 +135,9 @@
     }
     m_keeper.noteUsage(envelope.sender(), readDemand(envelope.usage()), now);
     advance();
+    if (!known) {
+        broadcast(); // Entries learn of each other here, and share allowances only then.
+    }
 }
 
 void AgentNode::advance()
--- a/src/node/entryadmission.cpp
+++ b/src/node/entryadmission.cpp
@@ -13,13 +13,13 @@
     return m_freshness.keyedCallsAllowed(now);
 }
 
-std::optional<Duration> EntryAdmission::spend(const std::string &customer, double cost, TimePoint now)
+Spending EntryAdmission::spend(const std::string &customer, double cost, TimePoint now)
 {
     const AllowanceOutcome outcome = m_pool.admit(customer, cost, now);
     if (const auto *refusal = std::get_if<AllowanceRefusal>(&outcome)) {
-        return refusal->retryAfter;
+        return {refusal->retryAfter, 0};
     }
-    return std::nullopt;
+    return {std::nullopt, std::get<Admission>(outcome).step};
 }
 
 double EntryAdmission::level(const std::string &customer) const
@@ -28,9 +28,9 @@
     return account == nullptr ? 0 : account->bucket().level();
 }
 
-void EntryAdmission::refund(const std::string &customer, double cost, TimePoint spentAt, TimePoint now)
+void EntryAdmission::refund(const std::string &customer, double cost, std::uint64_t step, TimePoint now)
 {
-    m_pool.refund({customer, cost, spentAt}, now);
+    m_pool.refund({customer, cost, step}, now);
 }
 
 void EntryAdmission::noteFirstSend(const std::string &pool, TimePoint now)
--- a/tests/support/servingworld.cpp
+++ b/tests/support/servingworld.cpp
@@ -145,10 +145,10 @@
     return freshChecks > 0 && --freshChecks >= 0;
 }
 
-std::optional<Duration> TestAdmission::spend(const std::string &, double cost, TimePoint)
+Spending TestAdmission::spend(const std::string &, double cost, TimePoint)
 {
     spent += refusal ? 0 : cost;
-    return refusal;
+    return {refusal, 0};
 }
 
 double TestAdmission::level(const std::string &) const
@@ -156,7 +156,7 @@
     return refunded - spent;
 }
 
-void TestAdmission::refund(const std::string &, double cost, TimePoint, TimePoint)
+void TestAdmission::refund(const std::string &, double cost, std::uint64_t, TimePoint)
 {
     refunded += cost;
 }
