--- a/src/placement/plainchooser.cpp
+++ b/src/placement/plainchooser.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::size_t SubsetSize = 16; // Targets of a large pool that one entry uses.
+constexpr std::size_t SubsetSize = 16; // Targets of a large pool that are looked at for one call.
+constexpr std::size_t Coverage = 4; // Entries that use a target of a large pool, in the mean.
 constexpr std::uint64_t SubsetRounds = 3;
 constexpr std::size_t SmallPool = 4; // Up to which all targets are compared.
 constexpr std::size_t Choices = 2;
@@ -80,10 +81,12 @@
     return Refuse{std::chrono::seconds(1), RefuseReason::NoTargets};
 }
 
-// The subset is the same each time, so that channels are kept; further rounds look elsewhere.
+// The subsets of an entry stay the same, so that channels are kept; there are as many as all targets
+// need to have work. Further rounds look elsewhere.
 void PlainChooser::gather(const TargetPool &pool, const PlainAsk &ask, std::uint64_t round)
 {
-    const std::uint64_t key = stableHash(m_book.name() + '\n' + ask.pool);
+    const std::size_t subsets = 1 + Coverage * pool.open.size() / (SubsetSize * m_book.entries());
+    const std::uint64_t key = stableHash(m_book.name() + '\n' + ask.pool) + random() % subsets * SubsetRounds;
     pool.open.sample(mixBits(key + round), mixBits(~key + round), SubsetSize, m_sample);
 }
 
