--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -32,7 +32,7 @@
     const std::vector<std::string> *excluded = nullptr; ///< Targets that the waiting call cannot use.
     double within = 0; ///< Seconds that are left.
     double aim = 1; ///< Seconds in which the call wants its first event.
-    bool spare = false; ///< A further replica; never from the weight store.
+    bool spare = false; ///< A further replica; from the weight store only without any copy.
 };
 
 /// Picks the target that should load a model, the same in all entries that see the same.
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -13,6 +13,7 @@
 constexpr Duration ProbeTime = 100ms; // Until a probe that is under way is answered.
 constexpr double GainHorizon = 5; // Seconds over which a further replica has to pay.
 constexpr double LoadPrice = 0.1; // Late calls that a load has to save beside those that it costs.
+constexpr double StoreLoadPrice = 2; // The same of a load from the weight store.
 constexpr double HeldShare = 0.5; // Of the time to spare that a call may be held for room.
 constexpr double OverloadShare = 0.3; // Of calls that come late, from which on those without hope are refused.
 constexpr double BurstShare = 0.3; // Of the remaining time, in a burst.
@@ -180,7 +181,8 @@
     if (!plan || plan->underWay) {
         return plan;
     }
-    return plan->wait < wait / 2 && gain > plan->cost + LoadPrice ? plan : std::nullopt;
+    const double price = plan->source == CopyPlace::Store ? StoreLoadPrice : LoadPrice;
+    return plan->wait < wait / 2 && gain > plan->cost + price ? plan : std::nullopt;
 }
 
 // No call waits for it, so it is said again only now and then.
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -91,7 +91,8 @@
     if (const TargetRing *ring = pool.copiesOf(model.name)) {
         chosen = best(pool, model, *ring, need, false, now);
     }
-    if (!need.spare && (!chosen || chosen->ready > need.within)) {
+    // A further replica comes from the weight store only when nobody has a copy to load it from.
+    if (!chosen || (!need.spare && chosen->ready > need.within)) {
         const std::optional<Offer> stored = best(pool, model, pool.open, need, true, now);
         if (stored && (!chosen || stored->ready <= need.within)) {
             chosen = stored;
--- a/tests/src/unit-placementengines.cpp
+++ b/tests/src/unit-placementengines.cpp
@@ -272,6 +272,28 @@
     CHECK_EQUAL(std::string("1"), front.sentTo(large));
 }
 
+TEST(EngineChooser, theHolderIsCrowded_aFurtherReplicaIsWantedOnce)
+{
+    front.hold(1, "base");
+    front.view(2).copies.onDisk = {"base"};
+    front.hear(2);
+    std::vector<LoadWant> wants;
+    for (int i = 0; i < 20; ++i) {
+        front.now += 10ms;
+        const EngineCall call = callFor("base", "subject-" + std::to_string(i));
+        const EngineDecision decision = front.chooser.choose(call, front.now);
+        if (const auto *send = std::get_if<SendTo>(&decision.verdict)) {
+            front.book.noteSent(send->target, call, front.now);
+        } else if (const auto *wait = std::get_if<WaitFor>(&decision.verdict)) {
+            CHECK_EQUAL(std::string("2"), wait->target);
+        }
+        if (decision.want) {
+            wants.push_back(*decision.want);
+        }
+    }
+    CHECK(wants == std::vector<LoadWant>({{"base", "2"}}));
+}
+
 TEST(EngineChooser, theOnlyHolderIsBad_anotherLoadsOrItIsTried)
 {
     front.hold(1, "wanted");
