--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -43,8 +43,8 @@
 
     void takeDesired(const std::vector<DesiredEvent> &events);
     void takeTargets(const std::vector<TargetEvent> &events);
-    void take(const TargetChanged &event);
-    void take(const TargetGone &event);
+    ChangedModels take(const TargetChanged &event);
+    ChangedModels take(const TargetGone &event);
     void updateAgents();
     void markSuccessors();
     void expireTargets();
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -130,8 +130,15 @@
 
 void EntryNode::takeTargets(const std::vector<TargetEvent> &events)
 {
+    // What concerns all targets is done once for all events: the first reading brings thousands of them.
+    std::set<std::string> changed;
     for (const TargetEvent &event : events) {
-        std::visit([this](const auto &change) { take(change); }, event);
+        const ChangedModels models = std::visit([this](const auto &change) { return take(change); }, event);
+        changed.insert(models.begin(), models.end());
+    }
+    if (!events.empty()) {
+        updateAgents();
+        m_gateway.targetsChanged(ChangedModels(changed.begin(), changed.end()));
     }
     expireTargets();
 }
@@ -148,7 +155,7 @@
     }
 }
 
-void EntryNode::take(const TargetChanged &event)
+ChangedModels EntryNode::take(const TargetChanged &event)
 {
     const TargetRecord &record = event.record;
     const KnownTarget *before = m_book.target(record.id);
@@ -162,19 +169,16 @@
                           {"born_ms", record.bornMs},
                           {"remaining_ms", toMilliseconds(record.remaining.value_or(Duration::zero()))}});
     }
-    const ChangedModels changed = m_book.setRecord(record, m_core.loop.now());
-    updateAgents();
-    m_gateway.targetsChanged(changed);
+    return m_book.setRecord(record, m_core.loop.now());
 }
 
-void EntryNode::take(const TargetGone &event)
+ChangedModels EntryNode::take(const TargetGone &event)
 {
     m_core.log.write(DecisionEvent::TargetRemoved, m_core.loop.now(), {{fieldnames::Target, event.id}});
-    const ChangedModels changed = m_book.dropRecord(event.id, m_core.loop.now());
     m_gateway.suspects().targetDied(event.id, m_core.loop.now());
     m_agents.erase(event.id);
     m_demand.remove(event.id);
-    m_gateway.targetsChanged(changed);
+    return m_book.dropRecord(event.id, m_core.loop.now());
 }
 
 bool EntryNode::ready() const
