Accept no connections for a while when descriptors have run out

The listener stayed readable, and the loop turned without rest until a connection ended. Failing before: CallerConnection connectionsBeyondTheDescriptors_ (turns < 10).

--- a/include/celeryroute/detail/http1/callerserver.h
+++ b/include/celeryroute/detail/http1/callerserver.h
@@ -31,10 +31,12 @@
 
 private:
     void fileReady(std::uint32_t events) override;
+    void pause();
 
     EventLoop &m_loop;
     CallerHandler &m_handler;
     int m_listener = -1;
+    EventLoop::TimerId m_pause = 0; ///< Of accepting, for lack of descriptors.
     std::map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
 };
 
--- a/src/http1/callerserver.cpp
+++ b/src/http1/callerserver.cpp
@@ -2,12 +2,19 @@
 
 #include <celeryroute/detail/net/sockets.h>
 
+#include <cerrno>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <vector>
 
 namespace celeryroute {
 
+namespace {
+
+constexpr Duration AcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
 CallerServer::CallerServer(EventLoop &loop, CallerHandler &handler)
     : m_loop(loop)
     , m_handler(handler)
@@ -27,6 +34,8 @@
 
 void CallerServer::stopListening()
 {
+    m_loop.cancel(m_pause);
+    m_pause = 0;
     if (m_listener >= 0) {
         m_loop.unwatch(m_listener);
         close(m_listener);
@@ -59,6 +68,19 @@
         CallerConnection *address = connection.get();
         m_connections.emplace(address, std::move(connection));
     }
+    if (errno == EMFILE || errno == ENFILE) {
+        pause();
+    }
+}
+
+// The listener stays readable while a connection waits that cannot be accepted.
+void CallerServer::pause()
+{
+    m_loop.change(m_listener, 0);
+    m_pause = m_loop.at(m_loop.now() + AcceptPause, [this] {
+        m_pause = 0;
+        m_loop.change(m_listener, EPOLLIN);
+    });
 }
 
 } // namespace celeryroute
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -7,6 +7,8 @@
 #include "servingworld.h"
 
 #include <random>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -557,6 +559,27 @@
     CHECK_EQUAL(LargeAnswer, bodyOf(caller.received()).size());
 }
 
+TEST(CallerConnection, connectionsBeyondTheDescriptors_waitWithoutKeepingTheLoopBusy)
+{
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    RawCaller caller(world.loop, world.endpoint);
+    const int next = dup(0);
+    close(next);
+    const rlimit none{static_cast<rlim_t>(next), before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    int turns = 0;
+    bool later = false;
+    world.loop.at(world.loop.now() + 30ms, [&later] { later = true; });
+    for (; !later && turns < 1000; ++turns) {
+        world.loop.turn(1s);
+    }
+    setrlimit(RLIMIT_NOFILE, &before);
+    CHECK_TRUE(turns < 10);
+    caller.send(Get);
+    CHECK(world.waitForRequests(1));
+}
+
 TEST(CallerConnection, closingIdleConnections_leavesAnAnswerOnItsWayWhole)
 {
     RawCaller caller(world.loop, world.endpoint, 4096);
