--- a/tests/src/unit-keeper.cpp
+++ b/tests/src/unit-keeper.cpp
@@ -253,9 +253,17 @@
     now += 500ms;
     reads();
     STRCMP_EQUAL("load b @0", next().c_str());
-    now += 10s;
-    keeper.noteOutcome({}, OrderOutcome::InDoubt, now);
-    STRCMP_EQUAL("none", next().c_str()); // the report is old
+}
+
+TEST(ModelKeeper, reportThatIsOld_isNoGroundForAnOrder)
+{
+    holds({});
+    now += 3s;
+    wants({{"b", 1, 0, 0s}});
+    STRCMP_EQUAL("none", next().c_str());
+    CHECK(keeper.nextReportAt(now) == now);
+    reads();
+    STRCMP_EQUAL("load b @0", next().c_str());
 }
 
 TEST(ModelKeeper, ordersToAnEarlierLifetime_keepTheirRoomForAsLongAsTheyMayLand)
--- a/tests/src/unit-keeperschedules.cpp
+++ b/tests/src/unit-keeperschedules.cpp
@@ -163,7 +163,7 @@
         if (!copied) {
             storeLoads.push_back(world.now);
         }
-        later(copied ? 800ms : 6s, [this, order] {
+        later(copied ? 800ms : world.spec.models[0].storeLoad, [this, order] {
             disk.insert(order.model);
             state.copies.onDisk.assign(disk.begin(), disk.end());
             state.models.push_back({order.model, 1, {}});
@@ -480,6 +480,9 @@
     const Rates rates{.lost = 0.1, .late = 0.3, .restarts = 0.05, .agentRestarts = 0.05, .wants = 3, .copies = false};
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         World world(seed);
+        for (EngineModel &model : world.spec.models) {
+            model.storeLoad = 1500ms; // shorter than a share, so that only the share holds loads back
+        }
         std::vector<std::unique_ptr<Cell>> cells;
         cells.reserve(Targets);
         for (int i = 0; i < Targets; ++i) {
