--- a/tests/src/unit-keeper.cpp
+++ b/tests/src/unit-keeper.cpp
@@ -25,17 +25,8 @@
     TimePoint now = TimePoint(100s);
     EngineSpec spec;
     TargetReport report;
-    ModelKeeper keeper = ModelKeeper(settings(true));
+    ModelKeeper keeper = ModelKeeper({});
 
-    static KeeperSettings settings(bool firstStart, std::int64_t startedMs = 1'000'000)
-    {
-        KeeperSettings settings;
-        settings.holder = "host1";
-        settings.started = TimePoint(100s);
-        settings.startedMs = startedMs;
-        settings.firstStart = firstStart;
-        return settings;
-    }
     void setup() override
     {
         spec.memoryMb = 100;
@@ -47,13 +38,14 @@
         spec.models.push_back({"big", 90, 6s, 900ms, 500ms, 0, 1});
         report.bornMs = 1'000'000 - 3'600'000;
         report.copies = {{"a"}, {"a", "b", "c", "big"}};
-        begin(keeper);
+        start();
     }
-    void begin(ModelKeeper & fresh)
+    void start(bool firstStart = true, bool prefetch = false)
     {
-        fresh.useSpec(spec);
-        fresh.useFence(7);
-        fresh.useInstance("w1");
+        keeper = ModelKeeper({"host1", {}, TimePoint(100s), 1'000'000, firstStart, prefetch});
+        keeper.useSpec(spec);
+        keeper.useFence(7);
+        keeper.useInstance("w1");
     }
     void reads()
     {
@@ -119,8 +111,7 @@
         {{withAdapters}, {{"a", 1}}, {{"c", 1, 0, 0s}}, "load c @0", ""},
     };
     for (const Row &row : rows) {
-        keeper = ModelKeeper(settings(true));
-        begin(keeper);
+        start();
         holds(row.resident);
         wants(row.wants, row.inFlight);
         STRCMP_EQUAL(row.order, next().c_str());
@@ -138,8 +129,7 @@
     wants({{"c", 1, 0, 0s}});
     STRCMP_EQUAL("unload b @0", next().c_str());
     // Without a local copy a model is dear to bring back.
-    keeper = ModelKeeper(settings(true));
-    begin(keeper);
+    start();
     holds({{"b", 1, {}}, {"d", 1, {}}});
     wants({}, {{"d", 1}});
     now += 3s;
@@ -221,8 +211,7 @@
         {OrderOutcome::Fenced, 0, "none", "none"},
     };
     for (const Row &row : rows) {
-        keeper = ModelKeeper(settings(true));
-        begin(keeper);
+        start();
         holds({});
         wants({{"b", 1, 0, 0s}});
         const auto order = keeper.nextOrder(now);
@@ -301,8 +290,7 @@
         {-1'000, "a", "none"},
     };
     for (const Row &row : rows) {
-        keeper = ModelKeeper(settings(false));
-        begin(keeper);
+        start(false);
         report.sequence = 3;
         report.bornMs = 1'000'000 - row.age;
         holds({});
@@ -317,8 +305,7 @@
 
 TEST(ModelKeeper, orderThatNobodyHereGave_blocksUntilItIsDone)
 {
-    keeper = ModelKeeper(settings(false));
-    begin(keeper);
+    start(false);
     report.busy = true;
     holds({{"a", 1, {}}});
     wants({{"a/a1", 1, 0, 0s}});
@@ -332,8 +319,7 @@
 {
     for (const bool firstStart : {true, false}) {
         now = TimePoint(100s);
-        keeper = ModelKeeper(settings(firstStart));
-        begin(keeper);
+        start(firstStart);
         holds({});
         keeper.noteUsage("e1", {0, {}, {{"d", 1, 0, 0s}}}, now);
         STRCMP_EQUAL("none", next().c_str());
@@ -414,10 +400,7 @@
 TEST(ModelKeeper, prefetch_onlyWhenAskedForAndWithoutCost)
 {
     for (const bool asked : {false, true}) {
-        KeeperSettings with = settings(true);
-        with.prefetch = asked;
-        keeper = ModelKeeper(with);
-        begin(keeper);
+        start(true, asked);
         holds({{"a", 1, {}}});
         for (int i = 0; i < 10; ++i) {
             wants({}, {{"b", 2}});
