Try no other target for a caller who has left, and give back what did not run

A call that may run once goes on at its target when its caller leaves; where the target says that it did not run, it was sent to the next target, seconds after the caller had gone. What a call had spent was kept when its caller left while it waited. Failing before: Gateway callerThatLeaves_ (allEnded()).

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -105,6 +105,7 @@
     void limitReached();
     void refuse(int status, std::string_view reason, Duration retryAfter);
     void answerOwn(int status, std::optional<Duration> retryAfter);
+    void refundUnlessRun();
     void answerCaller(const AnswerHead &head, std::string_view body);
     void done();
 
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -253,6 +253,10 @@
 
 void Call::tryAgain(std::string_view reason)
 {
+    if (m_caller == nullptr) {
+        callerLeft(); // While it was at the target; nobody waits for another try.
+        return;
+    }
     m_gateway.metrics().countRetry(reason);
     m_gateway.log().write(DecisionEvent::RequestRepeated,
                           m_gateway.loop().now(),
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -30,6 +30,9 @@
                            {"total_ms", toMilliseconds(m_gateway.loop().now() - m_request.received)}});
     m_gateway.metrics().countRequest(m_route == nullptr ? CallKind::Idempotent : m_route->kind,
                                      RequestOutcome::Abandoned);
+    if (m_exchange == nullptr) {
+        refundUnlessRun();
+    }
     endAttempt(CallEnd::Abandoned);
     done();
 }
@@ -79,11 +82,16 @@
         text.resize(text.find('.') + 1 + FractionDigits);
         head.fields.push_back({"Retry-After", std::move(text)});
     }
+    refundUnlessRun();
+    answerCaller(head, {});
+}
+
+void Call::refundUnlessRun()
+{
     if (m_charged && m_runs == 0) {
         m_gateway.admission().refund(m_customerName, m_cost, m_request.received, m_gateway.loop().now());
         m_charged = false;
     }
-    answerCaller(head, {});
 }
 
 void Call::answerCaller(const AnswerHead &head, std::string_view body)
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -499,7 +499,7 @@
 TEST(Gateway, callerThatLeaves_endsItsCallAtTheTargetUnlessItRunsOnceOnly)
 {
     world.apply();
-    for (const std::string path : {"/idempotent/a", "/stream/a", "/once/a"}) {
+    for (const std::string path : {"/idempotent/a", "/stream/a", "/once/a", "/once/full"}) {
         const std::size_t before = world.arrived.size();
         auto caller = std::make_unique<RawCaller>(world.loop, world.endpoint);
         caller->send(GatewayWorld::request(path));
@@ -510,10 +510,10 @@
         }
         caller.reset();
         const auto wasReset = [&] { return world.targetOf(before).wasReset(world.arrived[before].channel); };
-        if (path == "/once/a") {
+        if (path.starts_with("/once/")) {
             settle(world.loop);
             CHECK_FALSE(wasReset());
-            world.answer(before, Ok);
+            world.answer(before, path == "/once/a" ? Ok : Full); // Nobody waits for another try.
         } else {
             CHECK(turnUntil(world.loop, wasReset));
         }
@@ -529,7 +529,8 @@
     caller.reset();
     CHECK(allEnded());
     CHECK_EQUAL(0U, world.gateway.queue().size());
-    CHECK_EQUAL(3U, world.arrived.size());
+    CHECK_EQUAL(4U, world.arrived.size());
+    CHECK_EQUAL(3.0, world.admission.spent - world.admission.refunded); // What was not run is not paid for.
 }
 
 TEST(Gateway, timeLimit_endsTheCallWithItsFinalAnswerAtOnce)
