--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -288,14 +288,14 @@
     const bool torn = failure == ExchangeFailure::Torn || failure == ExchangeFailure::Malformed;
     endAttempt(torn ? CallEnd::Failed : CallEnd::Unreachable);
     m_excluded.push_back(m_target);
+    const std::string_view reason = m_answer.notRun ? reasons::TargetRefused
+        : failure == ExchangeFailure::Malformed     ? reasons::AnswerGarbled
+                                                    : reasons::ConnectionLost;
     if (!sent || m_answer.notRun || mayRunAgain()) {
-        tryAgain(!sent                 ? reasons::ConnectionLost
-                     : m_answer.notRun ? reasons::TargetRefused
-                     : torn            ? reasons::ConnectionLost
-                                       : reasons::ConnectionLost);
+        tryAgain(reason);
         return;
     }
-    failFinally(torn ? reasons::ConnectionLost : reasons::ConnectionLost);
+    failFinally(reason);
 }
 
 } // namespace celeryroute
