--- a/tests/src/process-serving.cpp
+++ b/tests/src/process-serving.cpp
@@ -147,7 +147,7 @@
     {
         store.put("keyed.op", "config", state.dump());
     }
-    void register_(const std::string &id, const std::string &service, const std::string &address)
+    void registerTarget(const std::string &id, const std::string &service, const std::string &address)
     {
         store.put("keyed.servers",
                   id,
@@ -195,7 +195,7 @@
     CHECK(becomes(401, [this] { return callStatus("/pay/a", "key-b"); }));
     CHECK_EQUAL(503, ready());
     CHECK_EQUAL(503, callStatus("/pay/a"));
-    register_("i-1", "app", app.address());
+    registerTarget("i-1", "app", app.address());
     store.refuse("servers", 0);
     CHECK(becomes(200, [this] { return ready(); }));
     CHECK_EQUAL(200, callStatus("/pay/a"));
@@ -254,7 +254,7 @@
 TEST(Serving, stoppingEntry_leavesTheRotationAndCutsNoCall)
 {
     publish(desiredState(1));
-    register_("i-1", "app", app.address());
+    registerTarget("i-1", "app", app.address());
     startEntry();
     CHECK(becomes(200, [this] { return ready(); }));
     const std::string request = "GET /open/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r\r\n\r\n";
--- a/tests/support/servingworld.h
+++ b/tests/support/servingworld.h
@@ -91,8 +91,8 @@
 public:
     using Script = ServingTarget::Script;
 
-    /// @param targets targets of the service at the start; one more may be added later
-    explicit GatewayWorld(std::size_t targets);
+    /// @param targetCount targets of the service at the start; one more may be added later
+    explicit GatewayWorld(std::size_t targetCount);
 
     EventLoop loop;
     HeaderNames names;
