--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -806,8 +806,9 @@
         }
         fresh.apply();
         const bool stream = !row.first.empty();
-        fresh.scripts = {fresh.replies(row.first),
-                         fresh.replies(stream ? SecondHead + chunk(event(2)) + LastChunk : Ok)};
+        std::string rest = SecondHead;
+        rest.append(chunk(event(2))).append(LastChunk);
+        fresh.scripts = {fresh.replies(row.first), fresh.replies(stream ? rest : Ok)};
         const std::string answer = fresh.call(row.path);
         CHECK_EQUAL_TEXT(row.arrivals, fresh.arrived.size(), row.path);
         CHECK_TRUE(turnUntil(fresh.loop, [&] { return fresh.targetOf(0).wasReset(0); }));
@@ -883,7 +884,9 @@
             turnUntil(fresh.loop, [&] { return fresh.arrived.size() == 2 || (!breaks && caller.received().empty()); }));
         const int last = std::stoi(fresh.arrived[1].field("Last-Event-Id"));
         CHECK(breaks ? last < Events : last == Events);
-        fresh.answer(1, SecondHead + events(last + 1) + LastChunk);
+        std::string rest = SecondHead;
+        rest.append(events(last + 1)).append(LastChunk);
+        fresh.answer(1, rest);
         takeIn(fresh);
         CHECK(fresh.targetOf(1).unsent(0) > 0);
         caller.readFaster();
