Refuse a waiting stream before its caller leaves

Cause: callers of a stream leave after a silence (two seconds, four times the latency or eight times the pause that the route states, whichever is longest), also before the first event. Calls waited for a load or for room until their whole deadline, 15 s for chats, of which all but 4.8 s were for nobody, and were then counted as held to the end. Change: routes carry the patience of their callers; choice of target, waiting and refusals go by it. Test: unit-gateway streamWaitsForRoom, unit-platform desiredState.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -110,6 +110,8 @@
     void done();
 
     Duration remaining() const;
+    /// @brief When the caller leaves unless an event reaches it before.
+    TimePoint silenceLimit() const;
     /// @brief Whether events went to the caller.
     bool begun() const
     {
@@ -149,6 +151,7 @@
     EventLoop::TimerId m_limitTimer = 0;
     EventLoop::TimerId m_stallTimer = 0;
     TimePoint m_lastProgress;
+    TimePoint m_heardAt; ///< When the caller sent the call, or last got an event.
     bool m_held = false; ///< Reading from the target is stopped.
 };
 
--- a/include/celeryroute/detail/serving/servingroute.h
+++ b/include/celeryroute/detail/serving/servingroute.h
@@ -37,6 +37,7 @@
     bool open = false; ///< Callable without a key.
     bool sticky = false; ///< Calls name a model and the parts of their prompt.
     bool resumable = false; ///< A stream may be resumed at another target.
+    Duration callerPatience{}; ///< Silence of a stream after which its callers leave; 0 when not known.
     bool operator==(const ServingRoute &) const = default;
 
     /// @brief Whether a call may run more than once.
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -29,6 +29,7 @@
     , m_limit(m_request.received + UnlimitedCall)
     , m_events(gateway.names().weightsVersion)
     , m_lastProgress(m_request.received)
+    , m_heardAt(m_request.received)
 {}
 
 Call::~Call()
@@ -42,6 +43,12 @@
     return m_limit - m_gateway.loop().now();
 }
 
+TimePoint Call::silenceLimit() const
+{
+    const Duration patience = m_route->callerPatience;
+    return patience > Duration::zero() ? std::min(m_limit, m_heardAt + patience) : m_limit;
+}
+
 void Call::begin()
 {
     if (!stateHolds()) {
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -80,6 +80,7 @@
         armStall(); // From now on the pauses between events count.
     }
     m_phase = Phase::Streaming;
+    m_heardAt = m_gateway.loop().now();
     m_caller->append(whole);
     m_caller->flush();
     if (m_caller != nullptr && m_caller->congested() && !m_held && m_exchange != nullptr) {
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -21,7 +21,7 @@
 
 void Call::attempt()
 {
-    if (remaining() <= Duration::zero()) {
+    if (silenceLimit() <= m_gateway.loop().now()) {
         limitReached();
         return;
     }
@@ -69,7 +69,7 @@
     call.maxOutputTokens = m_fields.maxOutputTokens;
     call.lengthHint = m_fields.lengthHint;
     call.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
-    call.remaining = remaining();
+    call.remaining = silenceLimit() - m_gateway.loop().now();
     call.targetLatency = m_route->targetLatency;
     call.excluded = m_excluded;
     call.askedBefore = m_asked;
@@ -124,7 +124,7 @@
     waiting.askedTarget = target;
     waiting.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
     waiting.since = m_request.received;
-    waiting.deadline = m_limit;
+    waiting.deadline = silenceLimit();
     const WaitingCall *before = m_gateway.queue().find(m_number);
     if (before == nullptr || before->askedTarget != target) {
         m_gateway.log().write(DecisionEvent::RequestQueued,
@@ -134,7 +134,7 @@
                                {fieldnames::Item, item},
                                {fieldnames::Target, target},
                                {"expected_ms", toMilliseconds(expected)},
-                               {"limit_ms", toMilliseconds(remaining())}});
+                               {"limit_ms", toMilliseconds(waiting.deadline - m_gateway.loop().now())}});
     }
     m_gateway.waiting(waiting);
 }
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -564,6 +564,18 @@
     }
 }
 
+TEST(Gateway, streamWaitsForRoom_isRefusedBeforeItsCallerLeaves)
+{
+    world.route("stream").callerPatience = 30ms;
+    world.apply();
+    world.load(0, 20);
+    world.load(1, 20);
+    const std::string answer = world.call("/stream/a");
+    CHECK_EQUAL(503, statusOf(answer));
+    CHECK(fieldOf(answer, "Retry-After") != "(none)");
+    CHECK(world.arrived.empty());
+}
+
 TEST(Gateway, tokenCounts_costWhatTheySayAndNoLess)
 {
     world.state.customers[0].countsTokens = true;
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -68,7 +68,7 @@
     expected.limits.headerBytes = 8192;
     expected.limits.idleTimeout = 9s;
     expected.routes = {
-        {"r1", "a.example", "/x/", CallKind::Stream, {{"llm", 1}}, 5s, 800ms, 600ms, 1, 2, false, true, true},
+        {"r1", "a.example", "/x/", CallKind::Stream, {{"llm", 1}}, 5s, 800ms, 600ms, 1, 2, false, true, true, 4800ms},
         {"r2", "a.example", "/", CallKind::Idempotent, {{"app", 3}}, 0s, 0s, 0s, 0, 1, true, false, false},
         {"r3", "b.example", "/", CallKind::AtMostOnce, {{"app", 1}}, 0s, 0s, 0s, 0, 1, false, false, false},
     };
