Give adapters no orders while their target loads a model

Cause: a target answers 409 to an order for an adapter while it carries out one for a model. A load that took longer than usual was said to be due within 10 ms for as long as it lasted. Change: agents order adapters first, none while a model is loaded, and say when they can; what is overdue is expected to take a quarter longer of the time that it has taken. Entries count the load of a model against a holder that lacks the adapter. Ruled out: adapters refused for lack of places (the ledger counts them; 400 was never answered).

--- a/include/celeryroute/detail/placement/enginechooser.h
+++ b/include/celeryroute/detail/placement/enginechooser.h
@@ -21,6 +21,7 @@
 
 private:
     EngineDecision send(const EngineAsk &ask, const Holder &best);
+    EngineVerdict waitForAdapter(const EngineAsk &ask, const Holder &best) const;
     EngineDecision withoutRoom(const EngineAsk &ask, const Holder &best);
     EngineDecision withoutHolder(const EngineAsk &ask, const Holder &bad);
     bool isHopeless(const EngineAsk &ask, const Holder &best) const;
--- a/include/celeryroute/detail/placement/knowntarget.h
+++ b/include/celeryroute/detail/placement/knowntarget.h
@@ -67,6 +67,8 @@
     const LocalCopies &copies(TimePoint now) const;
     /// @brief Time until @p item is loaded, as its agent said; nothing if it is not being loaded.
     std::optional<Duration> loadingFor(const std::string &item, TimePoint now) const;
+    /// @brief Time until it has carried out the loads of models that its agent has told of.
+    Duration busyFor(TimePoint now) const;
     bool declines(const std::string &item, TimePoint now) const;
     /// @brief Share of the foreign load that is still credible.
     double credit(TimePoint now) const;
--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -17,7 +17,8 @@
 constexpr Duration FreshLoad = 1s; ///< A model that was loaded and not used is kept this long.
 constexpr Duration ShortOrder = 20ms; ///< Expected time of an unload.
 constexpr Duration ForeignOrder = 500ms; ///< Expected time of an order that this agent does not know.
-constexpr Duration Soon = 10ms; ///< Remaining time of what is overdue.
+constexpr Duration Soon = 10ms; ///< Least remaining time of what is overdue.
+constexpr int OverduePart = 4;
 constexpr Duration FastestRead = 5ms;
 constexpr Duration SlowestOrderRead = 50ms;
 constexpr Duration AdapterRead = 10ms;
@@ -228,7 +229,12 @@
     for (const TargetOrder &order : m_ledger.running()) {
         longest = std::max(longest, order.kind == OrderKind::Load ? m_catalog.loadTime(order.model) : ShortOrder);
     }
-    return std::max(m_ledger.runningSince() + longest, now + Soon);
+    const TimePoint due = m_ledger.runningSince() + longest;
+    if (due > now) {
+        return due;
+    }
+    // What is overdue is expected to take a part longer of the time that it has taken.
+    return now + std::max(Soon, (now - m_ledger.runningSince()) / OverduePart);
 }
 
 TimePoint ModelKeeper::nextReportAt(TimePoint now) const
--- a/src/keeper/orderplanner.cpp
+++ b/src/keeper/orderplanner.cpp
@@ -43,7 +43,9 @@
     return std::move(m_plan);
 }
 
-// Urgent wants first; among equals those that serve the most waiting for the time that they take.
+// Adapters of resident models first: they keep the target from no other order, while a load of a model
+// keeps it from theirs. Then urgent wants; among equals those that serve the most waiting for the time
+// that they take.
 std::vector<JointWant> OrderPlanner::sortedWants() const
 {
     std::vector<JointWant> wants = m_input.demand.wants(m_now);
@@ -51,14 +53,19 @@
         const double seconds = std::max(toSeconds(m_input.catalog.loadTime(want.item.model)), ShortestLoad);
         return want.calls * (1 + toSeconds(want.age)) / seconds;
     };
-    std::sort(wants.begin(), wants.end(), [&weight](const JointWant &left, const JointWant &right) {
+    const auto models = std::partition(wants.begin(), wants.end(), [this](const JointWant &want) {
+        return !want.item.adapter.empty() && m_input.ledger.holds({want.item.model, {}});
+    });
+    const auto before = [&weight](const JointWant &left, const JointWant &right) {
         if (left.priority != right.priority) {
             return left.priority < right.priority;
         }
         const double leftWeight = weight(left);
         const double rightWeight = weight(right);
         return leftWeight != rightWeight ? leftWeight > rightWeight : toString(left.item) < toString(right.item);
-    });
+    };
+    std::sort(wants.begin(), models, before);
+    std::sort(models, wants.end(), before);
     return wants;
 }
 
@@ -128,7 +135,8 @@
         return;
     }
     if (!item.adapter.empty() && !m_input.ledger.holds(item)) {
-        meetByAdapter(item, held ? m_now : coming->second, held);
+        // A target takes no order for an adapter while it carries out one for a model.
+        meetByAdapter(item, held ? std::max(m_now, m_input.busyUntil) : coming->second, held);
     }
 }
 
@@ -190,7 +198,7 @@
     }
     m_room.addAdapter(item.model, {item.adapter, model->adapterMb, false, 0});
     m_plan.expected.push_back({name, modelDue + AdapterTime});
-    if (!modelHeld || m_input.blocks.blocked(name, m_now)) {
+    if (!modelHeld || m_input.ledger.busy() || m_input.blocks.blocked(name, m_now)) {
         return;
     }
     if (!victims->empty()) {
@@ -202,11 +210,8 @@
 
 void OrderPlanner::unloadFirst(const std::vector<ItemName> &victims)
 {
-    const auto possible = std::find_if(victims.begin(), victims.end(), [this](const ItemName &victim) {
-        return !victim.adapter.empty() || !m_input.ledger.busy();
-    });
-    if (possible != victims.end()) {
-        order({OrderKind::Unload, *possible, false});
+    if (!m_input.ledger.busy()) {
+        order({OrderKind::Unload, victims.front(), false});
     }
 }
 
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -81,8 +81,7 @@
     if (best.total > ask.remaining) {
         decision.verdict = Refuse{fromSeconds(best.wait), RefuseReason::TooLate};
     } else if (!holdsAdapter(*best.target, ask)) {
-        const std::optional<Duration> loading = best.target->loadingFor(ask.item, ask.now);
-        decision.verdict = WaitFor{ask.item, best.target->record.id, loading.value_or(fromSeconds(AdapterLoad))};
+        decision.verdict = waitForAdapter(ask, best);
     } else {
         ask.pool.traffic.noteHeld(ask.call.model, toSeconds(ask.call.waited), ask.now);
         decision.verdict = SendTo{best.target->record.id};
@@ -90,6 +89,16 @@
     return decision;
 }
 
+EngineVerdict EngineChooser::waitForAdapter(const EngineAsk &ask, const Holder &best) const
+{
+    const Duration usual = best.target->busyFor(ask.now) + fromSeconds(AdapterLoad);
+    const Duration expected = best.target->loadingFor(ask.item, ask.now).value_or(usual);
+    if (toSeconds(expected) + best.total > ask.remaining) {
+        return Refuse{expected, RefuseReason::TooLate};
+    }
+    return WaitFor{ask.item, best.target->record.id, expected};
+}
+
 // A call that would come late is better told at once when to come back than held.
 EngineDecision EngineChooser::withoutRoom(const EngineAsk &ask, const Holder &best)
 {
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -163,15 +163,16 @@
         return 0;
     }
     const double declined = target.declines(ask.item, ask.now) ? AdapterDeclined : 0;
+    const double busy = toSeconds(target.busyFor(ask.now)); // It takes no orders meanwhile.
     if (target.loadingFor(ask.item, ask.now)) {
-        return AdapterLoad + declined;
+        return AdapterLoad + busy + declined;
     }
     std::size_t held = 0;
     for (const ResidentModel &model : target.models(ask.now)) {
         held += model.adapters.size();
     }
     const double full = held >= ask.pool.engine->adapterSlots ? AdapterFull : 0;
-    return AdapterLoad + AdapterSpread * (1 - unitRank(homeOf(ask), target)) + full + declined;
+    return AdapterLoad + busy + AdapterSpread * (1 - unitRank(homeOf(ask), target)) + full + declined;
 }
 
 std::uint64_t HolderFinder::random()
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/placement/knowntarget.h>
 
+#include <celeryroute/detail/placement/itemkey.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -62,6 +64,18 @@
     return std::nullopt;
 }
 
+Duration KnownTarget::busyFor(TimePoint now) const
+{
+    Duration busy{};
+    if (viewFresh(now)) {
+        for (const LoadingItem &loading : view->loading) {
+            const bool ofModel = loading.item == modelOfItem(loading.item);
+            busy = ofModel ? std::max(busy, viewHeard + loading.remaining - now) : busy;
+        }
+    }
+    return busy;
+}
+
 bool KnownTarget::declines(const std::string &item, TimePoint now) const
 {
     return viewFresh(now) && std::find(view->declined.begin(), view->declined.end(), item) != view->declined.end();
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -215,14 +215,7 @@
 // What it loads now, and what this entry has asked it for that it does not show yet.
 double LoadPlanner::busyFor(const TargetPool &pool, const KnownTarget &target, TimePoint now) const
 {
-    double busy = 0;
-    if (target.viewFresh(now)) {
-        for (const LoadingItem &loading : target.view->loading) {
-            if (loading.item == modelOfItem(loading.item)) {
-                busy = std::max(busy, toSeconds(*target.loadingFor(loading.item, now)));
-            }
-        }
-    }
+    double busy = toSeconds(target.busyFor(now));
     for (const auto &[item, asked] : m_asked) {
         const std::string model = item.substr(pool.name.size() + 1);
         if (asked.target == target.record.id && now < asked.until && target.model(model, now) == nullptr
--- a/tests/src/unit-keeper.cpp
+++ b/tests/src/unit-keeper.cpp
@@ -119,6 +119,54 @@
     }
 }
 
+TEST(ModelKeeper, adapterIsWanted_itsOrderComesBeforeLoadsOfModelsAndNotDuringOne)
+{
+    holds({{"a", 1, {}}});
+    wants({{"b", 5, 0, 1s}, {"a/a1", 1, 9, 0s}});
+    TargetOrder order = *keeper.nextOrder(now);
+    STRCMP_EQUAL("load a/a1 @0", text(order).c_str());
+    answer(order, OrderAnswer::Accepted);
+    order = *keeper.nextOrder(now);
+    STRCMP_EQUAL("load b @1", text(order).c_str());
+    answer(order, OrderAnswer::Accepted);
+    now += 100ms;
+    report.sequence = 2;
+    report.busy = true;
+    holds({{"a", 1, {"a1"}}});
+    wants({{"b", 5, 0, 1s}, {"a/a2", 1, 0, 0s}});
+    STRCMP_EQUAL("none", next().c_str());
+    STRCMP_EQUAL("", declined().c_str());
+    Duration expected{};
+    for (const LoadingItem &loading : keeper.view(now).loading) {
+        expected = loading.item == "a/a2" ? loading.remaining : expected;
+    }
+    CHECK(expected > 500ms); // Behind the load from disk, which takes 600 ms.
+    now += 600ms;
+    report.busy = false;
+    holds({{"a", 1, {"a1"}}, {"b", 1, {}}});
+    STRCMP_EQUAL("load a/a2 @2", next().c_str());
+}
+
+TEST(ModelKeeper, loadIsOverdue_itsExpectedTimeGrowsWithTheTimeItHasTaken)
+{
+    holds({});
+    wants({{"b", 1, 0, 0s}});
+    answer(*keeper.nextOrder(now), OrderAnswer::Accepted);
+    report.sequence = 1;
+    report.busy = true;
+    const auto remaining = [&] {
+        now += 2s;
+        reads();
+        wants({{"b", 1, 0, 0s}});
+        next();
+        return keeper.view(now).loading.front().remaining;
+    };
+    const Duration first = remaining();
+    const Duration second = remaining();
+    CHECK(first >= 200ms);
+    CHECK(second > first);
+}
+
 TEST(ModelKeeper, roomIsMade_byWhatIsUsedLeastAndCheapToBringBack)
 {
     holds({{"a", 1, {}}, {"b", 1, {}}});
--- a/tests/src/unit-placementengines.cpp
+++ b/tests/src/unit-placementengines.cpp
@@ -253,6 +253,29 @@
     CHECK_EQUAL(std::to_string(holder), front.sentTo(callFor("base", "subject-0", "a1")));
 }
 
+TEST(EngineChooser, aHolderLoadsAModel_adaptersAreAskedOfOthersOrRefused)
+{
+    front.hold(0, "base");
+    front.hold(1, "base");
+    for (int busy = 0; busy < 2; ++busy) {
+        front.view(busy).loading = {{"other", 5s}};
+        front.hear(busy);
+        front.view(1 - busy).loading.clear();
+        front.hear(1 - busy);
+        for (int i = 0; i < 10; ++i) {
+            const EngineCall call = callFor("base", "subject", "a" + std::to_string(i % 4));
+            CHECK_EQUAL(std::to_string(1 - busy), front.waitedFor(call).target);
+        }
+    }
+    front.view(0).loading = {{"other", 5s}};
+    front.hear(0);
+    EngineCall call = callFor("base", "subject", "a1");
+    call.remaining = 10s;
+    CHECK(front.waitedFor(call).expected >= 5s);
+    call.remaining = 3s;
+    CHECK(std::holds_alternative<Refuse>(front.verdict(call)));
+}
+
 TEST(EngineChooser, theHoldersAreFull_waitsForRoomAndTheLargestFindsAPlace)
 {
     front.hold(1, "base");
