Count a held read that ends without records from its end

Cause: with the store down from second 18 on, all entries of Mti refused keyed calls from second 18.6 (272 keys_stale in the log), while such calls are owed for 3 s of an outage. Keys counted from the begin of the last answered read, which was up to two holds of 2 s ago. Change: the store answers a held read without records only when none came for the whole wait, so such an answer is good up to the end of the wait; one that comes sooner is good for its begin. Reads of keys are held for 28 in 100 of the revocation bound (40 before), so that keys stay fresh for three fifths of the bound of an outage that begins at any moment. Ruled out: admitting keyed calls for longer than the bound; the entries not retrying.

--- a/include/celeryroute/detail/feed/freshness.h
+++ b/include/celeryroute/detail/feed/freshness.h
@@ -18,7 +18,7 @@
     /// @brief The state at hand holds everything that the store held at @p readBegan.
     void confirm(TimePoint readBegan);
 
-    /// @brief Start of the last read that confirmed the state.
+    /// @brief Time up to which the state was last confirmed.
     std::optional<TimePoint> confirmedAt() const;
     /// @brief How long a confirmation lasts.
     Duration validity() const;
--- a/include/celeryroute/detail/feed/topicfollower.h
+++ b/include/celeryroute/detail/feed/topicfollower.h
@@ -32,7 +32,8 @@
 
     /// @brief Whether what is known is all that the topic held at some time.
     bool complete() const;
-    /// @brief Start of the last read after which nothing was missing.
+    /// @brief Time up to which nothing was missing: the start of the last read, or its end if the store
+    /// held it for the whole wait and had no record.
     std::optional<TimePoint> confirmedAt() const;
     /// @brief When a read was first answered whole after the last outage; nothing before any outage.
     std::optional<TimePoint> returnedAt() const;
@@ -48,12 +49,12 @@
     FeedCall nextCall(TimePoint now);
     Duration hold(TimePoint now) const;
     std::vector<FeedRecord> take(NewestPage page, TimePoint callBegan, TimePoint now);
-    std::vector<FeedRecord> take(RecordPage page, TimePoint callBegan, TimePoint now);
+    std::vector<FeedRecord> take(RecordPage page, Duration held, TimePoint callBegan, TimePoint now);
     bool apply(FeedRecord &record, std::vector<FeedRecord> &changes);
     void dropUnlisted(std::vector<FeedRecord> &changes);
     void beginListing();
     void fail(TimePoint now);
-    void succeed(TimePoint callBegan, TimePoint now);
+    void succeed(TimePoint current, TimePoint now);
 
     FeedTopic m_topic;
     FollowingSettings m_settings;
--- a/src/feed/followingsettings.cpp
+++ b/src/feed/followingsettings.cpp
@@ -8,8 +8,8 @@
 
 // A channel that went silent is noticed after this at the latest.
 constexpr Duration LongHold = std::chrono::seconds(10);
-// Two reads in a row fit into the revocation bound and leave room for one that is lost.
-constexpr int HoldsPerFiveBounds = 2;
+// When the store goes down, keys stay fresh for the bound less one hold and the margin of Freshness.
+constexpr int KeyHoldPercent = 28;
 constexpr int PacingsPerBound = 10;
 
 FollowingSettings common(const ServingBounds &bounds)
@@ -30,7 +30,7 @@
 FollowingSettings FollowingSettings::forKeys(const ServingBounds &bounds)
 {
     FollowingSettings settings = forState(bounds);
-    settings.hold = bounds.keyRevocation * HoldsPerFiveBounds / 5;
+    settings.hold = bounds.keyRevocation * KeyHoldPercent / 100;
     settings.freshFor = Freshness(bounds.keyRevocation).validity();
     return settings;
 }
--- a/src/feed/topicfollower.cpp
+++ b/src/feed/topicfollower.cpp
@@ -55,7 +55,7 @@
     if (RecordPage *records = std::get_if<RecordPage>(&answer); records && std::holds_alternative<ReadFrom>(call)) {
         // An answer with records may have been held for any part of the wait.
         m_patience.answeredAfter(std::max(Duration::zero(), now - callBegan - heldFor(call)));
-        return take(std::move(*records), callBegan, now);
+        return take(std::move(*records), heldFor(call), callBegan, now);
     }
     if (std::holds_alternative<RecordsExpired>(answer) && !m_listedAgain) {
         beginListing();
@@ -152,7 +152,7 @@
     return changes;
 }
 
-std::vector<FeedRecord> TopicFollower::take(RecordPage page, TimePoint callBegan, TimePoint now)
+std::vector<FeedRecord> TopicFollower::take(RecordPage page, Duration held, TimePoint callBegan, TimePoint now)
 {
     std::vector<FeedRecord> changes;
     bool gap = page.end < m_offset;
@@ -176,7 +176,9 @@
         m_retry.succeeded();
         return changes;
     }
-    succeed(callBegan, now);
+    // A held read ends without records only when none has come for the whole time.
+    const bool heldOut = page.records.empty() && now - callBegan >= held;
+    succeed(heldOut ? callBegan + held : callBegan, now);
     m_listedAgain = false;
     // A store that does not hold reads must not be asked without a pause.
     m_notBefore = page.records.empty() ? callBegan + m_settings.leastRetry : now + m_settings.pacing;
@@ -228,13 +230,13 @@
     m_notBefore = now + m_retry.failed();
 }
 
-void TopicFollower::succeed(TimePoint callBegan, TimePoint now)
+void TopicFollower::succeed(TimePoint current, TimePoint now)
 {
     if (m_lastFailure && (!m_returned || *m_returned < *m_lastFailure)) {
         m_returned = now;
     }
     m_retry.succeeded();
-    m_confirmed = std::max(m_confirmed.value_or(callBegan), callBegan);
+    m_confirmed = std::max(m_confirmed.value_or(current), current);
 }
 
 } // namespace celeryroute
