Count the targets of a pool by the newest word of each entry

Cause: agents divide the weight store's rate by the number of targets and kept the highest number told in the last 10 s. While targets are replaced one by one, old and new ones are in the pool together; with less than one load for each, agents took turns in a cycle of 20 s, and new targets began their first load exactly 10 s after they joined. Change: the number is the highest of the newest words of all entries. Ruled out: the fence (taken within 20 ms), reserved memory (fits), the wait of one window after a start. Tried and left out: asking targets that join empty, or have few copies, for the models that are wanted most.

--- a/include/celeryroute/detail/keeper/demandbook.h
+++ b/include/celeryroute/detail/keeper/demandbook.h
@@ -71,6 +71,7 @@
     void count(const std::string &item, std::uint32_t calls, bool add);
     void expireCalls(TimePoint now);
     void forgetOld(TimePoint now);
+    void countTargets();
 
     std::unordered_map<std::string, Entry> m_entries;
     std::unordered_map<std::string, Use> m_uses;
--- a/src/keeper/demandbook.cpp
+++ b/src/keeper/demandbook.cpp
@@ -41,9 +41,14 @@
     } else {
         m_wanting.insert(entry);
     }
-    m_poolTargets = std::max(m_poolTargets, demand.poolTargets);
+    const std::uint32_t before = known.demand.poolTargets;
     known.demand = std::move(demand);
     known.heard = now;
+    if (known.demand.poolTargets >= m_poolTargets) {
+        m_poolTargets = known.demand.poolTargets;
+    } else if (before == m_poolTargets) {
+        countTargets();
+    }
 }
 
 void DemandBook::count(const EntryDemand &demand, bool add)
@@ -158,11 +163,16 @@
     std::erase_if(m_wanting, [&](const std::string &name) { return now - m_entries.at(name).heard > WantsKept; });
 }
 
-// The count of targets outlives the entries that named it: none knows a better one.
 void DemandBook::forgetOld(TimePoint now)
 {
     std::erase_if(m_entries, [now](const auto &named) { return now - named.second.heard > EntryKept; });
     std::erase_if(m_uses, [now](const auto &named) { return now - named.second.last > UseKept; });
+    countTargets();
+}
+
+// The count of targets outlives the entries that named it: none knows a better one.
+void DemandBook::countTargets()
+{
     std::uint32_t most = 0;
     for (const auto &[name, entry] : m_entries) {
         most = std::max(most, entry.demand.poolTargets);
--- a/tests/src/unit-keeper.cpp
+++ b/tests/src/unit-keeper.cpp
@@ -381,6 +381,23 @@
     }
 }
 
+TEST(ModelKeeper, targetsLeave_theNewestCountOfEachEntryCounts)
+{
+    DemandBook book;
+    const auto count = [&](const char *entry, std::uint32_t targets) {
+        book.note(entry, {targets, {}, {}}, now);
+        return book.poolTargets();
+    };
+    CHECK_EQUAL(12U, count("e1", 12));
+    CHECK_EQUAL(12U, count("e2", 11));
+    CHECK_EQUAL(11U, count("e1", 9));
+    CHECK_EQUAL(9U, count("e2", 9));
+    CHECK_EQUAL(10U, count("e2", 10));
+    count("e1", 0);
+    CHECK_EQUAL(10U, book.poolTargets());
+    CHECK_EQUAL(10U, count("e2", 0)); // Nobody knows any more.
+}
+
 TEST(ModelKeeper, silentEntries_loseTheirWantsBeforeTheirCalls)
 {
     holds({{"a", 1, {}}, {"b", 1, {}}});
