Serve the standalone roles' HTTP from the event loop

Cause: two HTTP servers in the product. The standalone roles and the stand-ins had one over libmicrohttpd, with a thread that accepts, one that watches for callers who leave or dawdle, and two that serve; the serving roles have one over epoll and Beast's parsers.

Change: HttpServer keeps its interface and is now an event loop and a CallerServer on one thread. Answers from other threads come in through LoopMailbox, an eventfd and a queue; loops without one take no lock. CallerServer bounds its connections and numbers them; a CallerHandler may give the body of a rejection, bound a whole request and close after an answer. HttpServerSettings::threads is gone, since handlers do not block. New: a caller that reads nothing of a waiting answer for the idle timeout is cut, and one that sends too slowly is told 408 first.

--- a/include/celeryroute/detail/http/httpserver.h
+++ b/include/celeryroute/detail/http/httpserver.h
@@ -17,9 +17,8 @@
     std::uint16_t port = 0; ///< 0 lets the system choose.
     std::size_t maxConnections = 4096;
     std::size_t maxBodyBytes = 4U << 20U;
-    std::size_t maxHeaderBytes = 32U << 10U; ///< Memory per connection for the request head.
+    std::size_t maxHeaderBytes = 32U << 10U; ///< Of a request's start line and fields.
     Duration idleTimeout = std::chrono::seconds(30); ///< For slow or silent callers.
-    unsigned threads = 2;
     bool operator==(const HttpServerSettings &) const = default;
 };
 
@@ -44,10 +43,10 @@
     virtual void onClosed(std::function<void()> callback) = 0;
 };
 
-/// Called on a server thread with each whole request; must not block.
+/// Called on the server's thread with each whole request; must not block.
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
-/// An HTTP/1.1 server over libmicrohttpd.
+/// An HTTP/1.1 server on an event loop and a thread of its own.
 class HttpServer
 {
 public:
@@ -61,7 +60,7 @@
     std::uint16_t port() const;
     /// @brief Accepts no new connection; open ones go on.
     void stopAccepting();
-    /// @brief Closes every connection and joins the threads.
+    /// @brief Closes every connection and joins the thread; not from within the handler.
     void stop();
 
 private:
--- a/include/celeryroute/detail/http1/callerconnection.h
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -4,6 +4,8 @@
 #include <celeryroute/detail/net/tcpchannel.h>
 #include <celeryroute/detail/serving/servingstate.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +28,13 @@
     int status = 200;
     std::string reason; ///< Empty for the usual one.
     std::vector<HeaderField> fields;
+    bool close = false; ///< Ends the connection after the answer.
+};
+
+/// An answer whose body is known.
+struct WholeAnswer {
+    AnswerHead head;
+    std::string body;
 };
 
 /// Receives the requests of callers' connections.
@@ -45,6 +54,8 @@
     virtual void callerDrained(CallerConnection &connection) = 0;
     /// @brief A request was refused before it was complete.
     virtual void requestRejected(int status) = 0;
+    /// @brief What such a caller is told.
+    virtual WholeAnswer rejection(int status) const;
     /// @brief Nothing more happens on @p connection; it is to be destroyed after this turn.
     virtual void connectionEnded(CallerConnection &connection) = 0;
     virtual const CallerLimits &callerLimits() const = 0;
@@ -56,9 +67,15 @@
 class CallerConnection final : private ChannelUser
 {
 public:
-    CallerConnection(EventLoop &loop, int socket, CallerHandler &handler);
+    /// @param number tells the connections of one server apart
+    CallerConnection(EventLoop &loop, int socket, CallerHandler &handler, std::uint64_t number);
     ~CallerConnection() override;
 
+    std::uint64_t number() const
+    {
+        return m_number;
+    }
+
     /// @brief Answers whole.
     void answer(const AnswerHead &head, std::string_view body);
     /// @brief Begins an answer whose length is not known; then append() and finish().
@@ -72,6 +89,11 @@
 
     /// @brief Whether the caller reads too slowly to be sent more.
     bool congested() const;
+    /// @brief Bytes of answers that the network has not taken yet.
+    std::size_t unsent() const
+    {
+        return m_channel.unsent();
+    }
     bool idle() const
     {
         return m_phase == Phase::Idle;
@@ -107,6 +129,7 @@
     EventLoop &m_loop;
     CallerHandler &m_handler;
     TcpChannel m_channel;
+    const std::uint64_t m_number;
     Phase m_phase = Phase::Idle;
     std::unique_ptr<MessageParser> m_parser;
     bool m_keepAlive = true;
--- a/include/celeryroute/detail/http1/callerserver.h
+++ b/include/celeryroute/detail/http1/callerserver.h
@@ -4,6 +4,8 @@
 #include <celeryroute/detail/net/endpoint.h>
 #include <celeryroute/result.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 
@@ -18,12 +20,21 @@
 
     /// @brief Begins to accept at @p endpoint; error 105 when it is taken.
     Result<void> listen(const Endpoint &endpoint);
+    /// @brief The port that it listens on.
+    std::uint16_t port() const;
     void stopListening();
+    /// @brief Closes what is accepted while @p most connections are open.
+    void limitConnections(std::size_t most)
+    {
+        m_most = most;
+    }
 
     /// @brief Destroys @p connection after this turn.
     void discard(CallerConnection &connection);
 
     void closeIdle();
+    /// @brief Ends every connection without a word; not from within a connection's callback.
+    void closeAll();
     std::size_t connections() const
     {
         return m_connections.size();
@@ -36,6 +47,8 @@
     EventLoop &m_loop;
     CallerHandler &m_handler;
     int m_listener = -1;
+    std::size_t m_most = SIZE_MAX;
+    std::uint64_t m_accepted = 0;
     EventLoop::TimerId m_pause = 0; ///< Of accepting, for lack of descriptors.
     std::map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
 };
--- a/include/celeryroute/detail/net/sockets.h
+++ b/include/celeryroute/detail/net/sockets.h
@@ -9,6 +9,9 @@
 /// @brief A non-blocking socket that listens for connections; error 105 names the address.
 Result<int> listenTcp(const Endpoint &endpoint);
 
+/// @brief The port that @p socket is bound to.
+std::uint16_t boundPort(int socket);
+
 /// @brief A non-blocking datagram socket bound to @p endpoint; error 105 names the address.
 Result<int> bindUdp(const Endpoint &endpoint);
 
--- a/include/celeryroute/detail/serving/servingstate.h
+++ b/include/celeryroute/detail/serving/servingstate.h
@@ -37,6 +37,8 @@
     std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024;
     Duration headerTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15);
+    /// From the first byte of a request to its last; bounds it instead of its header and its pauses.
+    std::optional<Duration> requestTimeout;
     bool operator==(const CallerLimits &) const = default;
 };
 
--- a/src/daemon/agentprocess.cpp
+++ b/src/daemon/agentprocess.cpp
@@ -78,7 +78,6 @@
     }
     HttpServerSettings guard;
     guard.port = static_cast<std::uint16_t>(m_process.settings().guardPort);
-    guard.threads = 1;
     m_guard = std::make_unique<HttpServer>(guard, [](const HttpRequest &, const std::shared_ptr<HttpResponder> &) {});
     return m_guard->start();
 }
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -1,46 +1,24 @@
 #include <celeryroute/detail/http/httpexchange.h>
 
 #include <celeryroute/detail/http/httperrorbody.h>
+#include <celeryroute/detail/http/httpfields.h>
 
 #include <algorithm>
-#include <cstring>
-#include <microhttpd.h>
 #include <utility>
 
 namespace celeryroute {
 
 namespace {
 
-constexpr std::size_t StreamBlockBytes = 16U << 10U;
-
-ssize_t readStream(void *context, std::uint64_t /*position*/, char *buffer, std::size_t size)
-{
-    return (*static_cast<std::shared_ptr<HttpExchange> *>(context))->read(buffer, size);
-}
-
-void releaseStream(void *context)
-{
-    delete static_cast<std::shared_ptr<HttpExchange> *>(context);
-}
-
-void addHeaders(MHD_Response *response, const HttpFields &headers)
-{
-    for (const auto &[name, value] : headers) {
-        MHD_add_response_header(response, name.c_str(), value.c_str());
-    }
-}
-
-bool queue(MHD_Connection *connection, int status, MHD_Response *response)
-{
-    const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned>(status), response);
-    MHD_destroy_response(response);
-    return result == MHD_YES;
-}
+constexpr std::size_t PartBytes = 64U << 10U;
 
 } // namespace
 
-HttpExchange::HttpExchange(MHD_Connection *connection)
-    : m_connection(connection)
+HttpExchange::HttpExchange(LoopMailbox &mailbox, CallerConnection &connection, Duration stallLimit)
+    : m_mailbox(&mailbox)
+    , m_loop(mailbox.loop())
+    , m_connection(&connection)
+    , m_stallLimit(stallLimit)
 {}
 
 void HttpExchange::respond(HttpResponse response)
@@ -51,7 +29,7 @@
     }
     m_head = std::move(response);
     m_progress = Progress::Whole;
-    resume();
+    wake();
 }
 
 void HttpExchange::begin(int status, HttpFields headers)
@@ -61,8 +39,9 @@
         return;
     }
     m_head = HttpResponse{status, std::move(headers), {}};
+    m_hasHead = true;
     m_progress = Progress::Streaming;
-    resume();
+    wake();
 }
 
 void HttpExchange::write(const std::string &data)
@@ -72,7 +51,7 @@
         return;
     }
     m_pending += data;
-    resume();
+    wake();
 }
 
 void HttpExchange::end(bool complete)
@@ -82,9 +61,8 @@
     if (m_progress != Progress::Streaming && !cutBeforeHead) {
         return;
     }
-    m_headSent = !cutBeforeHead;
     m_progress = complete ? Progress::Ended : Progress::Cut;
-    resume();
+    wake();
 }
 
 void HttpExchange::abandon()
@@ -129,125 +107,147 @@
     }
 }
 
-bool HttpExchange::advance()
+bool HttpExchange::answered() const
 {
-    absl::MutexLock lock(&m_mutex);
-    if (m_closed || m_connection == nullptr) {
-        return false;
-    }
-    switch (m_progress) {
-    case Progress::Waiting:
-        m_suspended = true;
-        MHD_suspend_connection(m_connection);
-        return true;
-    case Progress::Whole:
-        return queueWhole();
-    case Progress::Cut:
-        return m_headSent && queueStream();
-    case Progress::Streaming:
-    case Progress::Ended:
-        return queueStream();
-    }
-    return false;
+    return m_progress == Progress::Whole || m_progress == Progress::Ended || m_progress == Progress::Cut;
 }
 
-ssize_t HttpExchange::read(char *buffer, std::size_t size)
+void HttpExchange::wake()
 {
-    absl::MutexLock lock(&m_mutex);
-    const std::size_t count = std::min(size, m_pending.size() - m_taken);
-    if (m_closed) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    if (count > 0) {
-        std::memcpy(buffer, m_pending.data() + m_taken, count);
-        m_taken += count;
-        if (m_taken >= m_pending.size() / 2) {
-            m_pending.erase(0, m_taken);
-            m_taken = 0;
-        }
-        return static_cast<ssize_t>(count);
+    if (m_mailbox != nullptr && !m_advancing) {
+        m_advancing = true;
+        m_mailbox->post([self = shared_from_this()] { self->advance(); });
     }
-    if (m_progress == Progress::Ended) {
-        return MHD_CONTENT_READER_END_OF_STREAM;
+}
+
+void HttpExchange::advance()
+{
+    if (m_connection != nullptr && !m_begun) {
+        beginAnswer();
     }
-    if (m_progress == Progress::Cut) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
+    if (m_connection != nullptr && m_begun) {
+        stream();
     }
-    m_suspended = true;
-    MHD_suspend_connection(m_connection);
-    return 0;
 }
 
-void HttpExchange::lose()
+void HttpExchange::beginAnswer()
 {
-    // A callback may own the responder, so it is released outside the lock.
-    std::function<void()> callback;
-    bool report = false;
+    HttpResponse head;
+    Progress progress = Progress::Waiting;
+    bool headless = false;
     {
         absl::MutexLock lock(&m_mutex);
-        if (m_closed) {
+        progress = m_progress;
+        if (progress == Progress::Waiting) {
+            m_advancing = false;
             return;
         }
-        m_closed = true;
-        resume();
-        callback = std::exchange(m_onClosed, nullptr);
-        report = callback && !answered();
+        headless = progress == Progress::Cut && !m_hasHead;
+        head = std::move(m_head);
     }
-    if (report) {
-        callback();
+    if (progress == Progress::Whole) {
+        leaveConnection().answer(answerHead(head), head.body);
+    } else if (headless) {
+        leaveConnection().cut();
+    } else {
+        m_begun = true;
+        m_connection->begin(answerHead(head));
     }
 }
 
-void HttpExchange::finish(bool whole)
+void HttpExchange::stream()
 {
-    std::function<void()> dropped;
-    {
-        absl::MutexLock lock(&m_mutex);
-        m_connection = nullptr;
-        m_suspended = false;
-        m_pending.clear();
-        m_taken = 0;
-        if (whole) {
-            m_closed = true;
-            // Callbacks often own the responder; release them once nothing can be reported any more.
-            dropped = std::exchange(m_onClosed, nullptr);
+    Part part{};
+    do {
+        if (m_connection->congested()) {
+            awaitReader();
+            return;
         }
+        part = takePart();
+        m_connection->append(part.data);
+        m_connection->flush();
+        m_unsentBefore = SIZE_MAX;
+    } while (!part.last);
+    if (part.progress == Progress::Ended) {
+        leaveConnection().finish();
+    } else if (part.progress == Progress::Cut) {
+        leaveConnection().cut();
     }
-    lose();
 }
 
-bool HttpExchange::answered() const
+HttpExchange::Part HttpExchange::takePart()
 {
-    return m_progress == Progress::Whole || m_progress == Progress::Ended || m_progress == Progress::Cut;
+    absl::MutexLock lock(&m_mutex);
+    Part part{m_progress, m_pending.substr(m_taken, PartBytes), false};
+    m_taken += part.data.size();
+    part.last = m_taken == m_pending.size();
+    m_advancing = !part.last;
+    if (m_taken >= m_pending.size() / 2) {
+        m_pending.erase(0, m_taken);
+        m_taken = 0;
+    }
+    return part;
+}
+
+CallerConnection &HttpExchange::leaveConnection()
+{
+    // Callbacks often own the responder; release them outside the lock once nothing can be reported any more.
+    std::function<void()> dropped;
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_mailbox = nullptr;
+        m_closed = true;
+        dropped = std::exchange(m_onClosed, nullptr);
+    }
+    m_loop.cancel(m_stallTimer);
+    return *std::exchange(m_connection, nullptr);
 }
 
-void HttpExchange::resume()
+void HttpExchange::lose()
 {
-    if (m_suspended && m_connection != nullptr) {
-        m_suspended = false;
-        MHD_resume_connection(m_connection);
+    if (m_connection == nullptr) {
+        return;
+    }
+    std::function<void()> callback;
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (!answered()) {
+            callback = std::exchange(m_onClosed, nullptr);
+        }
+        m_closed = true;
+        m_pending.clear();
+        m_taken = 0;
+    }
+    leaveConnection().cut();
+    if (callback) {
+        callback();
     }
 }
 
-bool HttpExchange::queueWhole()
+// The connection asks for more when its caller has read; nobody asks for a caller that reads nothing.
+void HttpExchange::awaitReader()
 {
-    MHD_Response *response = MHD_create_response_from_buffer(m_head.body.size(),
-                                                             m_head.body.data(),
-                                                             MHD_RESPMEM_MUST_COPY);
-    addHeaders(response, m_head.headers);
-    return queue(m_connection, m_head.status, response);
+    if (m_stallTimer == 0) {
+        m_unsentBefore = m_connection->unsent();
+        m_stallTimer = m_loop.at(m_loop.now() + m_stallLimit, [self = weak_from_this()] {
+            if (const std::shared_ptr<HttpExchange> exchange = self.lock()) {
+                exchange->checkReader();
+            }
+        });
+    }
 }
 
-bool HttpExchange::queueStream()
+void HttpExchange::checkReader()
 {
-    auto *context = new std::shared_ptr<HttpExchange>(shared_from_this());
-    MHD_Response *response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
-                                                               StreamBlockBytes,
-                                                               &readStream,
-                                                               context,
-                                                               &releaseStream);
-    addHeaders(response, m_head.headers);
-    return queue(m_connection, m_head.status, response);
+    m_stallTimer = 0;
+    if (m_connection == nullptr || !m_connection->congested()) {
+        return;
+    }
+    if (m_connection->unsent() == m_unsentBefore) {
+        lose();
+    } else {
+        awaitReader();
+    }
 }
 
 } // namespace celeryroute
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -1,299 +1,251 @@
 #include <celeryroute/detail/http/httpserver.h>
 
-#include <celeryroute/detail/http/acceptor.h>
-#include <celeryroute/detail/http/connectionwatch.h>
 #include <celeryroute/detail/http/exchangeresponder.h>
 #include <celeryroute/detail/http/httperrorbody.h>
 #include <celeryroute/detail/http/httpexchange.h>
-#include <celeryroute/detail/http/httpreception.h>
+#include <celeryroute/detail/http/httpfields.h>
+#include <celeryroute/detail/http/requesttarget.h>
+#include <celeryroute/detail/http1/callerserver.h>
 
-#include <absl/container/flat_hash_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
+#include <absl/synchronization/notification.h>
 
-#include <algorithm>
-#include <atomic>
-#include <microhttpd.h>
+#include <cstddef>
+#include <optional>
 #include <thread>
+#include <utility>
 
 namespace celeryroute {
 
 namespace {
 
+constexpr int StatusContentTooLarge = 413;
 constexpr int StatusHeaderFieldsTooLarge = 431;
+constexpr int StatusRequestTimeout = 408;
 /// Connections above the limit that are still accepted, to be refused with an answer.
 constexpr std::size_t RefusalConnections = 64;
-/// Room for libmicrohttpd's own bookkeeping in the memory of a connection.
-constexpr std::size_t ConnectionOverheadBytes = 4U << 10U;
-/// How long a stop waits for its connections to end.
-constexpr Duration LongestEnd = std::chrono::seconds(1);
-constexpr Duration EndPoll = std::chrono::milliseconds(1);
 
-int socketOf(MHD_Connection *connection)
+CallerLimits toLimits(const HttpServerSettings &settings)
 {
-    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    CallerLimits limits;
+    limits.headerBytes = settings.maxHeaderBytes;
+    limits.bodyBytes = settings.maxBodyBytes;
+    limits.idleTimeout = settings.idleTimeout;
+    limits.requestTimeout = settings.idleTimeout;
+    return limits;
 }
 
-MHD_Result refuse(HttpReception &reception, HttpResponse response)
+WholeAnswer toAnswer(const HttpResponse &response)
 {
-    response.headers["connection"] = "close";
-    reception.dispatched = true;
-    reception.exchange->respond(std::move(response));
-    return reception.exchange->advance() ? MHD_YES : MHD_NO;
+    return {answerHead(response), response.body};
 }
 
-void ignoreLog(void * /*context*/, const char * /*format*/, va_list /*arguments*/) {}
+HttpRequest toRequest(CallerRequest request, std::uint64_t connection)
+{
+    HttpRequest whole;
+    whole.method = std::move(request.head.method);
+    readTarget(request.head.target, whole);
+    whole.headers = joinFields(request.head.fields);
+    whole.body = std::move(request.body);
+    whole.connection = connection;
+    return whole;
+}
+
+void refuse(CallerConnection &connection, ResultCode code, const std::string &message)
+{
+    WholeAnswer answer = toAnswer(errorResponse(code, message, RunState::NotRun));
+    answer.head.close = true;
+    connection.answer(answer.head, answer.body);
+}
+
+bool repeatsLength(const HttpFields &headers)
+{
+    const auto length = headers.find("content-length");
+    return length != headers.end() && length->second.find(',') != std::string::npos;
+}
 
 } // namespace
 
-class HttpServer::Private
+class HttpServer::Private final : private CallerHandler
 {
 public:
-    HttpServerSettings settings;
-    HttpHandler handler;
-    MHD_Daemon *daemon = nullptr;
-    Acceptor acceptor = Acceptor([this](int socket, const sockaddr_in &peer) {
-        ++handedOver;
-        if (MHD_add_connection(daemon, socket, reinterpret_cast<const sockaddr *>(&peer), sizeof peer) != MHD_YES) {
-            --handedOver;
-        }
-    });
-    std::unique_ptr<ConnectionWatch> watch;
-    std::atomic<std::size_t> connections = 0;
-    std::atomic<std::size_t> handedOver = 0; ///< Connections that the library has, also those that it has not begun.
-
-    static MHD_Result onAccess(void *server,
-                               MHD_Connection *connection,
-                               const char *path,
-                               const char *method,
-                               const char *version,
-                               const char *data,
-                               std::size_t *size,
-                               void **context);
-    static void onCompleted(void *server, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code);
-    static void
-    onConnection(void *server, MHD_Connection *connection, void **context, MHD_ConnectionNotificationCode code);
-    Result<void> startDaemon();
-    void loseAll();
-    void endAll();
+    Private(HttpServerSettings serverSettings, HttpHandler requestHandler);
+
+    Result<void> start();
+    void stopAccepting();
+    void stop();
+
+    std::uint16_t port = 0;
 
 private:
-    MHD_Result receive(HttpReception &reception, const char *data, std::size_t *size);
-    MHD_Result startReception(MHD_Connection *connection, const char *path, const char *method, void **context);
-    MHD_Result dispatch(HttpReception &reception);
-    void complete(HttpReception *reception, bool whole);
-    bool enlist(const std::shared_ptr<HttpExchange> &exchange);
-
-    absl::Mutex m_mutex;
-    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
-    absl::flat_hash_set<std::shared_ptr<HttpExchange>> m_exchanges ABSL_GUARDED_BY(m_mutex);
+    void callerRequest(CallerConnection &connection, CallerRequest request) override;
+    void callerLeft(CallerConnection &connection) override;
+    void callerDrained(CallerConnection &connection) override;
+    void requestRejected(int status) override;
+    WholeAnswer rejection(int status) const override;
+    void connectionEnded(CallerConnection &connection) override;
+    const CallerLimits &callerLimits() const override;
+    bool stopping() const override;
+
+    void loseExchange(CallerConnection &connection);
+    void endAll();
+
+    const HttpServerSettings m_settings;
+    const CallerLimits m_limits;
+    const HttpHandler m_handler;
+    EventLoop m_loop;
+    LoopMailbox m_mailbox{m_loop};
+    CallerServer m_callers{m_loop, *this};
+    absl::flat_hash_map<CallerConnection *, std::shared_ptr<HttpExchange>> m_exchanges; ///< The latest of each.
+    std::thread m_thread;
 };
 
-MHD_Result HttpServer::Private::onAccess(void *server,
-                                         MHD_Connection *connection,
-                                         const char *path,
-                                         const char *method,
-                                         const char * /*version*/,
-                                         const char *data,
-                                         std::size_t *size,
-                                         void **context)
+HttpServer::Private::Private(HttpServerSettings serverSettings, HttpHandler requestHandler)
+    : m_settings(std::move(serverSettings))
+    , m_limits(toLimits(m_settings))
+    , m_handler(std::move(requestHandler))
 {
-    auto *self = static_cast<Private *>(server);
-    if (*context == nullptr) {
-        return self->startReception(connection, path, method, context);
-    }
-    return self->receive(*static_cast<HttpReception *>(*context), data, size);
+    m_callers.limitConnections(m_settings.maxConnections + RefusalConnections);
 }
 
-void HttpServer::Private::onCompleted(void *server,
-                                      MHD_Connection * /*connection*/,
-                                      void **context,
-                                      MHD_RequestTerminationCode code)
+Result<void> HttpServer::Private::start()
 {
-    auto *reception = static_cast<HttpReception *>(*context);
-    *context = nullptr;
-    if (reception != nullptr) {
-        static_cast<Private *>(server)->complete(reception, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    const std::optional<std::uint32_t> ip = parseIp(m_settings.address);
+    if (!ip) {
+        return fail(ResultCode::SettingInvalid, absl::StrCat("'", m_settings.address, "' is not an IPv4 number"));
     }
+    BOOST_LEAF_CHECK(m_callers.listen({*ip, m_settings.port}));
+    port = m_callers.port();
+    m_thread = std::thread([this] { m_loop.run(); });
+    return {};
 }
 
-void HttpServer::Private::onConnection(void *server,
-                                       MHD_Connection *connection,
-                                       void ** /*context*/,
-                                       MHD_ConnectionNotificationCode code)
+// Returns when new callers are refused.
+void HttpServer::Private::stopAccepting()
 {
-    auto *self = static_cast<Private *>(server);
-    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        ++self->connections;
-        self->watch->connectionOpened(socketOf(connection), MonotonicClock::now());
-    } else {
-        self->watch->connectionClosed(socketOf(connection));
-        --self->connections;
-        --self->handedOver;
+    if (!m_thread.joinable()) {
+        return;
+    }
+    if (std::this_thread::get_id() == m_thread.get_id()) {
+        m_callers.stopListening();
+        return;
     }
+    absl::Notification stopped;
+    m_mailbox.post([this, &stopped] {
+        m_callers.stopListening();
+        stopped.Notify();
+    });
+    stopped.WaitForNotification();
 }
 
-MHD_Result
-HttpServer::Private::startReception(MHD_Connection *connection, const char *path, const char *method, void **context)
+void HttpServer::Private::stop()
 {
-    auto owned = std::make_unique<HttpReception>();
-    HttpReception &reception = *owned;
-    reception.request = readHead(connection, method, path);
-    reception.socket = socketOf(connection);
-    reception.exchange = std::make_shared<HttpExchange>(connection);
-    *context = owned.release();
-    reception.request.connection = watch->requestStarted(reception.socket, MonotonicClock::now());
-    if (!enlist(reception.exchange)) {
-        return MHD_NO;
-    }
-    if (connections > settings.maxConnections) {
-        return refuse(
-            reception,
-            errorResponse(ResultCode::TooManyConnections, "the limit on connections is reached", RunState::NotRun));
+    if (m_thread.joinable()) {
+        m_mailbox.post([this] {
+            endAll();
+            m_loop.stop();
+        });
+        m_thread.join();
     }
-    if (headBytes(reception.request) > settings.maxHeaderBytes) {
-        HttpResponse response = errorResponse(ResultCode::RequestTooLarge,
-                                              absl::StrCat("the headers exceed ", settings.maxHeaderBytes, " bytes"),
-                                              RunState::NotRun);
-        response.status = StatusHeaderFieldsTooLarge;
-        return refuse(reception, std::move(response));
-    }
-    // The library takes the first length, and chunks before any length, and would run the rest as a request.
-    if (hasAmbiguousEnd(reception.request.headers)) {
-        return refuse(
-            reception,
-            errorResponse(ResultCode::RequestMalformed, "the end of the body is ambiguous", RunState::NotRun));
-    }
-    if (announcesMoreThan(reception.request.headers, settings.maxBodyBytes)) {
-        return refuse(reception,
-                      errorResponse(ResultCode::RequestTooLarge,
-                                    absl::StrCat("the body exceeds ", settings.maxBodyBytes, " bytes"),
-                                    RunState::NotRun));
-    }
-    return MHD_YES;
 }
 
-// An answer can be queued before the body or after it only, so an over-long chunked body is read
-// and discarded up to the limit once more, and cut beyond that.
-MHD_Result HttpServer::Private::receive(HttpReception &reception, const char *data, std::size_t *size)
+void HttpServer::Private::endAll()
 {
-    if (*size == 0) {
-        return dispatch(reception);
+    m_callers.stopListening();
+    const auto exchanges = m_exchanges;
+    for (const auto &[connection, exchange] : exchanges) {
+        exchange->lose();
     }
-    const std::size_t room = settings.maxBodyBytes - reception.request.body.size();
-    const std::size_t taken = std::min(room, *size);
-    reception.request.body.append(data, taken);
-    reception.discardedBytes += *size - taken;
-    *size = 0;
-    return reception.discardedBytes <= settings.maxBodyBytes ? MHD_YES : MHD_NO;
+    m_callers.closeAll();
+    m_exchanges.clear();
 }
 
-MHD_Result HttpServer::Private::dispatch(HttpReception &reception)
+void HttpServer::Private::callerRequest(CallerConnection &connection, CallerRequest request)
 {
-    if (!reception.dispatched && reception.discardedBytes > 0) {
-        return refuse(reception,
-                      errorResponse(ResultCode::RequestTooLarge,
-                                    absl::StrCat("the body exceeds ", settings.maxBodyBytes, " bytes"),
-                                    RunState::NotRun));
+    if (m_callers.connections() > m_settings.maxConnections) {
+        refuse(connection, ResultCode::TooManyConnections, "the limit on connections is reached");
+        return;
     }
-    if (!reception.dispatched) {
-        reception.dispatched = true;
-        watch->requestReceived(reception.socket, reception.exchange);
-        handler(std::move(reception.request), std::make_shared<ExchangeResponder>(reception.exchange));
+    // The parser takes a length that is repeated without a change.
+    HttpRequest whole = toRequest(std::move(request), connection.number());
+    if (repeatsLength(whole.headers)) {
+        refuse(connection, ResultCode::RequestMalformed, "the body has two lengths");
+        return;
     }
-    return reception.exchange->advance() ? MHD_YES : MHD_NO;
+    const auto exchange = std::make_shared<HttpExchange>(m_mailbox, connection, m_settings.idleTimeout);
+    m_exchanges[&connection] = exchange;
+    m_handler(std::move(whole), std::make_shared<ExchangeResponder>(exchange));
+    exchange->advance();
 }
 
-void HttpServer::Private::complete(HttpReception *reception, bool whole)
+void HttpServer::Private::callerLeft(CallerConnection &connection)
 {
-    const std::unique_ptr<HttpReception> owned(reception);
-    watch->requestEnded(owned->socket);
-    owned->exchange->finish(whole);
-    absl::MutexLock lock(&m_mutex);
-    m_exchanges.erase(owned->exchange);
+    loseExchange(connection);
 }
 
-bool HttpServer::Private::enlist(const std::shared_ptr<HttpExchange> &exchange)
+void HttpServer::Private::callerDrained(CallerConnection &connection)
 {
-    absl::MutexLock lock(&m_mutex);
-    if (m_stopping) {
-        return false;
+    const auto found = m_exchanges.find(&connection);
+    if (found != m_exchanges.end()) {
+        found->second->advance();
     }
-    m_exchanges.insert(exchange);
-    return true;
 }
 
-// No connection may be suspended when the library stops; a lost exchange never suspends again.
-void HttpServer::Private::loseAll()
+void HttpServer::Private::requestRejected(int) {}
+
+WholeAnswer HttpServer::Private::rejection(int status) const
 {
-    absl::flat_hash_set<std::shared_ptr<HttpExchange>> exchanges;
-    {
-        absl::MutexLock lock(&m_mutex);
-        m_stopping = true;
-        exchanges = m_exchanges;
+    switch (status) {
+    case StatusHeaderFieldsTooLarge: {
+        HttpResponse response = errorResponse(ResultCode::RequestTooLarge,
+                                              absl::StrCat("the headers exceed ", m_settings.maxHeaderBytes, " bytes"),
+                                              RunState::NotRun);
+        response.status = StatusHeaderFieldsTooLarge;
+        return toAnswer(response);
     }
-    for (const std::shared_ptr<HttpExchange> &exchange : exchanges) {
-        exchange->lose();
+    case StatusContentTooLarge:
+        return toAnswer(errorResponse(ResultCode::RequestTooLarge,
+                                      absl::StrCat("the body exceeds ", m_settings.maxBodyBytes, " bytes"),
+                                      RunState::NotRun));
+    case StatusRequestTimeout:
+        return toAnswer(errorResponse(ResultCode::RequestTimeout, "the request came too slowly", RunState::NotRun));
+    default:
+        return toAnswer(errorResponse(ResultCode::RequestMalformed,
+                                      "the request is malformed or the end of its body ambiguous",
+                                      RunState::NotRun));
     }
 }
 
-// libmicrohttpd 0.9.75 ends the process when it refuses a malformed request by itself while it is being
-// stopped: it queues no answer then and reads the missing one. So it is stopped without connections.
-void HttpServer::Private::endAll()
+void HttpServer::Private::connectionEnded(CallerConnection &connection)
 {
-    const TimePoint end = MonotonicClock::now() + LongestEnd;
-    while (handedOver > 0 && MonotonicClock::now() < end) {
-        watch->cutAll();
-        std::this_thread::sleep_for(EndPoll);
-    }
+    loseExchange(connection);
+    m_callers.discard(connection);
 }
 
-Result<void> HttpServer::Private::startDaemon()
+// It leaves the map first: losing it may report the end of its connection.
+void HttpServer::Private::loseExchange(CallerConnection &connection)
 {
-    watch = std::make_unique<ConnectionWatch>(settings.idleTimeout);
-    const auto idleSeconds = std::max<std::int64_t>(1, toMilliseconds(settings.idleTimeout) / 1000);
-    const unsigned threads = std::max(1U, settings.threads);
-    const MHD_OptionItem pool[] = {{threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END, threads, nullptr},
-                                   {MHD_OPTION_END, 0, nullptr}};
-    const std::size_t limit = settings.maxConnections + RefusalConnections * threads;
-    daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET
-                                  | MHD_USE_ERROR_LOG,
-                              0,
-                              nullptr,
-                              nullptr,
-                              &Private::onAccess,
-                              this,
-                              MHD_OPTION_EXTERNAL_LOGGER,
-                              &ignoreLog,
-                              nullptr,
-                              MHD_OPTION_CONNECTION_LIMIT,
-                              static_cast<unsigned>(limit),
-                              MHD_OPTION_CONNECTION_TIMEOUT,
-                              static_cast<unsigned>(idleSeconds),
-                              MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                              std::size_t(settings.maxHeaderBytes * 2 + ConnectionOverheadBytes),
-                              MHD_OPTION_NOTIFY_COMPLETED,
-                              &Private::onCompleted,
-                              this,
-                              MHD_OPTION_NOTIFY_CONNECTION,
-                              &Private::onConnection,
-                              this,
-                              MHD_OPTION_ARRAY,
-                              pool,
-                              MHD_OPTION_END);
-    if (daemon == nullptr) {
-        watch.reset();
-        return fail(ResultCode::TransportFailed, "the HTTP library did not start");
+    const auto lost = m_exchanges.extract(&connection);
+    if (!lost.empty()) {
+        lost.mapped()->lose();
     }
-    return {};
 }
 
-HttpServer::HttpServer(HttpServerSettings settings, HttpHandler handler)
-    : m_private(std::make_unique<Private>())
+const CallerLimits &HttpServer::Private::callerLimits() const
 {
-    m_private->settings = std::move(settings);
-    m_private->handler = std::move(handler);
+    return m_limits;
 }
 
+bool HttpServer::Private::stopping() const
+{
+    return false;
+}
+
+HttpServer::HttpServer(HttpServerSettings settings, HttpHandler handler)
+    : m_private(std::make_unique<Private>(std::move(settings), std::move(handler)))
+{}
+
 HttpServer::~HttpServer()
 {
     stop();
@@ -301,31 +253,22 @@
 
 Result<void> HttpServer::start()
 {
-    BOOST_LEAF_CHECK(m_private->startDaemon());
-    return m_private->acceptor.start(m_private->settings.address, m_private->settings.port);
+    return m_private->start();
 }
 
 std::uint16_t HttpServer::port() const
 {
-    return m_private->acceptor.port();
+    return m_private->port;
 }
 
 void HttpServer::stopAccepting()
 {
-    m_private->acceptor.stop();
+    m_private->stopAccepting();
 }
 
 void HttpServer::stop()
 {
-    m_private->acceptor.stop();
-    if (m_private->daemon == nullptr) {
-        return;
-    }
-    m_private->loseAll();
-    m_private->endAll();
-    MHD_stop_daemon(m_private->daemon);
-    m_private->daemon = nullptr;
-    m_private->watch.reset();
+    m_private->stop();
 }
 
 } // namespace celeryroute
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -26,10 +26,16 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(EventLoop &loop, int socket, CallerHandler &handler)
+WholeAnswer CallerHandler::rejection(int status) const
+{
+    return {{status, {}, {}}, {}};
+}
+
+CallerConnection::CallerConnection(EventLoop &loop, int socket, CallerHandler &handler, std::uint64_t number)
     : m_loop(loop)
     , m_handler(handler)
     , m_channel(loop, socket, TcpChannel::Phase::Open, *this)
+    , m_number(number)
     , m_alive(std::make_shared<bool>(true))
 {
     setDeadline(m_handler.callerLimits().idleTimeout);
@@ -93,7 +99,7 @@
             MessageLimits{static_cast<std::uint32_t>(limits.headerBytes), limits.bodyBytes});
         m_phase = Phase::Reading;
         m_continued = false;
-        setDeadline(limits.headerTimeout);
+        setDeadline(limits.requestTimeout.value_or(limits.headerTimeout));
     }
     const ParseState before = m_parser->state();
     input.erase(0, m_parser->feed(input));
@@ -106,7 +112,9 @@
             reject(ContentTooLarge);
             break;
         }
-        setDeadline(m_handler.callerLimits().idleTimeout);
+        if (!m_handler.callerLimits().requestTimeout) {
+            setDeadline(m_handler.callerLimits().idleTimeout);
+        }
         sendContinue();
         break;
     case ParseState::Complete:
@@ -153,7 +161,8 @@
     m_phase = Phase::Answering;
     m_keepAlive = false;
     m_withoutBody = false;
-    answer({status, {}, {}}, {});
+    const WholeAnswer rejection = m_handler.rejection(status);
+    answer(rejection.head, rejection.body);
 }
 
 void CallerConnection::writeHead(const AnswerHead &head, const std::optional<std::size_t> &length)
@@ -163,7 +172,7 @@
     for (const HeaderField &field : head.fields) {
         appendField(text, field.name, field.value);
     }
-    if (m_handler.stopping()) {
+    if (head.close || m_handler.stopping()) {
         m_keepAlive = false;
     }
     m_chunked = !length && !m_oldVersion;
--- a/src/http1/callerserver.cpp
+++ b/src/http1/callerserver.cpp
@@ -32,6 +32,11 @@
     return {};
 }
 
+std::uint16_t CallerServer::port() const
+{
+    return boundPort(m_listener);
+}
+
 void CallerServer::stopListening()
 {
     m_loop.cancel(m_pause);
@@ -61,10 +66,19 @@
     }
 }
 
+void CallerServer::closeAll()
+{
+    m_connections.clear();
+}
+
 void CallerServer::fileReady(std::uint32_t)
 {
     for (int file = acceptTcp(m_listener); file >= 0; file = acceptTcp(m_listener)) {
-        auto connection = std::make_unique<CallerConnection>(m_loop, file, m_handler);
+        if (m_connections.size() >= m_most) {
+            close(file);
+            continue;
+        }
+        auto connection = std::make_unique<CallerConnection>(m_loop, file, m_handler, ++m_accepted);
         CallerConnection *address = connection.get();
         m_connections.emplace(address, std::move(connection));
     }
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -55,6 +55,14 @@
     return file;
 }
 
+std::uint16_t boundPort(int socket)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
 Result<int> bindUdp(const Endpoint &endpoint)
 {
     return bound(SOCK_DGRAM, endpoint);
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/http/httperrorbody.h>
 #include <celeryroute/detail/http/httpmulticlient.h>
 #include <celeryroute/detail/http/httpserver.h>
+#include <celeryroute/detail/http/requesttarget.h>
 
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
@@ -257,6 +258,20 @@
     CHECK(caller.receiveUntil("last;").size() > 64 * BlockBytes);
 }
 
+TEST(HttpServer, callerReadsNothingOfAStream_isCutAndReported)
+{
+    HttpServerSettings settings;
+    settings.idleTimeout = std::chrono::milliseconds(200);
+    serve(settings);
+    RawConnection caller(testServer->port());
+    caller.send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+    // More than the socket buffers of both sides can take.
+    waitForHeld()->write(std::string(64U << 20U, 'x'));
+    CHECK(callerClosed.WaitForNotificationWithTimeout(absl::Seconds(60)));
+    CHECK(waitForHeld()->closed());
+    LONGS_EQUAL(0, waitForHeld()->pendingBytes());
+}
+
 TEST(HttpServer, announcedBodyTooLarge_answers413WithCode)
 {
     HttpServerSettings settings;
@@ -448,6 +463,30 @@
     CHECK(code == ResultCode::PortUnavailable);
 }
 
+TEST_GROUP(RequestTarget){};
+
+TEST(RequestTarget, pathAndQuery_areDecoded)
+{
+    struct Row {
+        const char *target;
+        const char *path;
+        HttpFields query;
+    };
+    const Row rows[] = {
+        {"/a/b", "/a/b", {}},
+        {"/a%2Fb+c%20d?", "/a/b+c d", {}},
+        {"/%zz%4", "/%zz%4", {}},
+        {"/?a=1&b=x+y%26z&&c", "/", {{"a", "1"}, {"b", "x y&z"}, {"c", ""}}},
+        {"/?a=1&a=2=3", "/", {{"a", "1, 2=3"}}},
+    };
+    for (const Row &row : rows) {
+        HttpRequest request;
+        readTarget(row.target, request);
+        STRCMP_EQUAL(row.path, request.path.c_str());
+        CHECK_TRUE_TEXT(row.query == request.query, row.target);
+    }
+}
+
 TEST_GROUP_BASE(HttpMultiClient, HttpFixture){};
 
 TEST(HttpMultiClient, serverSilent_idleTimeoutEndsCall)
