Call servers over the event loop instead of libcurl

Cause: the client of the standalone roles, stand-ins and tests stood on libcurl beside the channels to targets that the serving roles have.

Change: HttpMultiClient keeps its interface; its poll() is one turn of an event loop of its own, and HttpTransfer is one call over TargetChannels. Kept as it was: total and idle time limits, what had left when a call failed (PlatformUnavailable, TransportFailed), reuse for 15 s, a second sending of GET and HEAD alone when a kept connection dies; new: also of others when no byte had left. Cancelling resets the connection. TargetRequest may now ask for a channel of its own and a time to connect; targets' conventions name how long an idle channel is kept. URLs are http with an IPv4 number, as the settings demand.

--- a/include/celeryroute/detail/http/httpclient.h
+++ b/include/celeryroute/detail/http/httpclient.h
@@ -7,7 +7,7 @@
 
 namespace celeryroute {
 
-/// @brief Blocking HTTP client over libcurl, for control threads; one thread at a time.
+/// @brief Blocking HTTP client for control threads; one thread at a time.
 class HttpClient
 {
 public:
--- a/include/celeryroute/detail/http/httpmulticlient.h
+++ b/include/celeryroute/detail/http/httpmulticlient.h
@@ -25,7 +25,7 @@
     std::function<void(const HttpCallEnd &end)> onEnd;
 };
 
-/// @brief Many calls at once on one thread over a libcurl multi handle.
+/// @brief Many calls at once, on the event loop that poll() runs.
 class HttpMultiClient
 {
 public:
@@ -42,7 +42,7 @@
     void cancel(CallId id);
     std::size_t running() const;
     /// @brief Waits up to @p timeout for progress, for @p extraFd (or -1) to become readable, or for
-    /// wakeUp(), then runs observers.
+    /// wakeUp(), then runs observers. A file stays open until another one or none is given.
     void poll(Duration timeout, int extraFd = -1);
     /// @brief Makes a poll() on another thread return; may be called from any thread.
     void wakeUp();
--- a/include/celeryroute/detail/http1/targetchannels.h
+++ b/include/celeryroute/detail/http1/targetchannels.h
@@ -12,7 +12,7 @@
 class TargetChannels
 {
 public:
-    TargetChannels(EventLoop &loop, TargetConnection::Fields fields);
+    TargetChannels(EventLoop &loop, TargetConnection::Conventions conventions);
 
     /// @brief Begins an exchange with @p endpoint over a kept or a new channel.
     TargetConnection &start(const Endpoint &endpoint, TargetRequest request, ExchangeUser &user);
@@ -41,7 +41,7 @@
     void sweep();
 
     EventLoop &m_loop;
-    TargetConnection::Fields m_fields;
+    const TargetConnection::Conventions m_conventions;
     std::map<TargetConnection *, std::unique_ptr<TargetConnection>> m_connections;
     std::map<Endpoint, std::vector<TargetConnection *>> m_idle; ///< The most recently used last.
     std::uint64_t m_opened = 0;
--- a/include/celeryroute/detail/http1/targetconnection.h
+++ b/include/celeryroute/detail/http1/targetconnection.h
@@ -20,12 +20,19 @@
     /// Called when the connection can carry the next exchange.
     using Idle = std::function<void(TargetConnection &)>;
 
-    /// Names of fields that concern the exchange.
-    struct Fields {
-        std::string requestId;
+    /// What holds for all targets.
+    struct Conventions {
+        std::string requestId; ///< Name of the field that tells the exchange.
+        /// How long targets that do not state it keep an idle channel. They may close sooner than a second.
+        Duration idleLimit = std::chrono::milliseconds(300);
     };
 
-    TargetConnection(EventLoop &loop, const Endpoint &endpoint, int socket, Fields fields, Idle idle, Ended ended);
+    TargetConnection(EventLoop &loop,
+                     const Endpoint &endpoint,
+                     int socket,
+                     const Conventions &conventions,
+                     Idle idle,
+                     Ended ended);
     ~TargetConnection() override;
 
     const Endpoint &endpoint() const
@@ -73,7 +80,7 @@
 
     EventLoop &m_loop;
     Endpoint m_endpoint;
-    Fields m_fields;
+    const Conventions &m_conventions;
     Idle m_idle;
     Ended m_ended;
     std::optional<TcpChannel> m_channel;
--- a/include/celeryroute/detail/http1/targetexchange.h
+++ b/include/celeryroute/detail/http1/targetexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celeryroute/detail/http1/messagehead.h>
+#include <celeryroute/time.h>
 
 #include <string>
 
@@ -13,6 +14,8 @@
     std::string id; ///< Echoed by the target.
     bool withoutAnswerBody = false; ///< HEAD
     bool exclusive = false; ///< Not to be lost on a kept channel that the target is closing.
+    bool single = false; ///< On a new channel that is not kept.
+    Duration connectTimeout = std::chrono::milliseconds(400);
 };
 
 /// Why an exchange ended without a whole answer.
--- a/include/celeryroute/detail/net/eventloop.h
+++ b/include/celeryroute/detail/net/eventloop.h
@@ -29,6 +29,9 @@
         return m_now;
     }
 
+    /// @brief Reads the clock; for work that begins outside a turn.
+    void refreshNow();
+
     /// @brief How long the process stood still beyond the wait it asked for, before this turn.
     Duration overslept() const
     {
--- a/src/http1/targetchannels.cpp
+++ b/src/http1/targetchannels.cpp
@@ -12,14 +12,14 @@
 
 } // namespace
 
-TargetChannels::TargetChannels(EventLoop &loop, TargetConnection::Fields fields)
+TargetChannels::TargetChannels(EventLoop &loop, TargetConnection::Conventions conventions)
     : m_loop(loop)
-    , m_fields(std::move(fields))
+    , m_conventions(std::move(conventions))
 {}
 
 TargetConnection &TargetChannels::start(const Endpoint &endpoint, TargetRequest request, ExchangeUser &user)
 {
-    TargetConnection *connection = takeIdle(endpoint, request);
+    TargetConnection *connection = request.single ? nullptr : takeIdle(endpoint, request);
     if (connection == nullptr) {
         connection = &open(endpoint);
     }
@@ -48,7 +48,7 @@
         m_loop,
         endpoint,
         beginConnect(endpoint),
-        m_fields,
+        m_conventions,
         [this](TargetConnection &idle) { becameIdle(idle); },
         [this](TargetConnection &finished) { ended(finished); });
     TargetConnection *address = connection.get();
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -10,10 +10,7 @@
 
 namespace {
 
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 constexpr Duration SilenceLimit = std::chrono::seconds(3);
-// A target that states no whole seconds may close sooner than one.
-constexpr Duration UnstatedIdleLimit = std::chrono::milliseconds(300);
 constexpr int FirstFinalStatus = 200;
 
 std::optional<std::uint32_t> statedTimeout(std::string_view keepAlive)
@@ -34,15 +31,15 @@
 TargetConnection::TargetConnection(EventLoop &loop,
                                    const Endpoint &endpoint,
                                    int socket,
-                                   Fields fields,
+                                   const Conventions &conventions,
                                    Idle idle,
                                    Ended ended)
     : m_loop(loop)
     , m_endpoint(endpoint)
-    , m_fields(std::move(fields))
+    , m_conventions(conventions)
     , m_idle(std::move(idle))
     , m_ended(std::move(ended))
-    , m_idleLimit(UnstatedIdleLimit)
+    , m_idleLimit(conventions.idleLimit)
     , m_alive(std::make_shared<bool>(true))
 {
     if (socket < 0) {
@@ -51,10 +48,6 @@
     }
     limitSilence(socket, SilenceLimit);
     m_channel.emplace(loop, socket, TcpChannel::Phase::Connecting, static_cast<ChannelUser &>(*this));
-    m_connectTimer = m_loop.at(m_loop.now() + ConnectTimeout, [this] {
-        m_connectTimer = 0;
-        fail(ExchangeFailure::NotConnected);
-    });
 }
 
 TargetConnection::~TargetConnection()
@@ -77,6 +70,12 @@
         });
         return;
     }
+    if (!m_channel->connected()) {
+        m_connectTimer = m_loop.at(m_loop.now() + m_request.connectTimeout, [this] {
+            m_connectTimer = 0;
+            fail(ExchangeFailure::NotConnected);
+        });
+    }
     m_channel->setReading(true); // The answer before may have ended while its reader held it back.
     m_channel->restartSentCount();
     m_channel->write(m_request.head);
@@ -183,7 +182,7 @@
 // The answer of an earlier request on this channel may come late; its id tells.
 bool TargetConnection::isForeign(const MessageHead &head) const
 {
-    const std::string *id = head.field(m_fields.requestId);
+    const std::string *id = head.field(m_conventions.requestId);
     if (id == nullptr) {
         return !m_request.id.empty() && m_exchanges > 1;
     }
@@ -210,7 +209,7 @@
     ExchangeUser *user = m_user;
     m_user = nullptr;
     // A target that answered before it had read the whole request would take the rest for the next one.
-    const bool kept = m_reusable && m_channel->unsent() == 0 && m_channel->input().empty();
+    const bool kept = m_reusable && !m_request.single && m_channel->unsent() == 0 && m_channel->input().empty();
     if (!kept) {
         end();
     } else {
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -32,6 +32,11 @@
     close(m_epoll);
 }
 
+void EventLoop::refreshNow()
+{
+    m_now = bootTimeNow();
+}
+
 void EventLoop::watch(int file, std::uint32_t events, FileHandler &handler)
 {
     const auto index = static_cast<std::size_t>(file);
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/http/httperrorbody.h>
 #include <celeryroute/detail/http/httpmulticlient.h>
 #include <celeryroute/detail/http/httpserver.h>
+#include <celeryroute/detail/http/httpurl.h>
 #include <celeryroute/detail/http/requesttarget.h>
 
 #include <absl/strings/str_cat.h>
@@ -487,6 +488,31 @@
     }
 }
 
+TEST_GROUP(HttpUrl){};
+
+TEST(HttpUrl, urls_areReadOrRefused)
+{
+    constexpr std::uint32_t Loopback = 0x7f000001;
+    const HttpUrl plain{{Loopback, 81}, "127.0.0.1:81", "/"};
+    CHECK(parseHttpUrl("http://127.0.0.1:81") == plain);
+    CHECK(parseHttpUrl("http://127.0.0.1:81/") == plain);
+    const HttpUrl usualPort{{Loopback, 80}, "127.0.0.1", "/?a=b"};
+    CHECK(parseHttpUrl("http://127.0.0.1?a=b") == usualPort);
+    const HttpUrl path{{Loopback, 81}, "127.0.0.1:81", "/a/b%20?c=/d"};
+    CHECK(parseHttpUrl("http://127.0.0.1:81/a/b%20?c=/d") == path);
+    for (const char *refused : {"",
+                                "127.0.0.1:81",
+                                "https://127.0.0.1:81/",
+                                "http://",
+                                "http://name:81/",
+                                "http://127.0.0.1:0/",
+                                "http://127.0.0.1:99999/",
+                                "http://127.0.0.1:81/a b",
+                                "http://127.0.0.1:81/a\r\nX: y"}) {
+        CHECK_FALSE_TEXT(parseHttpUrl(refused).has_value(), refused);
+    }
+}
+
 TEST_GROUP_BASE(HttpMultiClient, HttpFixture){};
 
 TEST(HttpMultiClient, serverSilent_idleTimeoutEndsCall)
@@ -502,6 +528,42 @@
     CHECK(callerClosed.WaitForNotificationWithTimeout(absl::Seconds(60)));
 }
 
+TEST(HttpMultiClient, connection_isKeptUnlessTheCallWantsItsOwn)
+{
+    serve();
+    HttpCall call = post("/connection", "{}");
+    const std::string first = perform(call).body;
+    STRCMP_EQUAL(first.c_str(), perform(call).body.c_str());
+    call.freshConnection = true;
+    const std::string fresh = perform(call).body;
+    CHECK(first != fresh);
+    call.freshConnection = false;
+    STRCMP_EQUAL(first.c_str(), perform(call).body.c_str());
+}
+
+TEST(HttpMultiClient, serverClosesKeptConnection_nextCallTakesANewOne)
+{
+    HttpServerSettings settings;
+    settings.idleTimeout = std::chrono::milliseconds(50);
+    serve(settings);
+    HttpMultiClient client;
+    CHECK_FALSE(performMulti(client, post("/echo", "{}")).error.has_value());
+    std::this_thread::sleep_for(settings.idleTimeout * 4);
+    CHECK_FALSE(performMulti(client, post("/echo", "{}")).error.has_value());
+}
+
+TEST(HttpMultiClient, serverWithoutEnd_totalTimeoutEndsCall)
+{
+    serve();
+    HttpMultiClient client;
+    HttpCall call = post("/stream", "{}");
+    call.totalTimeout = std::chrono::milliseconds(100);
+    const HttpCallEnd end = performMulti(client, call);
+    CHECK(end.error.has_value());
+    CHECK(end.error->code == ResultCode::TransportFailed);
+    CHECK(callerClosed.WaitForNotificationWithTimeout(absl::Seconds(60)));
+}
+
 TEST(HttpMultiClient, connectionRefused_reportsNotConnected)
 {
     serve();
