--- a/cmake/standalone-dependencies.cmake
+++ b/cmake/standalone-dependencies.cmake
@@ -7,8 +7,6 @@
 # configuration would change all commands.
 set_target_properties(PkgConfig::ZMQ PROPERTIES
     INTERFACE_COMPILE_OPTIONS "" INTERFACE_INCLUDE_DIRECTORIES "${ZMQ_INCLUDEDIR}")
-pkg_check_modules(MHD REQUIRED IMPORTED_TARGET libmicrohttpd)
-pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
 pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
 pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
 pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
@@ -21,5 +19,5 @@
     absl::synchronization absl::time absl::random_random
     prometheus-cpp::core
     nlohmann_json::nlohmann_json
-    PkgConfig::ZMQ PkgConfig::MHD PkgConfig::CURL PkgConfig::POPT PkgConfig::LOG4CXX
+    PkgConfig::ZMQ PkgConfig::POPT PkgConfig::LOG4CXX
     PkgConfig::YAMLCPP PkgConfig::XXHASH PkgConfig::CRYPTO)
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
     g++ cmake make ninja-build ccache pkg-config git python3
     libabsl-dev libzmq3-dev libprotobuf-dev protobuf-compiler prometheus-cpp-dev
-    libmicrohttpd-dev libcurl4-openssl-dev libpopt-dev liblog4cxx-dev libboost1.81-dev
+    libpopt-dev liblog4cxx-dev libboost1.81-dev
     cpputest libcpputest-dev nlohmann-json3-dev libxxhash-dev libssl-dev libbenchmark-dev
     libyaml-cpp-dev spin clang-format clang-tidy
 )
