--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -411,6 +411,21 @@
     CHECK_EQUAL(1U, world.server.connections());
 }
 
+TEST(CallerConnection, connectionsBeyondTheServersBound_areClosedAtOnce)
+{
+    world.server.limitConnections(1);
+    RawCaller first(world.loop, world.endpoint);
+    first.send(Get);
+    CHECK(world.waitForRequests(1));
+    RawCaller second(world.loop, world.endpoint);
+    CHECK(second.waitForEnd());
+    STRCMP_EQUAL("", second.received().c_str());
+    CHECK_EQUAL(1U, world.server.connections());
+    world.latest().answer({200, {}, {}, true}, "body");
+    CHECK(first.waitForEnd());
+    CHECK_EQUAL(1U, countOf(first.received(), "Connection: close"));
+}
+
 TEST(CallerConnection, expectationOfContinue_isMetBeforeTheBodyAndOnlyOnce)
 {
     RawCaller caller(world.loop, world.endpoint);
