Measure decisions against the target size and mend what grew with it

`make bench` runs the benchmarks and compares processor times with bounds that follow from the figures in scripts/capacity.py alone; it is no part of `make check`. unit-decisioncost counts allocations and targets looked at instead of time.

With the former LoadPlanner and Gateway two tests of unit-decisioncost fail.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export CCACHE_BASEDIR ?= $(abspath $(CURDIR)/..)
 export CCACHE_NOHASHDIR ?= 1
 
-.PHONY: help quickstart scale packages build test model format format-fix lint check check-asan check-tsan proto clean capacity slopes platform-names type-names \
+.PHONY: help quickstart scale packages build test model format format-fix lint check check-asan check-tsan proto clean capacity slopes bench platform-names type-names \
 	configure-again deploy-build
 
 help: ## List the chores.
@@ -59,6 +59,9 @@
 	BUILD=$(abspath $(BUILD)) scripts/measure-slopes.py --write
 	scripts/capacity.py
 
+bench: build ## Run the benchmarks and compare them with bounds of the target size; BENCH="NAME..." for some.
+	BUILD=$(abspath $(BUILD)) scripts/bench.py $(BENCH)
+
 check-asan: ## Tests under AddressSanitizer and UndefinedBehaviorSanitizer.
 	cmake -G Ninja -S . -B $(BUILD)-asan -DCELERYROUTE_SANITIZER=address
 	cmake --build $(BUILD)-asan -j $(JOBS)
--- a/benchmarks/bench-placement.cpp
+++ b/benchmarks/bench-placement.cpp
@@ -57,6 +57,25 @@
 }
 BENCHMARK(mixOnManySmallTargets)->ArgsProduct({{0, 1, 2}, {10, 30, 60}})->Iterations(1)->Unit(benchmark::kMillisecond);
 
+// The busy models have more holders than are compared for one call.
+void mixOnManyTargets(benchmark::State &state)
+{
+    constexpr double Times = 22;
+    simulation::EngineFleet fleet;
+    fleet.targets = 200;
+    fleet.entries = 8;
+    fleet.copies = 90;
+    fleet.busyReplicas = 90;
+    fleet.storeLoadsPerSecond = 35;
+    fleet.seconds = 40;
+    for (simulation::CallClass &kind : fleet.classes) {
+        kind.perSecond *= Times;
+        kind.subjects *= static_cast<int>(Times);
+    }
+    report(state, fleet);
+}
+BENCHMARK(mixOnManyTargets)->ArgsProduct({{0, 1, 2}, {10, 30, 60}})->Iterations(1)->Unit(benchmark::kMillisecond);
+
 TargetRecord record(std::int64_t number, const std::string &pool)
 {
     TargetRecord record;
@@ -68,28 +87,39 @@
     return record;
 }
 
-// One call sent and answered among range(0) targets that hold 2 of 140 models each.
-void engineChoice(benchmark::State &state)
+EngineSpec specOf(std::int64_t models)
 {
-    constexpr std::int64_t Models = 140;
-    TargetBook book("entry", "domain-0");
-    ServingState declared;
     EngineSpec spec;
     spec.slots = 64;
     spec.cacheTokens = 265000;
     spec.memoryMb = 150000;
-    for (std::int64_t i = 0; i < Models; ++i) {
+    spec.adapterSlots = 8;
+    for (std::int64_t i = 0; i < models; ++i) {
         spec.models.push_back({"model-" + std::to_string(i), 60000, 6s, 700ms, 500ms, 80, 50});
     }
+    return spec;
+}
+
+// One call sent and answered among range(0) targets that hold 2 of range(1) models each; a quarter of
+// the calls is for one of range(2) adapters, of which each target holds two.
+void engineChoice(benchmark::State &state)
+{
+    const std::int64_t models = state.range(1);
+    const std::int64_t adapters = state.range(2);
+    TargetBook book("entry", "domain-0");
+    ServingState declared;
+    const EngineSpec spec = specOf(models);
     declared.pools.push_back({"engines", "", 0, spec});
     book.setState(declared);
     const TimePoint now{};
+    const auto name = [&spec, models](std::int64_t number) {
+        return spec.models[static_cast<std::size_t>(number % models)].name;
+    };
     for (std::int64_t i = 0; i < state.range(0); ++i) {
         TargetRecord one = record(i, "engines");
-        one.models = {{spec.models[static_cast<std::size_t>(i % Models)].name, 1, {}},
-                      {spec.models[static_cast<std::size_t>((i * 7 + 3) % Models)].name, 1, {}}};
-        one.copies.onDisk = {spec.models[static_cast<std::size_t>((i * 5 + 1) % Models)].name,
-                             spec.models[static_cast<std::size_t>((i * 11 + 9) % Models)].name};
+        one.models = {{name(i), 1, {"adapter-" + std::to_string(i % adapters)}},
+                      {name(i * 7 + 3), 1, {"adapter-" + std::to_string(i * 3 % adapters)}}};
+        one.copies.onDisk = {name(i * 5 + 1), name(i * 11 + 9)};
         book.setRecord(one, now);
     }
     EngineChooser chooser(book, Seed);
@@ -98,8 +128,10 @@
     while (state.KeepRunning()) {
         EngineCall call;
         call.pool = "engines";
-        call.model = spec.models[random() % std::min<std::uint64_t>(Models, static_cast<std::uint64_t>(state.range(0)))]
-                         .name;
+        call.model = name(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(state.range(0))));
+        if (random() % 4 == 0) {
+            call.adapter = "adapter-" + std::to_string(random() % static_cast<std::uint64_t>(adapters));
+        }
         call.parts = {{"shared", 2000}, {std::to_string(random() % 500), 4300}, {std::to_string(random()), 2890}};
         call.promptTokens = 9190;
         call.maxOutputTokens = 100;
@@ -115,37 +147,36 @@
     }
     state.counters["sent"] = benchmark::Counter(static_cast<double>(sent) / static_cast<double>(state.iterations()));
 }
-BENCHMARK(engineChoice)->Arg(9)->Arg(100)->Arg(1000)->Arg(11000);
+BENCHMARK(engineChoice)->ArgsProduct({{9, 100, 1000, 11000}, {31, 140}, {42, 12000}});
 
-// A model that no target holds; range(0) targets.
+// One of range(1) models that no target holds, in turn; range(0) targets.
 void loadChoice(benchmark::State &state)
 {
     TargetBook book("entry", "domain-0");
     ServingState declared;
-    EngineSpec spec;
-    spec.slots = 64;
-    spec.cacheTokens = 265000;
-    spec.memoryMb = 150000;
-    for (int i = 0; i < 140; ++i) {
-        spec.models.push_back({"model-" + std::to_string(i), 60000, 6s, 700ms, 500ms, 80, 50});
-    }
+    const EngineSpec spec = specOf(state.range(1));
     declared.pools.push_back({"engines", "", 0, spec});
     book.setState(declared);
-    const TimePoint now{};
+    TimePoint now{};
     for (std::int64_t i = 0; i < state.range(0); ++i) {
         TargetRecord one = record(i, "engines");
-        one.models = {{"model-0", 1, {}}, {"model-1", 1, {}}};
-        one.copies.onDisk = {"model-2"};
+        one.models = {{spec.models[0].name, 1, {}}, {spec.models.back().name, 1, {}}};
+        one.copies.onDisk = {spec.models[2].name};
         book.setRecord(one, now);
     }
     LoadPlanner planner(book);
     const std::vector<std::string> excluded;
     TargetPool &pool = *book.pool("engines");
+    std::size_t turn = 0;
     while (state.KeepRunning()) {
-        benchmark::DoNotOptimize(planner.plan(pool, spec.models[2], {&excluded, 5, 1, false}, now));
+        now += 10ms;
+        const EngineModel &model = spec.models[1 + turn++ % (spec.models.size() - 2)];
+        if (const auto plan = planner.plan(pool, model, {&excluded, 20, 1, false}, now)) {
+            planner.noteAsked(pool, model, *plan, now);
+        }
     }
 }
-BENCHMARK(loadChoice)->Arg(9)->Arg(100)->Arg(1000)->Arg(11000);
+BENCHMARK(loadChoice)->ArgsProduct({{9, 100, 1000, 11000}, {31, 140}});
 
 void plainChoice(benchmark::State &state)
 {
--- a/include/celeryroute/detail/allowance/memberview.h
+++ b/include/celeryroute/detail/allowance/memberview.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace celeryroute {
@@ -105,6 +106,8 @@
     void forgetGone(TimePoint now);
     std::size_t hiddenUsers(const Peer &peer) const;
     void countMembers(TimePoint now);
+    void name(const std::string &address, bool add);
+    void setMarks(Peer &peer, std::vector<MemberMark> marks);
     void noteHidden(Peer &peer, TimePoint now);
     void updateFraction(TimePoint now);
 
@@ -118,6 +121,7 @@
     std::uint64_t m_freshFrom = 1; ///< Acknowledgements of older reports prove nothing.
     std::deque<SentReport> m_sent;
     std::map<std::string, Peer> m_peers;
+    std::unordered_map<std::string, std::size_t> m_named; ///< Entries that are known, by how many know them.
     std::vector<PeerChange> m_changes;
     std::size_t m_expected = 1;
     bool m_told = false; ///< How many entries there are has been looked up.
--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -44,6 +44,11 @@
     {
         return m_number;
     }
+    /// @brief The connection that the request came on; it may be gone.
+    CallerConnection *connection() const
+    {
+        return m_connection;
+    }
 
 private:
     enum class Phase {
@@ -118,6 +123,7 @@
 
     Gateway &m_gateway;
     std::uint64_t m_number;
+    CallerConnection *const m_connection;
     CallerConnection *m_caller;
     CallerRequest m_request;
     CallFields m_fields;
--- a/include/celeryroute/detail/node/demandsender.h
+++ b/include/celeryroute/detail/node/demandsender.h
@@ -4,9 +4,10 @@
 #include <celeryroute/detail/net/eventloop.h>
 
 #include <functional>
-#include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace celeryroute {
@@ -35,10 +36,12 @@
     void schedule(TimePoint when);
     void work();
     void sendTo(const std::string &target);
+    void setDue(const std::string &target, TimePoint due);
 
     EventLoop &m_loop;
     Send m_send;
-    std::map<std::string, TimePoint> m_due; ///< Next message, by target.
+    std::unordered_map<std::string, TimePoint> m_due; ///< Next message, by target.
+    std::set<std::pair<TimePoint, std::string>> m_inOrder; ///< The same by time, so that only due ones are looked at.
     std::set<std::string> m_urgent;
     EventLoop::TimerId m_timer = 0;
     TimePoint m_timerAt;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/feed/desiredfeed.h>
 #include <celeryroute/detail/feed/targetsfeed.h>
 #include <celeryroute/detail/gateway/gateway.h>
+#include <celeryroute/detail/node/agentdirectory.h>
 #include <celeryroute/detail/node/demandsender.h>
 #include <celeryroute/detail/node/entryadmission.h>
 #include <celeryroute/detail/node/feeddriver.h>
@@ -12,7 +13,6 @@
 #include <celeryroute/detail/node/peersocket.h>
 #include <celeryroute/detail/node/readinessserver.h>
 
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -34,19 +34,11 @@
     void reload(const NodeSettings &settings);
 
 private:
-    struct KnownAgent {
-        std::string target;
-        Endpoint endpoint;
-        std::string pool;
-        bool successor = false; ///< Another target had the address before.
-    };
-
     void takeDesired(const std::vector<DesiredEvent> &events);
     void takeTargets(const std::vector<TargetEvent> &events);
     ChangedModels take(const TargetChanged &event);
     ChangedModels take(const TargetGone &event);
-    void updateAgents();
-    void markSuccessors();
+    void addAgent(const TargetRecord &record);
     void expireTargets();
 
     void received(const wire::Envelope &envelope);
@@ -78,11 +70,11 @@
     DemandSender m_demand;
     PeerSocket m_peers;
     PeerRoster m_agentsHeard;
+    AgentDirectory m_agents;
     FeedDriver m_desiredDriver;
     FeedDriver m_targetsDriver;
     ReadinessServer m_readiness;
     MetricsServer m_metrics;
-    std::map<std::string, KnownAgent> m_agents; ///< By target id.
     std::set<std::string> m_entries; ///< IP numbers of the other entries.
     EventLoop::TimerId m_gossipTimer = 0;
     TimePoint m_gossipAt;
--- a/include/celeryroute/detail/node/peerroster.h
+++ b/include/celeryroute/detail/node/peerroster.h
@@ -2,9 +2,11 @@
 
 #include <celeryroute/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -26,6 +28,9 @@
     void forgetSilent(TimePoint now);
     bool heardWithin(const std::string &sender, Duration age, TimePoint now) const;
 
+    /// @brief At most @p limit senders, the next ones at each call, so that all are named in turn.
+    std::vector<std::string> inTurn(std::size_t limit);
+
     const std::map<std::string, Peer> &peers() const
     {
         return m_peers;
@@ -34,6 +39,7 @@
 private:
     Duration m_memory;
     std::map<std::string, Peer> m_peers;
+    std::string m_lastNamed;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -66,6 +66,7 @@
                               const LoadNeed &need,
                               bool fromStore,
                               TimePoint now);
+    void forgetAsked(const std::string &target, const std::string &key);
     double busyFor(const TargetPool &pool, const KnownTarget &target, TimePoint now) const;
     double
     evictionCost(const TargetPool &pool, const EngineModel &model, const KnownTarget &target, TimePoint now) const;
@@ -73,6 +74,7 @@
 
     TargetBook &m_book;
     std::unordered_map<std::string, Asked> m_asked; ///< By pool and model.
+    std::unordered_map<std::string, std::vector<std::string>> m_askedOf; ///< Keys of the same, by target.
     std::vector<KnownTarget *> m_sample;
 };
 
--- a/include/celeryroute/detail/placement/targetpool.h
+++ b/include/celeryroute/detail/placement/targetpool.h
@@ -27,7 +27,7 @@
     TargetPool();
 
     std::string name;
-    std::optional<EngineSpec> engine;
+    std::optional<EngineSpec> engine; ///< Set by declare().
     TargetRing open; ///< That may get new calls.
     std::unordered_map<std::string, TargetRing> holders; ///< By resident model.
     std::unordered_map<std::string, TargetRing> loading; ///< By item.
@@ -45,6 +45,10 @@
     TrafficMeter traffic;
     PrefixMemory prefixes;
 
+    /// @brief Takes in what the desired state says of the pool's engines.
+    void declare(const std::optional<EngineSpec> &spec);
+    /// @brief The model called @p model of the engines, or null. Its cost does not grow with their number.
+    const EngineModel *model(const std::string &model) const;
     /// @brief Slots of @p target.
     double slotsOf(const KnownTarget &target) const;
     /// @brief When a call with @p uncached tokens to read should have its first event at @p target,
@@ -57,6 +61,9 @@
     const TargetRing *holdersOf(const std::string &model) const;
     const TargetRing *loadingOf(const std::string &item) const;
     const TargetRing *copiesOf(const std::string &model) const;
+
+private:
+    std::unordered_map<std::string, std::size_t> m_models; ///< Place in the engines' list, by name.
 };
 
 } // namespace celeryroute
--- a/src/allowance/memberview.cpp
+++ b/src/allowance/memberview.cpp
@@ -1,7 +1,6 @@
 #include <celeryroute/detail/allowance/memberview.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace celeryroute {
@@ -24,7 +23,9 @@
     , m_started(now)
     , m_advanced(now)
     , m_nextCheck(now)
-{}
+{
+    name(m_address, true);
+}
 
 void MemberView::expect(std::size_t members, TimePoint now)
 {
@@ -62,7 +63,7 @@
         return false;
     }
     const bool sameMembers = sameAddresses(peer->marks, report.members);
-    peer->marks = report.members;
+    setMarks(*peer, report.members);
     for (const MemberMark &mark : peer->marks) {
         if (mark.address == m_address && mark.incarnation == m_incarnation && mark.sequence <= m_sequence) {
             peer->acknowledged = std::max(peer->acknowledged, mark.sequence);
@@ -131,6 +132,7 @@
     Peer &peer = position->second;
     if (isNew) {
         peer.absentSince = now;
+        name(report.sender, true);
         m_changes.push_back({report.sender, PeerEvent::Met, {}});
     } else if (report.incarnation > peer.incarnation) {
         leave(report.sender, peer, now);
@@ -190,25 +192,52 @@
 
 void MemberView::forgetGone(TimePoint now)
 {
-    const std::size_t forgotten = std::erase_if(m_peers, [&](const auto &peer) {
-        return !peer.second.pooled && now - peer.second.heardAt > m_timing.memberMemory;
-    });
-    if (forgotten > 0) {
+    bool forgotten = false;
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        if (peer->second.pooled || now - peer->second.heardAt <= m_timing.memberMemory) {
+            ++peer;
+            continue;
+        }
+        setMarks(peer->second, {});
+        name(peer->first, false);
+        peer = m_peers.erase(peer);
+        forgotten = true;
+    }
+    if (forgotten) {
         countMembers(now);
     }
 }
 
-// A peer lists only what it has heard itself: lists of lists would keep a dead entry known for ever.
-void MemberView::countMembers(TimePoint now)
+void MemberView::name(const std::string &address, bool add)
 {
-    std::set<std::string> addresses{m_address};
-    for (const auto &[address, peer] : m_peers) {
-        addresses.insert(address);
+    if (add) {
+        ++m_named[address];
+        return;
+    }
+    const auto named = m_named.find(address);
+    if (--named->second == 0) {
+        m_named.erase(named);
+    }
+}
+
+// Addresses that stay are not looked up: nearly all reports name the same entries as the one before.
+void MemberView::setMarks(Peer &peer, std::vector<MemberMark> marks)
+{
+    if (!sameAddresses(peer.marks, marks)) {
+        for (const MemberMark &mark : marks) {
+            name(mark.address, true);
+        }
         for (const MemberMark &mark : peer.marks) {
-            addresses.insert(mark.address);
+            name(mark.address, false);
         }
     }
-    m_memberCount = std::max(addresses.size(), m_expected);
+    peer.marks = std::move(marks);
+}
+
+// A peer lists only what it has heard itself: lists of lists would keep a dead entry known for ever.
+void MemberView::countMembers(TimePoint now)
+{
+    m_memberCount = std::max(m_named.size(), m_expected);
     updateFraction(now);
 }
 
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -23,6 +23,7 @@
 Call::Call(Gateway &gateway, std::uint64_t number, CallerConnection &caller, CallerRequest request)
     : m_gateway(gateway)
     , m_number(number)
+    , m_connection(&caller)
     , m_caller(&caller)
     , m_request(std::move(request))
     , m_fields(readCallFields(m_request.head, gateway.names()))
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -82,7 +82,10 @@
 
 void Gateway::finished(Call &call)
 {
-    std::erase_if(m_callsByCaller, [&call](const auto &entry) { return entry.second == &call; });
+    const auto entry = m_callsByCaller.find(call.connection());
+    if (entry != m_callsByCaller.end() && entry->second == &call) {
+        m_callsByCaller.erase(entry);
+    }
     m_parts.loop.defer([this, number = call.number()] { m_calls.erase(number); });
 }
 
@@ -125,8 +128,12 @@
 
 void Gateway::targetsChanged(const ChangedModels &models)
 {
+    if (m_table == nullptr || m_queue.size() == 0) {
+        return;
+    }
+    const std::shared_ptr<const RouteTable> table = m_table;
     for (const std::string &model : models) {
-        for (const ServingPool &pool : m_table == nullptr ? std::vector<ServingPool>() : m_table->state().pools) {
+        for (const ServingPool &pool : table->state().pools) {
             for (const std::uint64_t call : m_queue.waitingFor(pool.name, model, WakeLimit)) {
                 reconsider(call);
             }
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -19,6 +19,7 @@
 constexpr Duration LeastFenceRetry = std::chrono::milliseconds(100);
 constexpr Duration MostFenceRetry = std::chrono::seconds(1);
 constexpr Duration Heartbeat = std::chrono::milliseconds(900);
+constexpr std::size_t NamedEntries = 32; ///< In one message; entries also hear of each other by gossip.
 constexpr Duration LoadNews = std::chrono::milliseconds(150); ///< Between messages that only tell other load figures.
 
 KeeperSettings keeperSettings(const NodeCore &core)
@@ -256,7 +257,7 @@
     wire::Envelope envelope;
     wire::AgentState &state = *envelope.mutable_agent();
     writeView(m_published, state);
-    for (const auto &[address, peer] : m_entries.peers()) {
+    for (const std::string &address : m_entries.inTurn(NamedEntries)) {
         state.add_entries(address);
     }
     for (const auto &[address, peer] : m_entries.peers()) {
--- a/src/node/demandsender.cpp
+++ b/src/node/demandsender.cpp
@@ -24,14 +24,29 @@
 
 void DemandSender::add(const std::string &target)
 {
-    if (m_due.emplace(target, m_loop.now()).second) {
-        schedule(m_loop.now());
+    if (!m_due.contains(target)) {
+        setDue(target, m_loop.now());
     }
 }
 
 void DemandSender::remove(const std::string &target)
 {
-    m_due.erase(target);
+    const auto found = m_due.find(target);
+    if (found != m_due.end()) {
+        m_inOrder.erase({found->second, target});
+        m_due.erase(found);
+    }
+}
+
+void DemandSender::setDue(const std::string &target, TimePoint due)
+{
+    const auto [found, added] = m_due.try_emplace(target, due);
+    if (!added) {
+        m_inOrder.erase({found->second, target});
+        found->second = due;
+    }
+    m_inOrder.emplace(due, target);
+    schedule(due);
 }
 
 void DemandSender::changed(const std::string &target, bool urgent)
@@ -41,8 +56,7 @@
         return;
     }
     if (!urgent) {
-        found->second = std::min(found->second, m_loop.now() + ChangeDelay);
-        schedule(found->second);
+        setDue(target, std::min(found->second, m_loop.now() + ChangeDelay));
         return;
     }
     if (m_urgent.empty()) {
@@ -62,10 +76,8 @@
 
 void DemandSender::sendTo(const std::string &target)
 {
-    const auto found = m_due.find(target);
-    if (found != m_due.end()) {
-        found->second = m_loop.now() + (m_send(target) ? WantRepeat : Heartbeat);
-        schedule(found->second);
+    if (m_due.contains(target)) {
+        setDue(target, m_loop.now() + (m_send(target) ? WantRepeat : Heartbeat));
     }
 }
 
@@ -85,16 +97,12 @@
     m_timer = 0;
     constexpr Duration Company = std::chrono::milliseconds(20);
     std::vector<std::string> targets;
-    TimePoint next = TimePoint::max();
-    for (const auto &[target, due] : m_due) {
-        if (due <= m_loop.now() + Company) {
-            targets.push_back(target);
-        } else {
-            next = std::min(next, due);
-        }
+    auto due = m_inOrder.begin();
+    for (; due != m_inOrder.end() && due->first <= m_loop.now() + Company; ++due) {
+        targets.push_back(due->second);
     }
-    if (next != TimePoint::max()) {
-        schedule(next);
+    if (due != m_inOrder.end()) {
+        schedule(due->first);
     }
     for (const std::string &target : targets) {
         sendTo(target);
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -47,6 +47,7 @@
               core.incarnation,
               [this](const Endpoint &, const wire::Envelope &envelope) { received(envelope); })
     , m_agentsHeard(AgentMemory)
+    , m_agents(core.settings.firstPeerPort)
     , m_desiredDriver(core.loop,
                       m_store,
                       core.translation,
@@ -119,7 +120,9 @@
                           {"customers", state.customers.size()}});
         m_gateway.setState(changed->state);
         m_allowances.setCustomers(state.customers, m_core.loop.now());
-        updateAgents();
+        for (const auto &[id, record] : m_targets.targets()) {
+            addAgent(record);
+        }
     }
     if (m_desired.follower().failing()) {
         m_targets.storeFailed();
@@ -130,14 +133,13 @@
 
 void EntryNode::takeTargets(const std::vector<TargetEvent> &events)
 {
-    // What concerns all targets is done once for all events: the first reading brings thousands of them.
+    // Waiting calls are looked at once for all events: the first reading brings thousands of them.
     std::set<std::string> changed;
     for (const TargetEvent &event : events) {
         const ChangedModels models = std::visit([this](const auto &change) { return take(change); }, event);
         changed.insert(models.begin(), models.end());
     }
     if (!events.empty()) {
-        updateAgents();
         m_gateway.targetsChanged(ChangedModels(changed.begin(), changed.end()));
     }
     expireTargets();
@@ -169,6 +171,8 @@
                           {"born_ms", record.bornMs},
                           {"remaining_ms", toMilliseconds(record.remaining.value_or(Duration::zero()))}});
     }
+    m_agents.noteTarget(record);
+    addAgent(record);
     return m_book.setRecord(record, m_core.loop.now());
 }
 
@@ -176,7 +180,7 @@
 {
     m_core.log.write(DecisionEvent::TargetRemoved, m_core.loop.now(), {{fieldnames::Target, event.id}});
     m_gateway.suspects().targetDied(event.id, m_core.loop.now());
-    m_agents.erase(event.id);
+    m_agents.forgetTarget(event.id);
     m_demand.remove(event.id);
     return m_book.dropRecord(event.id, m_core.loop.now());
 }
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -9,54 +9,27 @@
 
 namespace celeryroute {
 
-void EntryNode::updateAgents()
+void EntryNode::addAgent(const TargetRecord &record)
 {
     const ServingStatePtr &state = m_desired.state();
-    if (state == nullptr) {
-        return;
-    }
-    for (const auto &[id, record] : m_targets.targets()) {
-        const ServingPool *pool = state->pool(record.pool);
-        const auto endpoint = parseEndpoint(record.address);
-        if (pool == nullptr || !pool->engine || !endpoint) {
-            continue;
-        }
-        KnownAgent &agent = m_agents[id];
-        agent.target = id;
-        agent.endpoint = {endpoint->ip, m_core.settings.firstPeerPort};
-        agent.pool = record.pool;
-        m_demand.add(id);
-    }
-    markSuccessors();
-}
-
-void EntryNode::markSuccessors()
-{
-    std::map<std::string, std::int64_t> firstBorn; ///< By address.
-    for (const auto &[id, record] : m_targets.targets()) {
-        const auto [known, added] = firstBorn.emplace(record.address, record.bornMs);
-        known->second = std::min(known->second, record.bornMs);
-    }
-    for (const auto &[id, record] : m_targets.targets()) {
-        const auto agent = m_agents.find(id);
-        if (agent != m_agents.end() && firstBorn[record.address] < record.bornMs) {
-            agent->second.successor = true;
-        }
+    const ServingPool *pool = state == nullptr ? nullptr : state->pool(record.pool);
+    if (pool != nullptr && pool->engine && m_agents.addAgent(record)) {
+        m_demand.add(record.id);
     }
 }
 
 bool EntryNode::sendDemand(const std::string &target)
 {
-    const auto agent = m_agents.find(target);
+    const KnownAgent *agent = m_agents.agent(target);
     const KnownTarget *known = m_book.target(target);
-    if (agent == m_agents.end() || known == nullptr) {
+    if (agent == nullptr || known == nullptr) {
         return false;
     }
     wire::Envelope envelope;
     wire::EntryUsage &usage = *envelope.mutable_usage();
     usage.set_instance(target);
-    usage.set_successor(agent->second.successor);
-    const TargetPool *pool = m_book.pool(agent->second.pool);
+    usage.set_successor(agent->successor);
+    const TargetPool *pool = m_book.pool(agent->pool);
     usage.set_pool_targets(pool == nullptr ? 0 : static_cast<std::uint32_t>(pool->open.size()));
     for (const auto &[item, calls] : known->own.items) {
         wire::EntryUsage::InFlight &inFlight = *usage.add_in_flight();
@@ -71,7 +44,7 @@
         want.set_age_ms(
             static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(m_core.loop.now() - wanted.since))));
     }
-    m_peers.send(agent->second.endpoint, envelope);
+    m_peers.send(agent->endpoint, envelope);
     return usage.wants_size() > 0;
 }
 
@@ -94,7 +67,7 @@
     for (const std::string &entry : state.entries()) {
         learnEntry(entry);
     }
-    if (m_agents.contains(state.instance())) {
+    if (m_agents.agent(state.instance()) != nullptr) {
         m_gateway.targetsChanged(m_book.setView(state.instance(), viewOf(state), now));
     }
 }
--- a/src/node/peerroster.cpp
+++ b/src/node/peerroster.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/node/peerroster.h>
 
+#include <algorithm>
+
 namespace celeryroute {
 
 namespace {
@@ -36,4 +38,17 @@
     return found != m_peers.end() && now - found->second.heard <= age;
 }
 
+std::vector<std::string> PeerRoster::inTurn(std::size_t limit)
+{
+    std::vector<std::string> named;
+    auto next = m_peers.size() > limit ? m_peers.upper_bound(m_lastNamed) : m_peers.begin();
+    while (named.size() < std::min(limit, m_peers.size())) {
+        next = next == m_peers.end() ? m_peers.begin() : next;
+        named.push_back(next->first);
+        ++next;
+    }
+    m_lastNamed = named.empty() ? std::string() : named.back();
+    return named;
+}
+
 } // namespace celeryroute
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -40,7 +40,7 @@
     if (pool == nullptr || pool->open.empty()) {
         return {Refuse{UnknownRetry, RefuseReason::NoTargets}, std::nullopt};
     }
-    const EngineModel *model = pool->engine ? pool->engine->model(call.model) : nullptr;
+    const EngineModel *model = pool->model(call.model);
     if (model == nullptr) {
         return {Refuse{UnknownRetry, RefuseReason::UnknownModel}, std::nullopt};
     }
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -59,9 +59,9 @@
     return static_cast<std::uint64_t>(pool.uncached.value(0, now));
 }
 
-double sizeOf(const EngineSpec &spec, const std::string &model)
+double sizeOf(const TargetPool &pool, const std::string &model)
 {
-    const EngineModel *known = spec.model(model);
+    const EngineModel *known = pool.model(model);
     return known != nullptr ? known->memoryMb : 0;
 }
 
@@ -130,6 +130,7 @@
         && target->model(model, now) == nullptr && !target->declines(model, now)
         && target->health.standing(now) != TargetHealth::Standing::Shunned;
     if (!stands) {
+        forgetAsked(asked->second.target, asked->first);
         m_asked.erase(asked);
         return std::nullopt;
     }
@@ -146,7 +147,11 @@
     const auto known = m_asked.find(key);
     if (!plan.underWay) {
         const Duration load = fromSeconds(plan.ready);
+        if (known != m_asked.end()) {
+            forgetAsked(known->second.target, key);
+        }
         m_asked[key] = {plan.target, now, now + load, now + load * 2 + LeastPatience, now};
+        m_askedOf[plan.target].push_back(key);
         return true;
     }
     if (known == m_asked.end() || known->second.target != plan.target || now < known->second.told + TellInterval) {
@@ -156,6 +161,15 @@
     return true;
 }
 
+void LoadPlanner::forgetAsked(const std::string &target, const std::string &key)
+{
+    const auto keys = m_askedOf.find(target);
+    std::erase(keys->second, key);
+    if (keys->second.empty()) {
+        m_askedOf.erase(keys);
+    }
+}
+
 std::optional<LoadPlanner::Offer> LoadPlanner::best(const TargetPool &pool,
                                                     const EngineModel &model,
                                                     const TargetRing &ring,
@@ -223,10 +237,14 @@
             }
         }
     }
-    for (const auto &[item, asked] : m_asked) {
-        const std::string model = item.substr(pool.name.size() + 1);
-        if (asked.target == target.record.id && now < asked.until && target.model(model, now) == nullptr
-            && !target.loadingFor(model, now)) {
+    const auto keys = m_askedOf.find(target.record.id);
+    if (keys == m_askedOf.end()) {
+        return busy;
+    }
+    for (const std::string &key : keys->second) {
+        const std::string model = key.substr(pool.name.size() + 1);
+        const Asked &asked = m_asked.at(key);
+        if (now < asked.until && target.model(model, now) == nullptr && !target.loadingFor(model, now)) {
             busy += std::max(0.0, toSeconds(asked.ready - asked.at));
         }
     }
@@ -245,7 +263,7 @@
     double used = 0;
     std::vector<std::pair<double, double>> losses; // Cost and size.
     for (const ResidentModel &resident : target.models(now)) {
-        const EngineModel *known = spec.model(resident.name);
+        const EngineModel *known = pool.model(resident.name);
         const double size = known == nullptr
             ? 0
             : known->memoryMb + known->adapterMb * static_cast<double>(resident.adapters.size());
@@ -254,7 +272,7 @@
     }
     if (target.viewFresh(now)) {
         for (const LoadingItem &loading : target.view->loading) {
-            used += sizeOf(spec, loading.item);
+            used += sizeOf(pool, loading.item);
         }
     }
     double missing = used + model.memoryMb - spec.memoryMb;
@@ -274,7 +292,7 @@
 double
 LoadPlanner::lossCost(const TargetPool &pool, const std::string &model, const KnownTarget &target, TimePoint now) const
 {
-    const EngineModel *known = pool.engine->model(model);
+    const EngineModel *known = pool.model(model);
     if (known == nullptr) {
         return 0;
     }
--- a/src/placement/targetbook.cpp
+++ b/src/placement/targetbook.cpp
@@ -156,10 +156,10 @@
 {
     for (const auto &[name, pool] : m_pools) {
         const ServingPool *declared = state.pool(name);
-        pool->engine = declared != nullptr ? declared->engine : std::nullopt;
+        pool->declare(declared != nullptr ? declared->engine : std::nullopt);
     }
     for (const ServingPool &declared : state.pools) {
-        poolOf(declared.name).engine = declared.engine;
+        poolOf(declared.name).declare(declared.engine);
     }
 }
 
--- a/src/placement/targetpool.cpp
+++ b/src/placement/targetpool.cpp
@@ -31,6 +31,21 @@
     , prefixes(PrefixCapacity)
 {}
 
+void TargetPool::declare(const std::optional<EngineSpec> &spec)
+{
+    engine = spec;
+    m_models.clear();
+    for (std::size_t i = 0; engine && i < engine->models.size(); ++i) {
+        m_models.emplace(engine->models[i].name, i);
+    }
+}
+
+const EngineModel *TargetPool::model(const std::string &model) const
+{
+    const auto known = m_models.find(model);
+    return known == m_models.end() ? nullptr : &engine->models[known->second];
+}
+
 double TargetPool::slotsOf(const KnownTarget &target) const
 {
     return std::max(1U, target.slots > 0 || !engine ? target.slots : engine->slots);
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/keeper/storeloadshare.h>
 #include <celeryroute/detail/placement/callqueue.h>
 #include <celeryroute/detail/placement/enginechooser.h>
 #include <celeryroute/detail/placement/itemkey.h>
@@ -47,7 +49,12 @@
     double largestMb = 72700;
     std::uint32_t slots = 64;
     std::uint64_t cacheTokens = 265000;
+    int zones = 3;
+    std::uint32_t adapterSlots = 8;
+    int oversize = 0; ///< Models, the last ones, that are larger than a target.
+    bool storeTurns = false; ///< Agents keep to their parts of the weight store's rate.
     int copies = 4; ///< Targets that have a model on disk at the start.
+    int busyReplicas = 2; ///< Targets that hold one of the first five models at the start.
     double storeLoadsPerSecond = 1.6;
     double tokensPerSecond = 38400;
     double step = 0.0053;
@@ -79,6 +86,9 @@
     int loads = 0;
     int spareLoads = 0; ///< Of models that others held.
     int storeLoads = 0;
+    int mostMb = 0; ///< That a target held at once.
+    int idleRefusals = 0; ///< Calls lost for good while a holder of the model had nothing to do.
+    std::map<std::string, double> refusedAfter; ///< Longest time that a call waited for its refusal, by model.
     int full = 0; ///< Sends that a target had no room for.
     int onBadTarget = 0; ///< Sends to the target that fails, is slow or has crashed.
     int sends = 0;
@@ -173,6 +183,8 @@
         std::set<std::string> inMemory;
         std::set<std::string> onDisk;
         std::list<Wanted> wants;
+        StoreLoadShare share{0};
+        TimePoint lookAt; ///< A look at what waits for a turn is due.
         std::string loading;
         TimePoint loaded;
         std::set<std::string> declined;
@@ -229,16 +241,19 @@
         spec.slots = m_fleet.slots;
         spec.cacheTokens = m_fleet.cacheTokens;
         spec.memoryMb = m_fleet.memoryMb;
-        spec.adapterSlots = 8;
+        spec.adapterSlots = m_fleet.adapterSlots;
         spec.loadsPerSecond = m_fleet.storeLoadsPerSecond;
         for (int i = 0; i < m_fleet.models; ++i) {
             EngineModel model;
             model.name = "model-" + std::to_string(i);
             model.memoryMb = m_fleet.smallestMb + (m_fleet.largestMb - m_fleet.smallestMb) * draw();
+            if (i >= m_fleet.models - m_fleet.oversize) {
+                model.memoryMb = m_fleet.memoryMb * 1.1;
+            }
             model.storeLoad = std::chrono::seconds(6);
             model.diskLoad = std::chrono::milliseconds(600 + m_random() % 200);
             model.memoryLoad = std::chrono::milliseconds(400 + m_random() % 200);
-            model.adapters = 4;
+            model.adapters = m_fleet.adapterSlots > 0 ? 4 : 0;
             model.adapterMb = 50;
             spec.models.push_back(model);
         }
@@ -253,9 +268,12 @@
     {
         Engine engine;
         engine.id = "target-" + std::to_string(number);
-        engine.domain = "domain-" + std::to_string(number % 3);
+        engine.domain = "domain-" + std::to_string(number % m_fleet.zones);
         engine.slowness = number == 0 ? m_fleet.slowTarget : 1;
         engine.failing = number == 1 && m_fleet.failingTarget > 0;
+        engine.share = StoreLoadShare(stableHash(engine.id));
+        engine.share.useLimits(m_fleet.storeLoadsPerSecond, {});
+        engine.share.useTargets(static_cast<std::uint32_t>(m_fleet.targets));
         m_engines.push_back(std::move(engine));
     }
 
@@ -271,7 +289,7 @@
             for (int j = 0; j < m_fleet.copies && j < m_fleet.targets; ++j) {
                 Engine &engine = m_engines[order[static_cast<std::size_t>(j)]];
                 engine.onDisk.insert(name);
-                const int replicas = i < 5 ? 2 : 1;
+                const int replicas = i < 5 ? m_fleet.busyReplicas : 1;
                 if (j < replicas && used(engine) + size(name) <= spec().memoryMb) {
                     engine.models[name].used = m_now;
                     engine.inMemory.insert(name);
@@ -284,7 +302,7 @@
     {
         Entry entry;
         entry.book = std::make_unique<TargetBook>("entry-" + std::to_string(number),
-                                                  "domain-" + std::to_string(number % 3));
+                                                  "domain-" + std::to_string(number % m_fleet.zones));
         entry.book->setState(m_state);
         entry.book->setEntries(static_cast<std::uint32_t>(m_fleet.entries));
         entry.chooser = std::make_unique<EngineChooser>(*entry.book, m_fleet.seed + static_cast<std::uint64_t>(number));
@@ -407,7 +425,7 @@
     {
         for (const WaitingCall &expired : entry.queue.takeExpired(m_now)) {
             const auto call = m_waiting.find(expired.call);
-            ++m_outcome.classes[call->second->kind->name].refused;
+            lost(*call->second);
             m_waiting.erase(call);
         }
     }
@@ -425,11 +443,21 @@
         }
     }
 
+    void lost(const Call &call)
+    {
+        ++m_outcome.classes[call.kind->name].refused;
+        double &longest = m_outcome.refusedAfter[call.ask.model];
+        longest = std::max(longest, toSeconds(m_now - call.came));
+        m_outcome.idleRefusals += std::any_of(m_engines.begin(), m_engines.end(), [&call](const Engine &engine) {
+            return engine.models.contains(call.ask.model) && engine.active + engine.queued == 0;
+        });
+    }
+
     void refuse(const std::shared_ptr<Call> &call, Duration retryAfter)
     {
         const Duration pause = std::max(retryAfter, Duration(std::chrono::milliseconds(20)));
         if (call->cameBack || pause > (call->deadline - m_now) / 3) {
-            ++m_outcome.classes[call->kind->name].refused;
+            lost(*call);
             return;
         }
         call->cameBack = true;
@@ -707,8 +735,28 @@
         }
     }
 
+    /// Agents look again with each report that they read.
+    bool awaitsTurn(Engine &engine, const std::string &model)
+    {
+        const bool copied = engine.inMemory.contains(model) || engine.onDisk.contains(model);
+        if (!m_fleet.storeTurns || copied || engine.share.permits(m_now, 0)) {
+            return false;
+        }
+        if (engine.declined.insert(model).second) {
+            publishSoon(engine);
+        }
+        if (engine.lookAt <= m_now) {
+            engine.lookAt = m_now + std::chrono::milliseconds(150);
+            later(std::chrono::milliseconds(150), [this, &engine] { work(engine); });
+        }
+        return true;
+    }
+
     bool load(Engine &engine, const std::string &model)
     {
+        if (awaitsTurn(engine, model)) {
+            return false;
+        }
         while (used(engine) + size(model) > spec().memoryMb) {
             auto victim = engine.models.end();
             for (auto held = engine.models.begin(); held != engine.models.end(); ++held) {
@@ -733,6 +781,7 @@
             takes = known.diskLoad;
         } else {
             ++m_outcome.storeLoads;
+            engine.share.noteBegan(m_now);
         }
         ++m_outcome.loads;
         m_outcome.spareLoads += std::any_of(m_engines.begin(), m_engines.end(), [&model](const Engine &other) {
@@ -740,6 +789,7 @@
         });
         engine.declined.erase(model);
         engine.loading = model;
+        m_outcome.mostMb = std::max(m_outcome.mostMb, static_cast<int>(used(engine)));
         engine.loaded = m_now + takes;
         publishSoon(engine);
         later(takes, [this, &engine, model] {
