--- a/benchmarks/bench-placement.cpp
+++ b/benchmarks/bench-placement.cpp
@@ -32,6 +32,7 @@
     state.counters["store_loads"] = outcome.storeLoads;
     state.counters["read_share"] = outcome.readTokens / outcome.promptTokens;
     state.counters["full"] = outcome.full;
+    state.counters["asked_per_s"] = outcome.asked / fleet.seconds;
 }
 
 void mixOnFewLargeTargets(benchmark::State &state)
--- a/include/celeryroute/detail/keeper/keeperview.h
+++ b/include/celeryroute/detail/keeper/keeperview.h
@@ -20,6 +20,7 @@
     std::vector<LoadingItem> loading; ///< Being loaded, or next.
     LocalCopies copies;
     std::vector<std::string> declined; ///< Wanted items that cannot be loaded now.
+    Duration storeWait{}; ///< Until a load from the weight store may begin.
     std::uint32_t queued = 0;
     std::uint32_t active = 0;
     std::uint64_t cacheUsed = 0;
--- a/include/celeryroute/detail/keeper/storeloadshare.h
+++ b/include/celeryroute/detail/keeper/storeloadshare.h
@@ -30,10 +30,14 @@
     /// @brief Whether a load may begin, with @p pending others that may still begin.
     bool permits(TimePoint now, std::uint32_t pending) const;
 
+    /// @brief Time until the next turn, where turns are taken; else zero.
+    Duration untilTurn(TimePoint now) const;
+
 private:
     std::uint32_t perWindow() const;
     Duration cycle() const;
     bool permitsByCount(TimePoint now, std::uint32_t pending) const;
+    Duration intoCycle(TimePoint time) const;
     bool permitsByTurn(TimePoint now, std::uint32_t pending) const;
 
     double m_limit = 0; ///< Loads of all targets in one window.
--- a/include/celeryroute/detail/placement/knowntarget.h
+++ b/include/celeryroute/detail/placement/knowntarget.h
@@ -67,6 +67,8 @@
     const LocalCopies &copies(TimePoint now) const;
     /// @brief Time until @p item is loaded, as its agent said; nothing if it is not being loaded.
     std::optional<Duration> loadingFor(const std::string &item, TimePoint now) const;
+    /// @brief Time until a load from the weight store may begin there, as far as its agent has said.
+    Duration storeWait(TimePoint now) const;
     bool declines(const std::string &item, TimePoint now) const;
     /// @brief Share of the foreign load that is still credible.
     double credit(TimePoint now) const;
--- a/include/celeryroute/detail/placement/targetring.h
+++ b/include/celeryroute/detail/placement/targetring.h
@@ -29,6 +29,7 @@
     void sample(std::uint64_t key, std::uint64_t spread, std::size_t limit, std::vector<KnownTarget *> &out) const;
 
 private:
+    KnownTarget *near(std::uint64_t at) const;
     void walk(std::uint64_t key, std::size_t count, std::vector<KnownTarget *> &out) const;
 
     struct Place {
--- a/include/celeryroute/detail/placement/targetview.h
+++ b/include/celeryroute/detail/placement/targetview.h
@@ -17,6 +17,7 @@
     std::vector<ResidentModel> models;
     std::vector<LoadingItem> loading;
     LocalCopies copies;
+    Duration storeWait{}; ///< Until its agent may begin a load from the weight store.
     std::uint32_t queued = 0;
     std::uint32_t active = 0;
     std::uint64_t cacheUsed = 0; ///< Tokens that cannot yield.
--- a/include/celeryroute/detail/placement/verdicts.h
+++ b/include/celeryroute/detail/placement/verdicts.h
@@ -31,6 +31,7 @@
 enum class RefuseReason {
     NoTargets, ///< The pool has none that could take the call.
     UnknownModel,
+    TooLarge, ///< No target of the pool can ever hold the model, or the adapter beside it.
     TooLate, ///< Cannot be done in the time that remains.
     WeightsGone, ///< No target holds the version of the weights that the call needs.
 };
--- a/include/celeryroute/detail/telemetry/reasonnames.h
+++ b/include/celeryroute/detail/telemetry/reasonnames.h
@@ -22,6 +22,7 @@
 inline constexpr std::string_view QueueFull = "queue_full";
 inline constexpr std::string_view NoTarget = "no_target";
 inline constexpr std::string_view NotLoaded = "not_loaded";
+inline constexpr std::string_view ModelTooLarge = "model_too_large";
 inline constexpr std::string_view TooLate = "too_late";
 inline constexpr std::string_view Timeout = "timeout";
 inline constexpr std::string_view Suspect = "suspect";
@@ -60,6 +61,7 @@
     ReasonDescription{reasons::QueueFull, "as many requests waited as may", "request.queued; celeryroute_requests_queued"},
     ReasonDescription{reasons::NoTarget, "no target of the pool may be used", "target.shunned, target.draining, target.removed"},
     ReasonDescription{reasons::NotLoaded, "no target holds the item, and a load would have come too late", "agent.order, agent.declined"},
+    ReasonDescription{reasons::ModelTooLarge, "no target of the pool can hold the model, or the adapter beside it", "state.applied; sizes of the pool's models"},
     ReasonDescription{reasons::TooLate, "the answer could not have come within the caller's time", "held_ms, remaining_ms"},
     ReasonDescription{reasons::Timeout, "the caller's time or the route's was over", "sent_ms, total_ms"},
     ReasonDescription{reasons::Suspect, "targets died while they ran this request", "request.suspected"},
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -17,6 +17,22 @@
 constexpr std::uint32_t MaxSends = 4; ///< Of one call, also those that provably did not run.
 constexpr Duration RoomRetryAfter = std::chrono::milliseconds(200);
 
+std::string_view reasonOf(RefuseReason reason)
+{
+    switch (reason) {
+    case RefuseReason::UnknownModel:
+        return reasons::NotLoaded;
+    case RefuseReason::TooLarge:
+        return reasons::ModelTooLarge;
+    case RefuseReason::NoTargets:
+        return reasons::NoTarget;
+    case RefuseReason::TooLate:
+    case RefuseReason::WeightsGone:
+        break;
+    }
+    return reasons::TooLate;
+}
+
 } // namespace
 
 void Call::attempt()
@@ -108,11 +124,7 @@
         failFinally(reasons::NoSuccessor);
         return;
     }
-    refuse(HttpStatus::ServiceUnavailable,
-           verdict.reason == RefuseReason::UnknownModel    ? reasons::NotLoaded
-               : verdict.reason == RefuseReason::NoTargets ? reasons::NoTarget
-                                                           : reasons::TooLate,
-           verdict.retryAfter);
+    refuse(HttpStatus::ServiceUnavailable, reasonOf(verdict.reason), verdict.retryAfter);
 }
 
 void Call::wait(const std::string &item, const std::string &target, Duration expected)
--- a/src/keeper/enginecatalog.cpp
+++ b/src/keeper/enginecatalog.cpp
@@ -14,7 +14,8 @@
     }
     for (const EngineModel &model : spec.models) {
         m_models[model.name] = {model, true};
-        m_largestMb = std::max(m_largestMb, model.memoryMb);
+        // Larger ones are never ordered, so nothing need be kept free for them.
+        m_largestMb = model.memoryMb <= m_memoryMb ? std::max(m_largestMb, model.memoryMb) : m_largestMb;
     }
 }
 
--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -303,6 +303,7 @@
     }
     view.copies = m_report.copies;
     view.declined = m_plan.declined;
+    view.storeWait = m_share.untilTurn(now);
     view.queued = m_report.queued;
     view.active = m_report.active;
     view.cacheUsed = m_report.cacheUsed;
--- a/src/keeper/storeloadshare.cpp
+++ b/src/keeper/storeloadshare.cpp
@@ -78,14 +78,36 @@
     return static_cast<std::uint32_t>(recent) + pending < perWindow();
 }
 
-bool StoreLoadShare::permitsByTurn(TimePoint now, std::uint32_t pending) const
+Duration StoreLoadShare::intoCycle(TimePoint time) const
 {
     const Duration length = cycle();
     const auto ticks = static_cast<std::uint64_t>(length.count());
     const Duration phase{static_cast<Duration::rep>(m_seed % ticks)};
-    const Duration intoTurn = (now.time_since_epoch() + phase) % length;
-    const bool taken = !m_began.empty() && now - m_began.back() <= length / 2;
-    return pending == 0 && !taken && intoTurn < fromSeconds(toSeconds(m_window) * TurnShare);
+    return (time.time_since_epoch() + phase) % length;
+}
+
+bool StoreLoadShare::permitsByTurn(TimePoint now, std::uint32_t pending) const
+{
+    const bool taken = !m_began.empty() && now - m_began.back() <= cycle() / 2;
+    return pending == 0 && !taken && intoCycle(now) < fromSeconds(toSeconds(m_window) * TurnShare);
+}
+
+Duration StoreLoadShare::untilTurn(TimePoint now) const
+{
+    if (m_targets == 0 || m_limit <= Slack || perWindow() > 0) {
+        return Duration::zero();
+    }
+    constexpr Duration After = std::chrono::milliseconds(1);
+    TimePoint from = now;
+    if (m_unknownUntil != TimePoint::min()) {
+        from = std::max(from, m_unknownUntil + cycle() + After);
+    }
+    if (!m_began.empty()) {
+        from = std::max(from, m_began.back() + cycle() / 2 + After);
+    }
+    const Duration into = intoCycle(from);
+    const bool open = into < fromSeconds(toSeconds(m_window) * TurnShare);
+    return from - now + (open ? Duration::zero() : cycle() - into);
 }
 
 } // namespace celeryroute
--- a/src/node/gossipmessages.cpp
+++ b/src/node/gossipmessages.cpp
@@ -4,8 +4,16 @@
 
 #include <serving.pb.h>
 
+#include <algorithm>
+
 namespace celeryroute {
 
+namespace {
+
+constexpr Duration LongestStoreWait = std::chrono::hours(24);
+
+} // namespace
+
 void writeReport(const EntryReport &report, wire::EntryGossip &gossip)
 {
     gossip.set_report(report.sequence);
@@ -59,6 +67,7 @@
     state.mutable_in_memory()->Add(view.copies.inMemory.begin(), view.copies.inMemory.end());
     state.mutable_on_disk()->Add(view.copies.onDisk.begin(), view.copies.onDisk.end());
     state.mutable_declined()->Add(view.declined.begin(), view.declined.end());
+    state.set_store_wait_ms(static_cast<std::uint32_t>(toMilliseconds(std::min(view.storeWait, LongestStoreWait))));
     state.set_queued(view.queued);
     state.set_active(view.active);
     state.set_cache_used(view.cacheUsed);
--- a/src/placement/agentstateview.cpp
+++ b/src/placement/agentstateview.cpp
@@ -19,6 +19,7 @@
     }
     view.copies.inMemory.assign(state.in_memory().begin(), state.in_memory().end());
     view.copies.onDisk.assign(state.on_disk().begin(), state.on_disk().end());
+    view.storeWait = std::chrono::milliseconds(state.store_wait_ms());
     view.queued = state.queued();
     view.active = state.active();
     view.cacheUsed = state.cache_used();
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration UnknownRetry = 1s;
+constexpr Duration NeverRetry = 60s; // Only another desired state can help.
 constexpr double AdapterLoad = 0.01; // Seconds.
 constexpr Duration ProbeTime = 100ms; // Until a probe that is under way is answered.
 constexpr double GainHorizon = 5; // Seconds over which a further replica has to pay.
@@ -26,6 +27,17 @@
         != resident->adapters.end();
 }
 
+/// Whether no target could load what the call needs, however empty it is.
+bool neverFits(const EngineAsk &ask)
+{
+    const EngineSpec &spec = *ask.pool.engine;
+    if (ask.call.adapter.empty()) {
+        return ask.model.memoryMb > spec.memoryMb;
+    }
+    return spec.adapterSlots == 0 || ask.model.adapters == 0
+        || ask.model.memoryMb + ask.model.adapterMb > spec.memoryMb;
+}
+
 } // namespace
 
 EngineChooser::EngineChooser(TargetBook &book, std::uint64_t seed)
@@ -46,6 +58,9 @@
     }
     const EngineAsk ask(call, *pool, *model, now);
     const Holder best = m_finder.best(ask);
+    if (neverFits(ask) && (best.target == nullptr || !holdsAdapter(*best.target, ask))) {
+        return {Refuse{NeverRetry, RefuseReason::TooLarge}, std::nullopt};
+    }
     if (!call.askedBefore) {
         pool->traffic.noteCall(call.model, ask.aim, best.wait + (best.room ? 0 : best.roomIn), now);
     }
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -62,6 +62,11 @@
     return std::nullopt;
 }
 
+Duration KnownTarget::storeWait(TimePoint now) const
+{
+    return viewFresh(now) ? std::max(Duration::zero(), viewHeard + view->storeWait - now) : Duration::zero();
+}
+
 bool KnownTarget::declines(const std::string &item, TimePoint now) const
 {
     return viewFresh(now) && std::find(view->declined.begin(), view->declined.end(), item) != view->declined.end();
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -215,6 +215,9 @@
     offer.target = &target;
     offer.source = sourceAt(target, model.name, now);
     offer.ready = busyFor(pool, target, now) + loadSeconds(model, offer.source);
+    if (offer.source == CopyPlace::Store) {
+        offer.ready += toSeconds(target.storeWait(now));
+    }
     offer.declined = target.declines(model.name, now);
     offer.ready += offer.declined ? DeclinedTime : 0;
     if (!fresh) {
--- a/src/placement/plainchooser.cpp
+++ b/src/placement/plainchooser.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::size_t WholePool = 64; // Up to which all targets may be chosen; a sample leaves some out.
 constexpr std::size_t SubsetSize = 16; // Targets of a large pool that are looked at for one call.
 constexpr std::size_t Coverage = 4; // Entries that use a target of a large pool, in the mean.
 constexpr std::uint64_t SubsetRounds = 3;
@@ -46,7 +47,7 @@
     }
     Candidate lastResort;
     bool full = false;
-    const std::uint64_t rounds = pool->open.size() <= SubsetSize ? 1 : SubsetRounds;
+    const std::uint64_t rounds = pool->open.size() <= WholePool ? 1 : SubsetRounds;
     for (std::uint64_t round = 0; round < rounds; ++round) {
         gather(*pool, ask, round);
         Candidate best;
@@ -85,6 +86,10 @@
 // need to have work. Further rounds look elsewhere.
 void PlainChooser::gather(const TargetPool &pool, const PlainAsk &ask, std::uint64_t round)
 {
+    if (pool.open.size() <= WholePool) {
+        pool.open.sample(0, 0, WholePool, m_sample);
+        return;
+    }
     const std::size_t subsets = 1 + Coverage * pool.open.size() / (SubsetSize * m_book.entries());
     const std::uint64_t key = stableHash(m_book.name() + '\n' + ask.pool) + random() % subsets * SubsetRounds;
     pool.open.sample(mixBits(key + round), mixBits(~key + round), SubsetSize, m_sample);
--- a/src/placement/targetring.cpp
+++ b/src/placement/targetring.cpp
@@ -6,6 +6,12 @@
 
 namespace celeryroute {
 
+namespace {
+
+constexpr std::size_t Neighbours = 8; // Among which a step chooses.
+
+} // namespace
+
 // The finalizer of SplitMix64.
 std::uint64_t mixBits(std::uint64_t value)
 {
@@ -83,17 +89,35 @@
     walk(spread, limit / 2, out);
 }
 
+// Of the targets that follow, the one that ranks highest. Were it always the next one, a fifth of the targets would
+// stand so close behind another that hardly any step leads to them.
+KnownTarget *TargetRing::near(std::uint64_t at) const
+{
+    const auto next = std::lower_bound(m_places.begin(),
+                                       m_places.end(),
+                                       at,
+                                       [](const Place &one, std::uint64_t digest) { return one.digest < digest; });
+    auto index = static_cast<std::size_t>(next - m_places.begin());
+    KnownTarget *best = nullptr;
+    std::uint64_t bestRank = 0;
+    for (std::size_t i = 0; i < Neighbours; ++i, ++index) {
+        const Place &place = m_places[index % m_places.size()];
+        const std::uint64_t rank = mixBits(at ^ place.digest);
+        if (best == nullptr || rank > bestRank) {
+            best = place.target;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
 // Each step looks from another place on, so that neighbours on the ring do not always go together.
 void TargetRing::walk(std::uint64_t key, std::size_t count, std::vector<KnownTarget *> &out) const
 {
     std::uint64_t at = key;
     for (std::size_t i = 0; i < count; ++i) {
         at = mixBits(at);
-        const auto place = std::lower_bound(m_places.begin(),
-                                            m_places.end(),
-                                            at,
-                                            [](const Place &one, std::uint64_t digest) { return one.digest < digest; });
-        KnownTarget *target = place == m_places.end() ? m_places.front().target : place->target;
+        KnownTarget *target = near(at);
         if (std::find(out.begin(), out.end(), target) == out.end()) {
             out.push_back(target);
         }
--- /dev/null
+++ b/tests/src/unit-installations.cpp
@@ -0,0 +1,189 @@
+// Installations unlike those of the milestone, in virtual time: from two targets to forty, with much and with
+// little memory, with and without adapters, zones and a weight store that gives anything.
+#include <celeryroute/detail/placement/plainchooser.h>
+
+#include <iostream>
+#include <placementsimulation.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace celeryroute;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Installations)
+{
+    simulation::EngineFleet fleet;
+
+    void setup() override
+    {
+        fleet.seconds = 60;
+        fleet.storeTurns = true;
+    }
+    /// Asks for @p busyModels models much and for the others rarely, in the usual proportions.
+    void ask(double scale, int busyModels)
+    {
+        const int first = fleet.models > busyModels ? busyModels : 0;
+        fleet.classes[0].firstModel = first;
+        fleet.classes[0].models = fleet.models - first;
+        fleet.classes[1].models = busyModels;
+        fleet.classes[2].models = busyModels;
+        fleet.scale = scale;
+    }
+    simulation::PlacementOutcome play(const std::string &name)
+    {
+        const simulation::PlacementOutcome outcome = simulation::PlacementRun(fleet).run();
+        std::cout << name << ", seed " << fleet.seed;
+        for (const auto &[kind, of] : outcome.classes) {
+            std::cout << ", " << kind << " in time " << outcome.inTime(kind) << " served " << outcome.served(kind);
+        }
+        std::cout << ", loads " << outcome.loads << " from the store " << outcome.storeLoads << ", asked "
+                  << outcome.asked << ", idle refusals " << outcome.idleRefusals << '\n';
+        CHECK(outcome.mostMb <= fleet.memoryMb);
+        return outcome;
+    }
+};
+
+TEST(Installations, sizesDiffer_nothingIsStarvedAndNoPlaceStaysFree)
+{
+    struct Row {
+        std::string name;
+        int targets;
+        int models;
+        double memoryMb;
+        int copies;
+        int zones;
+        std::uint32_t adapterSlots;
+        double scale;
+        int busyModels;
+        double mostLoads; ///< A second.
+    };
+    const Row rows[] = {
+        {"2 targets, 3 models", 2, 3, 200000, 2, 1, 0, 0.22, 1, 0.1},
+        {"2 targets, 3 models, one copy each", 2, 3, 200000, 1, 1, 0, 0.22, 1, 0.1},
+        {"2 targets, 3 models, memory for one", 2, 3, 75000, 2, 1, 0, 0.22, 1, 1},
+        {"2 targets, 60 models", 2, 60, 200000, 2, 1, 8, 0.15, 2, 1},
+        {"9 targets, 31 models, one zone, no adapters", 9, 31, 200000, 4, 1, 0, 1, 5, 2},
+        {"9 targets, 31 models, memory for one", 9, 31, 75000, 9, 3, 8, 0.5, 5, 2},
+        {"40 targets, 60 models", 40, 60, 200000, 4, 3, 8, 4, 5, 1},
+        {"40 targets, 60 models, memory for one", 40, 60, 75000, 4, 1, 0, 2, 5, 4},
+    };
+    for (const Row &row : rows) {
+        fleet.targets = row.targets;
+        fleet.models = row.models;
+        fleet.memoryMb = row.memoryMb;
+        fleet.copies = row.copies;
+        fleet.zones = row.zones;
+        fleet.adapterSlots = row.adapterSlots;
+        fleet.classes[1].adapters = row.adapterSlots > 0 ? 2 : 0;
+        ask(row.scale, row.busyModels);
+        for (fleet.seed = 1; fleet.seed <= 2; ++fleet.seed) {
+            const simulation::PlacementOutcome outcome = play(row.name);
+            for (const auto &[model, calls] : outcome.items) {
+                CHECK(calls.second > 0);
+            }
+            for (const auto &[kind, of] : outcome.classes) {
+                CHECK(outcome.served(kind) > 0.98);
+                CHECK(outcome.inTime(kind) > 0.9);
+            }
+            LONGS_EQUAL(0, outcome.idleRefusals);
+            CHECK(outcome.loads <= row.mostLoads * fleet.seconds);
+        }
+    }
+}
+
+TEST(Installations, thereIsNoPlaceForAdapters_theirCallsAreRefusedAtOnce)
+{
+    fleet.adapterSlots = 0;
+    fleet.classes[1].adapters = 2;
+    ask(1, 5);
+    const simulation::PlacementOutcome outcome = play("no place for adapters");
+    CHECK(outcome.served("busy") > 0.6); // Three quarters are for no adapter.
+    CHECK(outcome.served("rare") > 0.98);
+    for (const auto &[model, seconds] : outcome.refusedAfter) {
+        DOUBLES_EQUAL(0, seconds, 0);
+    }
+}
+
+TEST(Installations, theStoreGivesLittle_agentsAreAskedWhenTheirTurnComes)
+{
+    fleet.targets = 40;
+    fleet.models = 60;
+    fleet.copies = 0;
+    fleet.storeLoadsPerSecond = 0.2;
+    fleet.seconds = 15;
+    ask(4, 5);
+    fleet.tellTurns = false;
+    const simulation::PlacementOutcome blind = play("turns are not told");
+    fleet.tellTurns = true;
+    const simulation::PlacementOutcome told = play("turns are told");
+    CHECK(told.asked * 20 < blind.asked);
+}
+
+TEST(Installations, modelsAreLargerThanATarget_theyAreRefusedAtOnceAndTheOthersServed)
+{
+    fleet.oversize = 2;
+    ask(1, 5);
+    const simulation::PlacementOutcome outcome = play("two models too large");
+    for (const auto &[model, calls] : outcome.items) {
+        const bool large = model == "model-29" || model == "model-30";
+        CHECK_EQUAL(large, calls.second == 0);
+        CHECK(!large || outcome.refusedAfter.at(model) == 0);
+    }
+    CHECK(outcome.served("busy") > 0.98);
+    LONGS_EQUAL(0, outcome.idleRefusals);
+}
+
+TEST(Installations, aLargePlainPool_nearlyAllTargetsGetCalls)
+{
+    constexpr int Targets = 200;
+    constexpr int Entries = 64;
+    std::set<std::string> used;
+    for (int entry = 0; entry < Entries; ++entry) {
+        TargetBook book("entry-" + std::to_string(entry), "here");
+        book.setEntries(Entries);
+        for (int i = 0; i < Targets; ++i) {
+            TargetRecord record;
+            record.id = "target-" + std::to_string(i);
+            record.pool = "plain";
+            record.slots = 6;
+            record.bornMs = 1;
+            book.setRecord(record, {});
+        }
+        PlainChooser chooser(book, static_cast<std::uint64_t>(entry));
+        for (int call = 0; call < 1000; ++call) {
+            used.insert(std::get<SendTo>(chooser.choose({"plain", {}, true}, {})).target);
+        }
+    }
+    CHECK(used.size() > Targets * 0.9);
+}
+
+TEST(Installations, onlyPlainServices_theLastFreePlaceIsFound)
+{
+    struct Row {
+        int targets;
+        int mostTries;
+    };
+    for (const auto &[targets, mostTries] : {Row{1, 0}, Row{2, 0}, Row{16, 0}, Row{17, 0}, Row{40, 0}, Row{64, 0}}) {
+        TargetBook book("entry", "here");
+        const TimePoint now{};
+        for (int i = 0; i < targets; ++i) {
+            TargetRecord record;
+            record.id = std::to_string(i);
+            record.pool = "plain";
+            record.slots = 1;
+            record.bornMs = 1;
+            book.setRecord(record, now);
+            if (i != targets / 2) {
+                for (int call = 0; call < 2; ++call) {
+                    book.noteSent(record.id, now);
+                }
+            }
+        }
+        PlainChooser chooser(book, 1);
+        // A call that finds none waits and is decided on again, every 50 ms.
+        int tries = 0;
+        while (!std::holds_alternative<SendTo>(chooser.choose({"plain", {}, true}, now))) {
+            CHECK_TEXT(++tries <= mostTries, std::to_string(targets).c_str());
+        }
+    }
+}
--- a/tests/src/unit-keeper.cpp
+++ b/tests/src/unit-keeper.cpp
@@ -412,8 +412,53 @@
     }
 }
 
+TEST(ModelKeeper, aModelIsLargerThanTheTarget_nothingIsKeptFreeForIt)
+{
+    spec.models.push_back({"giant", 110, 6s, 900ms, 500ms, 0, 1});
+    report.bornMs = 1'000'000 - 1'000;
+    start(false);
+    holds({});
+    wants({{"a", 1, 0, 0s}, {"giant", 1, 0, 0s}});
+    // An order of an earlier agent may still come; of what fits, 90 of 100 is the most that it can ask for.
+    STRCMP_EQUAL("none", next().c_str());
+    std::erase_if(spec.models, [](const EngineModel &model) { return model.name == "big"; });
+    start(false);
+    holds({});
+    wants({{"a", 1, 0, 0s}, {"giant", 1, 0, 0s}});
+    STRCMP_EQUAL("load a @0", next().c_str());
+    STRCMP_EQUAL("giant ", declined().c_str());
+}
+
 TEST_GROUP(StoreLoadShare){};
 
+TEST(StoreLoadShare, turnsAreTaken_theWaitEndsWhereALoadMayBegin)
+{
+    ServingBounds bounds;
+    for (const std::uint32_t targets : {1U, 2U, 9U, 40U, 200U, 11000U}) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            StoreLoadShare share(seed * 0x9E3779B97F4A7C15U);
+            share.useLimits(1, bounds);
+            share.useTargets(targets);
+            TimePoint now(100s);
+            if (seed % 2 == 0) {
+                share.noteUnknownPast(now);
+            }
+            for (int i = 0; i < 20; ++i) {
+                now += 777ms;
+                const Duration wait = share.untilTurn(now);
+                const bool counts = targets <= 7; // Of 1 * 5 * 1.1 + 2 loads in a window.
+                CHECK(!counts || wait == Duration::zero());
+                CHECK(counts || share.permits(now + wait, 0));
+                CHECK(counts || wait == Duration::zero() || !share.permits(now + wait - 2ms, 0));
+                if (share.permits(now, 0)) {
+                    CHECK(wait == Duration::zero());
+                    share.noteBegan(now);
+                }
+            }
+        }
+    }
+}
+
 TEST(StoreLoadShare, manyTargetsThatAlwaysWant_stayBelowTheLimit)
 {
     struct Row {
