Work out the serving roles at the target size

The page spoke of the standalone roles only. capacity-slopes prints the bytes of the messages between entries and agents and the heap of what an entry knows; capacity.py works out processor, bytes and memory of an entry and of a node's agents from them and from one run of `make bench` (busy machine, without system calls), and `make bench` takes its rates from there.

--- a/benchmarks/capacity-slopes.cpp
+++ b/benchmarks/capacity-slopes.cpp
@@ -1,10 +1,14 @@
+#include <celeryroute/detail/allowance/allowancepool.h>
 #include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/node/gossipmessages.h>
+#include <celeryroute/detail/placement/targetbook.h>
 #include <celeryroute/detail/platform/hostlistformat.h>
 #include <celeryroute/detail/state/snapshot.h>
 
 #include <nlohmann/json.hpp>
 #include <peer.pb.h>
 #include <records.pb.h>
+#include <serving.pb.h>
 
 #include <cstdio>
 #include <malloc.h>
@@ -12,8 +16,9 @@
 using namespace celeryroute;
 
 // Prints the sizes that docs/CAPACITY.md rests on, as JSON. They depend on the message formats and on
-// nothing else, so that a check can compare them exactly. With any argument it prints the heap bytes of
-// the agreed state per adapter instead, which depend on the allocator.
+// nothing else, so that a check can compare them exactly. With `--memory` it prints the heap bytes of
+// the agreed state per adapter instead, with `--serving-memory` those of an entry's parts: they depend on
+// the allocator.
 namespace {
 
 constexpr int FewAdapters = 1'000;
@@ -179,6 +184,114 @@
     return mallinfo2().uordblks - before;
 }
 
+constexpr std::int64_t WallMs = 1'800'000'000'000;
+
+wire::Envelope servingEnvelope()
+{
+    wire::Envelope made;
+    made.set_sender("10.123.123.123");
+    made.set_incarnation(WallMs);
+    made.set_sequence(1'000'000);
+    return made;
+}
+
+std::size_t entryUsageBytes(int items)
+{
+    wire::Envelope message = servingEnvelope();
+    wire::EntryUsage &usage = *message.mutable_usage();
+    usage.set_instance("target-12345-0123456789ab");
+    usage.set_pool_targets(11'000);
+    for (int i = 0; i < items; ++i) {
+        wire::EntryUsage::InFlight &calls = *usage.add_in_flight();
+        calls.set_item("model-123/adapter-12345");
+        calls.set_calls(3);
+    }
+    return message.ByteSizeLong();
+}
+
+std::size_t agentStateBytes(int models, int entries)
+{
+    wire::Envelope message = servingEnvelope();
+    wire::AgentState &state = *message.mutable_agent();
+    state.set_instance("target-12345-0123456789ab");
+    state.set_born_ms(WallMs);
+    state.set_reachable(true);
+    state.set_ordering(true);
+    state.set_active(30);
+    state.set_cache_used(200'000);
+    state.set_cache_total(265'000);
+    for (int i = 0; i < models; ++i) {
+        wire::ResidentModel &model = *state.add_models();
+        model.set_name("model-123");
+        model.set_version(1);
+        model.add_adapters("adapter-12345");
+        model.add_adapters("adapter-12346");
+        state.add_on_disk("model-124");
+    }
+    for (int i = 0; i < entries; ++i) {
+        state.add_entries("10.123.123.123");
+    }
+    return message.ByteSizeLong();
+}
+
+EntryReport gossipReport(int sender, int members, int customers)
+{
+    EntryReport report;
+    report.sender = "10.123.123." + std::to_string(100 + sender);
+    report.incarnation = WallMs;
+    report.sequence = 1'000'000;
+    for (int i = 0; i < members; ++i) {
+        report.members.push_back({"10.123.123." + std::to_string(100 + i), WallMs, 1'000'000, true});
+    }
+    for (int i = 0; i < customers; ++i) {
+        report.spent.push_back({"customer-" + std::to_string(10'000 + i), 1e9});
+    }
+    return report;
+}
+
+std::size_t gossipBytes(int members, int customers)
+{
+    wire::Envelope message = servingEnvelope();
+    writeReport(gossipReport(0, members, customers), *message.mutable_gossip());
+    return message.ByteSizeLong();
+}
+
+std::size_t targetsHeapBytes(int targets)
+{
+    const std::size_t before = mallinfo2().uordblks;
+    TargetBook book("entry", "domain-12");
+    for (int i = 0; i < targets; ++i) {
+        TargetRecord record{"target-12345-" + std::to_string(100'000'000'000 + i),
+                            "engines",
+                            "10.123.123.123:9000",
+                            "domain-12",
+                            64,
+                            false,
+                            {},
+                            WallMs,
+                            1'000,
+                            {{"model-123", 1, {"adapter-12345"}}, {"model-124", 1, {}}},
+                            {{}, {"model-125"}}};
+        book.setRecord(record, TimePoint());
+        TargetView view;
+        view.bornMs = WallMs;
+        view.models = record.models;
+        view.copies = record.copies;
+        book.setView(record.id, view, TimePoint());
+    }
+    return mallinfo2().uordblks - before;
+}
+
+std::size_t allowancesHeapBytes(int peers, int customers)
+{
+    const std::size_t before = mallinfo2().uordblks;
+    AllowancePool pool("10.123.123.99", WallMs, {}, TimePoint());
+    for (int i = 0; i < peers; ++i) {
+        pool.hear(gossipReport(i, 0, customers), TimePoint());
+    }
+    return mallinfo2().uordblks - before;
+}
+
 double slope(std::size_t few, std::size_t many, int fewCount, int manyCount)
 {
     return static_cast<double>(many - few) / (manyCount - fewCount);
@@ -186,8 +299,21 @@
 
 } // namespace
 
-int main(int argc, char **)
+int main(int argc, char **argv)
 {
+    if (argc > 1 && std::string(argv[1]) == "--serving-memory") {
+        const nlohmann::json heap = {
+            {"entry_heap_bytes_per_target",
+             slope(targetsHeapBytes(FewAdapters), targetsHeapBytes(ManyAdapters), FewAdapters, ManyAdapters)},
+            {"entry_heap_bytes_per_customer_and_peer",
+             slope(allowancesHeapBytes(FewItems, FewItems),
+                   allowancesHeapBytes(FewItems, ManyItems),
+                   FewItems * FewItems,
+                   FewItems * ManyItems)},
+        };
+        std::printf("%s\n", heap.dump(4).c_str());
+        return 0;
+    }
     if (argc > 1) {
         const double bytes = slope(heapBytes(FewAdapters), heapBytes(ManyAdapters), FewAdapters, ManyAdapters);
         std::printf("%.0f\n", bytes);
@@ -206,6 +332,14 @@
          slope(shareDivisionBytes(FewItems), shareDivisionBytes(ManyItems), FewItems, ManyItems)},
         {"snapshot_bytes_per_adapter",
          slope(snapshotBytes(FewAdapters), snapshotBytes(ManyAdapters), FewAdapters, ManyAdapters)},
+        {"entry_usage_bytes", entryUsageBytes(0)},
+        {"entry_usage_bytes_per_item", slope(entryUsageBytes(0), entryUsageBytes(FewItems), 0, FewItems)},
+        {"agent_state_bytes", agentStateBytes(0, 0)},
+        {"agent_state_bytes_per_model", slope(agentStateBytes(0, 0), agentStateBytes(FewItems, 0), 0, FewItems)},
+        {"agent_state_bytes_per_entry_named", slope(agentStateBytes(0, 0), agentStateBytes(0, FewItems), 0, FewItems)},
+        {"gossip_bytes", gossipBytes(0, 0)},
+        {"gossip_bytes_per_member", slope(gossipBytes(0, 0), gossipBytes(FewItems, 0), 0, FewItems)},
+        {"gossip_bytes_per_customer", slope(gossipBytes(0, 0), gossipBytes(0, FewItems), 0, FewItems)},
         {"host_list_bytes_per_host", encodeHostEntry(host).size()},
     };
     std::printf("%s\n", slopes.dump(4).c_str());
--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -16,26 +16,23 @@
 BUILD = Path(os.environ.get("BUILD", capacity.ROOT / "build"))
 LEAST_TIME_S = "0.2"
 
-AGENT_HEARTBEAT_S, ENTRY_HEARTBEAT_S, GOSSIP_S = 0.9, 0.9, 0.1
 REGISTRY_CHANGES_PER_REPLACEMENT = 3  # leaving, gone, back
 
 
 def rates():
     """What one process does in a second at the target size, by the name of its benchmark."""
-    calls_of_entry = capacity.REQUESTS_PER_S / capacity.ENTRIES
-    calls_of_target = capacity.REQUESTS_PER_S / capacity.WORKERS
+    serving = capacity.serving_rates()
     targets_replaced = capacity.REPLACEMENTS_PER_DAY * capacity.AGENTS_PER_NODE / capacity.SECONDS_PER_DAY
     return {
-        "engineChoice": (calls_of_entry, "calls of an entry"),
-        "loadChoice": (calls_of_entry, "calls of an entry, were each the first of its model"),
-        "plainChoice": (calls_of_entry, "calls of an entry"),
-        "agentMessage": (capacity.AGENTS_PER_NODE * (capacity.ENTRIES / ENTRY_HEARTBEAT_S + 2 * calls_of_target),
+        "engineChoice": (serving["choices"], "calls of an entry"),
+        "loadChoice": (serving["choices"], "calls of an entry, were each the first of its model"),
+        "plainChoice": (serving["choices"], "calls of an entry"),
+        "agentMessage": (serving["usage_heard"],
                          "heartbeats of all entries, begin and end of each call, at the agents of a node"),
-        "agentStateHeard": (capacity.WORKERS / AGENT_HEARTBEAT_S, "heartbeats of all agents"),
+        "agentStateHeard": (serving["states_heard"], "load figures of all agents"),
         "registryChange": (targets_replaced * REGISTRY_CHANGES_PER_REPLACEMENT / 2, "targets that leave and come back"),
-        "demandDue": (2 * calls_of_entry + capacity.WORKERS / ENTRY_HEARTBEAT_S,
-                      "begin and end of each call, heartbeats to all agents"),
-        "gossipHeard": ((capacity.ENTRIES - 1) / GOSSIP_S, "reports of all other entries while all spend"),
+        "demandDue": (serving["usage_sent"], "begin and end of each call, heartbeats to all agents"),
+        "gossipHeard": (serving["gossip_heard"], "reports of all other entries while all spend"),
     }
 
 
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -36,6 +36,12 @@
 LOG_APPENDS_PER_S = 300
 CLAIMS_PER_BATCH = 100
 ENTRY_HOST_CORES = 16
+# The serving roles.
+HEARTBEAT_S, LOAD_NEWS_S, GOSSIP_S = 0.9, 0.15, 0.1
+DATAGRAM_HEADER_BYTES = 28
+MODELS_PER_TARGET = 2
+ENTRIES_NAMED = 32
+CUSTOMERS = 100
 
 
 def figure(value):
@@ -93,6 +99,51 @@
     ]
 
 
+def serving_rates():
+    """Messages and decisions a second at the target size: of one entry, and of the agents of one node."""
+    calls_of_entry = REQUESTS_PER_S / ENTRIES
+    return {
+        "choices": calls_of_entry,
+        "usage_sent": WORKERS / HEARTBEAT_S + 2 * calls_of_entry,
+        "states_heard": WORKERS / LOAD_NEWS_S,
+        "gossip_heard": (ENTRIES - 1) / GOSSIP_S,
+        "usage_heard": AGENTS_PER_NODE * (ENTRIES / HEARTBEAT_S + 2 * REQUESTS_PER_S / WORKERS),
+        "states_sent": AGENTS_PER_NODE * ENTRIES / LOAD_NEWS_S,
+    }
+
+
+def serving_rows(sizes, measured):
+    rates = serving_rates()
+    usage = sizes["entry_usage_bytes"] + sizes["entry_usage_bytes_per_item"] + DATAGRAM_HEADER_BYTES
+    state = (sizes["agent_state_bytes"] + MODELS_PER_TARGET * sizes["agent_state_bytes_per_model"]
+             + ENTRIES_NAMED * sizes["agent_state_bytes_per_entry_named"] + DATAGRAM_HEADER_BYTES)
+    gossip = (sizes["gossip_bytes"] + (ENTRIES - 1) * sizes["gossip_bytes_per_member"]
+              + CUSTOMERS * sizes["gossip_bytes_per_customer"] + DATAGRAM_HEADER_BYTES)
+    heap = (WORKERS * measured["entry_heap_bytes_per_target"]
+            + CUSTOMERS * ENTRIES * measured["entry_heap_bytes_per_customer_and_peer"]) / 1e6
+
+    def cores(rate, slope):
+        return rates[rate] * measured[slope] / 1e6
+
+    entry = [
+        ("choices of targets, cores", cores("choices", "engine_choice_us"), NODE_CORES),
+        ("usage sent to all agents, cores", cores("usage_sent", "demand_due_us"), NODE_CORES),
+        ("usage sent to all agents, KB/s", rates["usage_sent"] * usage / 1000, NODE_KB_PER_S),
+        ("states of all agents, cores", cores("states_heard", "agent_state_heard_us"), NODE_CORES),
+        ("states of all agents, KB/s", rates["states_heard"] * state / 1000, NODE_KB_PER_S),
+        ("gossip heard, cores", cores("gossip_heard", "gossip_heard_us"), NODE_CORES),
+        ("gossip heard, KB/s", rates["gossip_heard"] * gossip / 1000, NODE_KB_PER_S),
+        ("targets and allowances, memory MB", heap, NODE_MB),
+    ]
+    node = [
+        ("usage heard, cores", cores("usage_heard", "agent_message_us"), NODE_CORES),
+        ("usage heard, KB/s", rates["usage_heard"] * usage / 1000, NODE_KB_PER_S),
+        ("states sent to all entries, KB/s", rates["states_sent"] * state / 1000, NODE_KB_PER_S),
+        ("memory, MB", AGENTS_PER_NODE * measured["serving_agent_mb"], NODE_MB),
+    ]
+    return [(f"Serving entry (one of {ENTRIES})", entry), ("Agents beside the targets of a node (5.8)", node)]
+
+
 def tables(slopes):
     sizes, measured = slopes["sizes"], slopes["measured"]
     lines = ["### Slopes", "", "| slope | value | command |", "|---|---|---|"]
@@ -111,7 +162,8 @@
     lines.append(f"At {LOG_APPENDS_PER_S} appends/s, with {CLAIMS_PER_BATCH} items in a batch and two items a call, the "
                  f"rest carries {figure(claims)} calls/s that may not be repeated: "
                  f"{figure(100 * claims / REQUESTS_PER_S)}% of {REQUESTS_PER_S:,} requests/s.")
-    for title, rows in (("Node (5.8 agents)", node_rows(sizes, measured)), ("Entry (one of 64)", entry_rows(sizes, measured))):
+    parts = [("Node (5.8 agents)", node_rows(sizes, measured)), ("Entry (one of 64)", entry_rows(sizes, measured))]
+    for title, rows in parts + serving_rows(sizes, measured):
         lines += ["", f"### {title}", "", "| quantity | at the target | limit | today's design |", "|---|---|---|---|"]
         for name, value, limit in rows:
             shown = "none stated" if limit is None else figure(limit)
