--- a/include/celeryroute/detail/placement/knowntarget.h
+++ b/include/celeryroute/detail/placement/knowntarget.h
@@ -69,6 +69,8 @@
     std::optional<Duration> loadingFor(const std::string &item, TimePoint now) const;
     /// @brief Time until it has carried out the loads of models that its agent has told of.
     Duration busyFor(TimePoint now) const;
+    /// @brief Time until a load from the weight store may begin there, as far as its agent has said.
+    Duration storeWait(TimePoint now) const;
     bool declines(const std::string &item, TimePoint now) const;
     /// @brief Share of the foreign load that is still credible.
     double credit(TimePoint now) const;
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -76,6 +76,11 @@
     return busy;
 }
 
+Duration KnownTarget::storeWait(TimePoint now) const
+{
+    return viewFresh(now) ? std::max(Duration::zero(), viewHeard + view->storeWait - now) : Duration::zero();
+}
+
 bool KnownTarget::declines(const std::string &item, TimePoint now) const
 {
     return viewFresh(now) && std::find(view->declined.begin(), view->declined.end(), item) != view->declined.end();
