Show lines about all allowances in the story of a request

A line about the part of all allowances names no customer, so that celeryctl explain never chose it: the story of a refusal for the allowance lacked the line that explains it. Such a line now belongs to every request with a customer; from other entries only to one that was refused for the allowance.

--- a/src/cli/explainselection.cpp
+++ b/src/cli/explainselection.cpp
@@ -121,7 +121,14 @@
     {
         return m_mentioned.targets.contains(line.text("target"))
             || (line.event.starts_with("agent.") && m_mentioned.items.contains(line.text("item")))
-            || (line.event.starts_with("allowance.") && m_mentioned.customers.contains(line.text("customer")));
+            || (line.event.starts_with("allowance.") && isAboutAllowance(line));
+    }
+
+    // A line without a customer is about the allowances of all.
+    bool isAboutAllowance(const ExplainLine &line) const
+    {
+        const std::string customer = line.text("customer");
+        return customer.empty() ? !m_mentioned.customers.empty() : m_mentioned.customers.contains(customer);
     }
 
     // What a line is about: the newest line of each subject before the request is part of its story.
@@ -199,7 +206,8 @@
         std::map<std::string, std::size_t> newest;
         for (std::size_t i = 0; i < lines(process).size(); ++i) {
             const ExplainLine &line = lines(process)[i];
-            if (!line.request.empty() || !isAboutMentioned(line)) {
+            const bool ofAllAllowances = line.event.starts_with("allowance.") && line.text("customer").empty();
+            if (!line.request.empty() || !isAboutMentioned(line) || (ofAllAllowances && !m_allowanceSpent)) {
                 continue;
             }
             const auto message = line.number("msg");
--- a/tests/src/unit-explain.cpp
+++ b/tests/src/unit-explain.cpp
@@ -200,6 +200,71 @@
     STRCMP_EQUAL("front-a request.refused\n", joined(explain("r2", logs)).c_str());
 }
 
+TEST(Explain, lineAboutAllAllowances_belongsToEveryCustomerAndFromOtherEntriesOnlyToOneThatSpentIt)
+{
+    ProcessLog entry("front-a", "entry", 17, 1200);
+    ProcessLog other("front-b", "entry", 18, -900);
+    other.add(59'000, "allowance.changed", "", {{"share", 0.5}, {"msg", 6}});
+    entry.add(59'900, "allowance.changed", "", {{"share", 1}, {"heard_inc", 18}, {"heard_msg", 7}});
+    entry.add(60'000, "request.refused", "r", {{"reason", "allowance"}, {"customer", "yard"}});
+    entry.add(60'001, "request.refused", "r2", {{"reason", "no_target"}, {"customer", "yard"}});
+    entry.add(60'002, "request.refused", "r3", {{"reason", "malformed"}});
+    const std::vector<std::string> logs{entry.text(), other.text()};
+    STRCMP_EQUAL("front-b allowance.changed\nfront-a allowance.changed\nfront-a request.refused\n",
+                 joined(explain("r", logs)).c_str());
+    STRCMP_EQUAL("front-a allowance.changed\nfront-a request.refused\n", joined(explain("r2", logs)).c_str());
+    STRCMP_EQUAL("front-a request.refused\n", joined(explain("r3", logs)).c_str());
+}
+
+// What one topic of the store does must not hide another, and only what came before the refusal counts.
+TEST(Explain, refusalForStaleKeys_leadsBackToTheTopicThatWasLost)
+{
+    ProcessLog entry("front-a", "entry", 17, -700);
+    ProcessLog agent("side-3", "agent", 40, 1800);
+    entry.add(0, "state.applied", "", {{"state_version", 7}});
+    entry.add(10, "keys.fresh", "", {{"age_ms", 3}, {"state_version", 7}});
+    entry.add(500, "store.lost", "", {{"topic", "desired"}, {"status", 503}, {"silent_ms", 2000}});
+    entry.add(520, "store.lost", "", {{"topic", "targets"}, {"status", 0}, {"silent_ms", 900}});
+    entry.add(900, "store.regained", "", {{"topic", "targets"}, {"lost_ms", 1280}});
+    agent.add(600, "store.lost", "", {{"topic", "desired"}, {"status", 503}});
+    agent.add(700, "target.lost", "", {{"target", "i-3"}, {"msg", 4}});
+    entry.add(4500, "keys.stale", "", {{"age_ms", 4500}, {"bound_ms", 4500}, {"state_version", 7}});
+    entry.add(4600, "request.refused", "r", {{"reason", "keys_stale"}, {"keys_age_ms", 4600}});
+    entry.add(4700, "store.regained", "", {{"topic", "desired"}, {"lost_ms", 6200}});
+    entry.add(4710, "keys.fresh", "", {{"age_ms", 2}});
+    STRCMP_EQUAL("front-a state.applied\nfront-a store.lost\nfront-a store.regained\nfront-a keys.stale\n"
+                 "front-a request.refused\n",
+                 joined(explain("r", {agent.text(), entry.text()})).c_str());
+    const std::string text = storyText(processes, story, "r");
+    CHECK(text.find("topic=desired status=503 silent_ms=2000") != std::string::npos);
+    CHECK(text.find("see store.lost, keys.stale; keys_age_ms") != std::string::npos);
+}
+
+// A queued request whose agent could not load is told by both, whatever their clocks say.
+TEST(Explain, declinedItem_standsBetweenTheWaitAndTheRefusal)
+{
+    for (const std::int64_t skew : {-1900, 0, 1900}) {
+        ProcessLog entry("front-a", "entry", 17);
+        ProcessLog agent("side-3", "agent", 40, skew);
+        ProcessLog other("front-b", "entry", 18, -skew);
+        entry.add(0, "peer.lost", "", {{"peer", "10.0.0.9"}});
+        entry.add(100, "request.queued", "r", {{"item", "huge"}, {"target", "i-3"}, {"msg", 8}});
+        Json declined = {{"target", "i-3"}, {"item", "huge"}, {"reason", "no_room"}, {"msg", 5}};
+        declined.update({{"heard_inc", 17}, {"heard_msg", 9}});
+        agent.add(110, "agent.declined", "", declined);
+        other.add(110, "target.shunned", "", {{"target", "i-8"}, {"reason", "unreachable"}});
+        entry.add(120, "peer.lost", "", {{"peer", "10.0.0.8"}});
+        const Json refused = {{"reason", "too_late"}, {"target", "i-3"}, {"heard_inc", 40}, {"heard_msg", 5}};
+        entry.add(130, "request.refused", "r", refused);
+        const std::string events = joined(explain("r", {other.text(), agent.text(), entry.text()}));
+        CHECK(events.find("front-a request.queued\n") == 0);
+        CHECK(events.find("side-3 agent.declined\n") < events.find("front-a request.refused\n"));
+        CHECK(events.find("front-a peer.lost\n") != std::string::npos);
+        CHECK_EQUAL(4U, story.lines.size());
+        CHECK_FALSE(story.contradictory);
+    }
+}
+
 TEST(Explain, text_marksRequestLinesAndExplainsTheEnd)
 {
     (void)explain("r1", threeProcesses(-1500, 0));
