Give processes that start together different incarnations

An incarnation was the Unix time of the start in milliseconds. Two of three processes that a test started at once had the same one, so that heard_inc named both, and celeryctl explain could not follow a message to its sender. The number now has ten further bits from the host's name; later starts of a host still have higher ones.

--- a/include/celeryroute/detail/node/nodecore.h
+++ b/include/celeryroute/detail/node/nodecore.h
@@ -22,7 +22,7 @@
     EventLoop &loop;
     NodeSettings settings;
     const PlatformTranslation &translation;
-    std::uint64_t incarnation; ///< Of this process.
+    std::uint64_t incarnation; ///< Of this process; later ones of a host are higher.
     std::uint64_t seed; ///< Differs between hosts.
     const TimePoint started;
     DecisionLog log;
--- a/src/node/nodecore.cpp
+++ b/src/node/nodecore.cpp
@@ -5,11 +5,22 @@
 
 namespace celeryroute {
 
+namespace {
+
+// Later starts have higher numbers; hosts that start in the same millisecond have different ones.
+std::uint64_t incarnationNow(const std::string &name)
+{
+    constexpr std::uint64_t NumbersPerMs = 1024;
+    return static_cast<std::uint64_t>(wallClockMs()) * NumbersPerMs + stableHash(name) % NumbersPerMs;
+}
+
+} // namespace
+
 NodeCore::NodeCore(EventLoop &eventLoop, NodeSettings nodeSettings, const PlatformTranslation &platform, int logFile)
     : loop(eventLoop)
     , settings(std::move(nodeSettings))
     , translation(platform)
-    , incarnation(static_cast<std::uint64_t>(wallClockMs()))
+    , incarnation(incarnationNow(settings.name))
     , seed(stableHash(settings.name + std::to_string(incarnation)))
     , started(loop.now())
     , log({settings.name, settings.role == NodeRole::Entry ? "entry" : "agent", incarnation}, logFile)
--- a/tests/src/unit-node.cpp
+++ b/tests/src/unit-node.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/node/demandsender.h>
 #include <celeryroute/detail/node/gossipmessages.h>
+#include <celeryroute/detail/node/nodecore.h>
 #include <celeryroute/detail/node/peerroster.h>
 #include <celeryroute/detail/node/peersocket.h>
 #include <celeryroute/detail/node/readinessserver.h>
@@ -182,6 +183,19 @@
     CHECK(readReport(read) == report);
 }
 
+// The log tells processes apart by this number alone.
+TEST(NodeParts, processesThatStartTogether_haveDifferentIncarnations)
+{
+    const PlatformTranslation translation;
+    std::set<std::uint64_t> incarnations;
+    for (const char *name : {"front-a", "front-b", "side-3"}) {
+        NodeSettings settings;
+        settings.name = name;
+        incarnations.insert(NodeCore(loop, settings, translation, -1).incarnation);
+    }
+    CHECK_EQUAL(3U, incarnations.size());
+}
+
 TEST(NodeParts, signals_arriveOnTheLoop)
 {
     std::vector<int> received;
