--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -1,4 +1,5 @@
 #include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/cli/explainorder.h>
 
 #include "nodeworld.h"
 
@@ -166,6 +167,27 @@
             },
             [](const Error &) { return false; });
     }
+    // `HOST EVENT` of each line of a request's story, in order, when the agent's calendar clock is behind.
+    std::string storyOf(const std::string &request, std::int64_t agentLagMs) const
+    {
+        ExplainLog log;
+        std::istringstream entries(world.entries[0]->log.text() + world.entries[1]->log.text());
+        log.read(entries);
+        std::string text;
+        for (json line : world.agents[0]->log.lines()) {
+            line["t"] = line["t"].get<std::int64_t>() - agentLagMs;
+            text += line.dump() + '\n';
+        }
+        std::istringstream agentLines(text);
+        log.read(agentLines);
+        const std::vector<ExplainProcess> processes = log.takeProcesses();
+        std::string events;
+        for (const StoryLine &line : orderLines(processes, selectLines(processes, request)).lines) {
+            const ExplainProcess &process = processes[line.selected.process];
+            events += process.host + ' ' + process.lines[line.selected.line].event + '\n';
+        }
+        return events;
+    }
     std::map<std::string, std::set<std::string>> fieldsByEvent() const
     {
         std::map<std::string, std::set<std::string>> fields;
@@ -205,6 +227,22 @@
     other.node->beginStop();
     CHECK(world.writes(other.log, "process.stop"));
 
+    for (const std::int64_t lag : {-1500, 0, 1500}) {
+        const std::string loaded = storyOf("loaded", lag);
+        std::size_t before = 0;
+        for (const char *line : {"entry-0 target.added\n",
+                                 "entry-0 request.queued\n",
+                                 "agent agent.order\n",
+                                 "agent agent.outcome\n",
+                                 "entry-0 request.sent\n",
+                                 "entry-0 request.answered\n"}) {
+            const std::size_t at = loaded.find(line);
+            CHECK_TEXT(at != std::string::npos && at >= before, line);
+            before = at;
+        }
+        CHECK(storyOf("stale", lag).find("entry-0 store.lost\n") < storyOf("stale", lag).find("entry-0 keys.stale\n"));
+    }
+
     // Written by the program around the nodes.
     const std::set<std::string> elsewhere = {"process.start", "settings.reloaded", "settings.rejected"};
     const std::map<std::string, std::set<std::string>> written = fieldsByEvent();
