--- a/tests/src/unit-decisioncost.cpp
+++ b/tests/src/unit-decisioncost.cpp
@@ -140,6 +140,7 @@
     for (const auto &[targets, models, adapters] : {std::tuple(100, 31, 42), std::tuple(11000, 140, 12000)}) {
         Fleet fleet(targets, models, adapters);
         std::vector<EngineCall> calls;
+        calls.reserve(Repeats);
         for (int i = 0; i < Repeats; ++i) {
             calls.push_back(fleet.call(i));
         }
--- a/tests/src/unit-installations.cpp
+++ b/tests/src/unit-installations.cpp
@@ -47,25 +47,25 @@
 {
     struct Row {
         std::string name;
+        double memoryMb;
+        double scale;
+        double mostLoads; ///< A second.
         int targets;
         int models;
-        double memoryMb;
         int copies;
         int zones;
         std::uint32_t adapterSlots;
-        double scale;
         int busyModels;
-        double mostLoads; ///< A second.
     };
     const Row rows[] = {
-        {"2 targets, 3 models", 2, 3, 200000, 2, 1, 0, 0.22, 1, 0.1},
-        {"2 targets, 3 models, one copy each", 2, 3, 200000, 1, 1, 0, 0.22, 1, 0.1},
-        {"2 targets, 3 models, memory for one", 2, 3, 75000, 2, 1, 0, 0.22, 1, 1},
-        {"2 targets, 60 models", 2, 60, 200000, 2, 1, 8, 0.15, 2, 1},
-        {"9 targets, 31 models, one zone, no adapters", 9, 31, 200000, 4, 1, 0, 1, 5, 2},
-        {"9 targets, 31 models, memory for one", 9, 31, 75000, 9, 3, 8, 0.5, 5, 2},
-        {"40 targets, 60 models", 40, 60, 200000, 4, 3, 8, 4, 5, 1},
-        {"40 targets, 60 models, memory for one", 40, 60, 75000, 4, 1, 0, 2, 5, 4},
+        {"2 targets, 3 models", 200000, 0.22, 0.1, 2, 3, 2, 1, 0, 1},
+        {"2 targets, 3 models, one copy each", 200000, 0.22, 0.1, 2, 3, 1, 1, 0, 1},
+        {"2 targets, 3 models, memory for one", 75000, 0.22, 1, 2, 3, 2, 1, 0, 1},
+        {"2 targets, 60 models", 200000, 0.15, 1, 2, 60, 2, 1, 8, 2},
+        {"9 targets, 31 models, one zone, no adapters", 200000, 1, 2, 9, 31, 4, 1, 0, 5},
+        {"9 targets, 31 models, memory for one", 75000, 0.5, 2, 9, 31, 9, 3, 8, 5},
+        {"40 targets, 60 models", 200000, 4, 1, 40, 60, 4, 3, 8, 5},
+        {"40 targets, 60 models, memory for one", 75000, 2, 4, 40, 60, 4, 1, 0, 5},
     };
     for (const Row &row : rows) {
         fleet.targets = row.targets;
