Put changed settings in force while the process runs

A reload replaced the stored settings only: the bounds inside feeds, freshness, allowances, retries and the keeper of the agent were those of the start, and without SIGHUP a changed file was not seen at all.

Now the parts take other bounds at any time, the store's address too. The file is looked at every 2 s when the process is awake anyway, and read when two looks in a row found the same. Names that only a new process can take over are in settings.reloaded as next_start; a broken file changes nothing. A tightened key bound counts at once and gives up the read that is held for longer; a loosened one counts for reads that begin after it. Slices of the retry allowance expire by their last send, as the length of a slice changes with the window.

--- a/include/celeryroute/detail/allowance/allowancepool.h
+++ b/include/celeryroute/detail/allowance/allowancepool.h
@@ -49,6 +49,9 @@
     /// @brief Puts the limits of the desired state in force, at once.
     void setCustomers(const std::vector<ServingCustomer> &customers, TimePoint now);
 
+    /// @brief Puts other bounds in force for @p customers, at once.
+    void useBounds(const ServingBounds &bounds, const std::vector<ServingCustomer> &customers, TimePoint now);
+
     /// @brief Counts at least @p members entries, this one included: those that a look-up has found.
     /// A new entry admits nothing that is limited before it is told, or hears of another, or the time
     /// for that has passed.
--- a/include/celeryroute/detail/allowance/retryallowance.h
+++ b/include/celeryroute/detail/allowance/retryallowance.h
@@ -20,6 +20,9 @@
     /// @param members must outlive this
     RetryAllowance(const ServingBounds &bounds, const MemberView &members);
 
+    /// @brief Keeps other bounds from now on; what was sent before counts as far as it is remembered.
+    void useBounds(const ServingBounds &bounds);
+
     /// @brief Notes that a request is sent to a target of @p pool for the first time.
     void noteFirstSend(const std::string &pool, TimePoint now);
 
@@ -30,6 +33,7 @@
     /// Sends within one slice of the window.
     struct Slice {
         TimePoint start;
+        TimePoint last; ///< Its last send.
         std::uint32_t first = 0;
         std::uint32_t further = 0;
     };
@@ -43,7 +47,7 @@
     Slice &present(Sends &sends, TimePoint now) const;
     void expire(Sends &sends, TimePoint now) const;
 
-    const ServingBounds m_bounds;
+    ServingBounds m_bounds;
     const MemberView &m_members;
     std::unordered_map<std::string, Sends> m_pools;
 };
--- a/include/celeryroute/detail/feed/answerpatience.h
+++ b/include/celeryroute/detail/feed/answerpatience.h
@@ -10,6 +10,7 @@
 public:
     AnswerPatience(Duration least, Duration most);
 
+    void useLimits(Duration least, Duration most);
     void answeredAfter(Duration latency);
     void timedOut();
     Duration patience() const;
--- a/include/celeryroute/detail/feed/desiredfeed.h
+++ b/include/celeryroute/detail/feed/desiredfeed.h
@@ -34,6 +34,9 @@
 
     DesiredFeed(FollowingSettings settings, Duration keyRevocation, Reader reader, std::uint64_t seed);
 
+    /// @brief Follows by other settings and keeps another bound from @p now on.
+    void useSettings(const FollowingSettings &settings, Duration keyRevocation, TimePoint now);
+
     /// @brief See TopicFollower.
     FeedStep next(TimePoint now);
     std::vector<DesiredEvent> answered(FeedAnswer answer, TimePoint callBegan, TimePoint now);
--- a/include/celeryroute/detail/feed/retrydelay.h
+++ b/include/celeryroute/detail/feed/retrydelay.h
@@ -13,6 +13,7 @@
 public:
     RetryDelay(Duration least, Duration most, std::uint64_t seed);
 
+    void useLimits(Duration least, Duration most);
     /// @brief Counts a failure and returns how long the next try is put off.
     Duration failed();
     void succeeded();
--- a/include/celeryroute/detail/feed/targetsfeed.h
+++ b/include/celeryroute/detail/feed/targetsfeed.h
@@ -40,6 +40,8 @@
     /// @param heartbeat targets renew their records about so often.
     TargetsFeed(FollowingSettings settings, Duration heartbeat, Reader reader, std::uint64_t seed);
 
+    void useSettings(const FollowingSettings &settings, Duration heartbeat, TimePoint now);
+
     /// @brief See TopicFollower. A wait ends when a target is to be given up, if not before.
     FeedStep next(TimePoint now);
     std::vector<TargetEvent> answered(FeedAnswer answer, TimePoint callBegan, TimePoint now);
--- a/include/celeryroute/detail/feed/topicfollower.h
+++ b/include/celeryroute/detail/feed/topicfollower.h
@@ -24,6 +24,10 @@
 public:
     TopicFollower(FeedTopic topic, FollowingSettings settings, std::uint64_t seed);
 
+    /// @brief Follows by other settings from now on. A call in work is given up, as it was begun by
+    /// those before; the driver drops its answer when next() returns another one.
+    void useSettings(const FollowingSettings &settings, TimePoint now);
+
     /// @brief What to do now; a returned call counts as begun.
     FeedStep next(TimePoint now);
     /// @brief Records that changed, in the order of the topic; an empty value says that the key is gone.
--- a/include/celeryroute/detail/keeper/keepersettings.h
+++ b/include/celeryroute/detail/keeper/keepersettings.h
@@ -8,7 +8,7 @@
 
 namespace celeryroute {
 
-/// What a ModelKeeper is told once.
+/// What a ModelKeeper is told at its start.
 struct KeeperSettings {
     std::string holder; ///< Name in orders; the host's.
     ServingBounds bounds;
--- a/include/celeryroute/detail/keeper/modelkeeper.h
+++ b/include/celeryroute/detail/keeper/modelkeeper.h
@@ -30,6 +30,7 @@
     explicit ModelKeeper(KeeperSettings settings);
 
     void useSpec(const EngineSpec &spec);
+    void useBounds(const ServingBounds &bounds);
 
     /// @brief Orders carry @p fence from now on. None is given before the first fence, nor after the
     /// target has refused one until a higher one comes.
--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -30,6 +30,7 @@
 
 private:
     void takeDesired(const std::vector<DesiredEvent> &events);
+    void useSpec();
     void acquireFence();
     void received(const wire::Envelope &envelope);
 
--- a/include/celeryroute/detail/node/feeddriver.h
+++ b/include/celeryroute/detail/node/feeddriver.h
@@ -5,6 +5,7 @@
 #include <celeryroute/detail/node/platformtranslation.h>
 #include <celeryroute/detail/telemetry/servingmetrics.h>
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -44,6 +45,7 @@
     ServingMetrics &m_metrics;
     Follower m_follower;
     EventLoop::TimerId m_timer = 0;
+    std::uint64_t m_call = 0; ///< Number of the newest call; answers to others count for nothing.
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/node/plaincaller.h
+++ b/include/celeryroute/detail/node/plaincaller.h
@@ -24,6 +24,9 @@
     /// @brief @p answered is called once, later. A call that times out closes its channel.
     void call(const PlainCall &call, Duration timeout, Answered answered);
 
+    /// @brief Sends calls to @p server from now on; those in work are given up, as if they timed out.
+    void useServer(const Endpoint &server);
+
     /// @brief Open channels, idle or not.
     std::size_t connections() const
     {
--- a/include/celeryroute/detail/telemetry/eventnames.h
+++ b/include/celeryroute/detail/telemetry/eventnames.h
@@ -83,7 +83,7 @@
     EventDescription{DecisionEvent::ProcessStop, "process.stop", LineVolume::Dependency, "reason in_work cut uptime_ms", "the process ends"},
     EventDescription{DecisionEvent::ProcessReady, "process.ready", LineVolume::Dependency, "after_ms state_version targets", "the balancer is told to send callers here"},
     EventDescription{DecisionEvent::ProcessUnready, "process.unready", LineVolume::Dependency, "reason", "the balancer is told to send no new callers"},
-    EventDescription{DecisionEvent::SettingsReloaded, "settings.reloaded", LineVolume::Dependency, "changed", "new settings are in force"},
+    EventDescription{DecisionEvent::SettingsReloaded, "settings.reloaded", LineVolume::Dependency, "changed next_start", "settings were read again; those of next_start wait for a new process"},
     EventDescription{DecisionEvent::SettingsRejected, "settings.rejected", LineVolume::Dependency, "reason", "new settings have mistakes; the old ones stay in force"},
     EventDescription{DecisionEvent::MetricsServed, "metrics.served", LineVolume::Dependency, "port reason", "the metrics can be read at this port of the host, or nowhere"},
     EventDescription{DecisionEvent::StoreLost, "store.lost", LineVolume::Dependency, "topic status silent_ms", "a held read of the store has failed"},
--- a/src/allowance/allowancepool.cpp
+++ b/src/allowance/allowancepool.cpp
@@ -34,6 +34,12 @@
     }
 }
 
+void AllowancePool::useBounds(const ServingBounds &bounds, const std::vector<ServingCustomer> &customers, TimePoint now)
+{
+    m_bounds = bounds;
+    setCustomers(customers, now);
+}
+
 void AllowancePool::expectMembers(std::size_t members, TimePoint now)
 {
     m_members.expect(members, now);
--- a/src/allowance/retryallowance.cpp
+++ b/src/allowance/retryallowance.cpp
@@ -17,6 +17,11 @@
     , m_members(members)
 {}
 
+void RetryAllowance::useBounds(const ServingBounds &bounds)
+{
+    m_bounds = bounds;
+}
+
 void RetryAllowance::noteFirstSend(const std::string &pool, TimePoint now)
 {
     Sends &sends = m_pools[pool];
@@ -43,16 +48,16 @@
     expire(sends, now);
     const Duration length = m_bounds.retryWindow / SlicesPerWindow;
     if (sends.slices.empty() || now - sends.slices.back().start >= length) {
-        sends.slices.push_back({now});
+        sends.slices.push_back({now, now});
     }
+    sends.slices.back().last = now;
     return sends.slices.back();
 }
 
-// A slice counts as long as its last send may still be in the window.
+// A slice counts as long as its last send is in the window.
 void RetryAllowance::expire(Sends &sends, TimePoint now) const
 {
-    const Duration kept = m_bounds.retryWindow + m_bounds.retryWindow / SlicesPerWindow;
-    while (!sends.slices.empty() && now - sends.slices.front().start > kept) {
+    while (!sends.slices.empty() && now - sends.slices.front().last > m_bounds.retryWindow) {
         sends.first -= sends.slices.front().first;
         sends.further -= sends.slices.front().further;
         sends.slices.pop_front();
--- a/src/feed/answerpatience.cpp
+++ b/src/feed/answerpatience.cpp
@@ -21,6 +21,12 @@
     , m_most(std::max(least, most))
 {}
 
+void AnswerPatience::useLimits(Duration least, Duration most)
+{
+    m_least = least;
+    m_most = std::max(least, most);
+}
+
 void AnswerPatience::answeredAfter(Duration latency)
 {
     m_slowest = std::max(latency, m_slowest * Kept / KeptOf);
--- a/src/feed/desiredfeed.cpp
+++ b/src/feed/desiredfeed.cpp
@@ -17,6 +17,12 @@
     , m_reader(std::move(reader))
 {}
 
+void DesiredFeed::useSettings(const FollowingSettings &settings, Duration keyRevocation, TimePoint now)
+{
+    m_follower.useSettings(settings, now);
+    m_freshness.useBound(keyRevocation, now);
+}
+
 FeedStep DesiredFeed::next(TimePoint now)
 {
     return m_follower.next(now);
--- a/src/feed/freshness.cpp
+++ b/src/feed/freshness.cpp
@@ -1,6 +1,7 @@
 #include <celeryroute/detail/feed/freshness.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace celeryroute {
 
@@ -10,15 +11,34 @@
 constexpr Duration LeastMargin = std::chrono::milliseconds(300);
 constexpr int MarginsPerBound = 10;
 
+Duration validityFor(Duration keyRevocation)
+{
+    return std::max(Duration::zero(), keyRevocation - std::max(keyRevocation / MarginsPerBound, LeastMargin));
+}
+
 } // namespace
 
 Freshness::Freshness(Duration keyRevocation)
-    : m_validity(std::max(Duration::zero(), keyRevocation - std::max(keyRevocation / MarginsPerBound, LeastMargin)))
+    : m_validity(validityFor(keyRevocation))
+    , m_earlierValidity(m_validity)
 {}
 
+void Freshness::useBound(Duration keyRevocation, TimePoint now)
+{
+    const Duration before = std::exchange(m_validity, validityFor(keyRevocation));
+    if (m_confirmed) {
+        m_until = std::min(m_until, *m_confirmed + m_validity);
+    }
+    // While nothing was read under the bound before, the one before that is still to be kept.
+    const bool kept = m_confirmed && *m_confirmed >= m_validFrom;
+    m_earlierValidity = std::min(m_validity, kept ? before : std::min(before, m_earlierValidity));
+    m_validFrom = now;
+}
+
 void Freshness::confirm(TimePoint readBegan)
 {
     m_confirmed = std::max(m_confirmed.value_or(readBegan), readBegan);
+    m_until = std::max(m_until, readBegan + (readBegan < m_validFrom ? m_earlierValidity : m_validity));
 }
 
 std::optional<TimePoint> Freshness::confirmedAt() const
@@ -36,12 +56,12 @@
     if (!m_confirmed) {
         return std::nullopt;
     }
-    return *m_confirmed + m_validity;
+    return m_until;
 }
 
 bool Freshness::keyedCallsAllowed(TimePoint now) const
 {
-    return m_confirmed && now - *m_confirmed < m_validity;
+    return m_confirmed && now < m_until;
 }
 
 } // namespace celeryroute
--- a/src/feed/retrydelay.cpp
+++ b/src/feed/retrydelay.cpp
@@ -16,6 +16,12 @@
     , m_random(static_cast<std::minstd_rand::result_type>(seed))
 {}
 
+void RetryDelay::useLimits(Duration least, Duration most)
+{
+    m_least = least;
+    m_most = most;
+}
+
 Duration RetryDelay::failed()
 {
     const std::uint32_t doublings = std::min(m_failures, MostDoublings);
--- a/src/feed/targetsfeed.cpp
+++ b/src/feed/targetsfeed.cpp
@@ -20,6 +20,12 @@
     , m_leastOutage(heartbeat * HeartbeatsToExpiry)
 {}
 
+void TargetsFeed::useSettings(const FollowingSettings &settings, Duration heartbeat, TimePoint now)
+{
+    m_follower.useSettings(settings, now);
+    m_leastOutage = heartbeat * HeartbeatsToExpiry;
+}
+
 FeedStep TargetsFeed::next(TimePoint now)
 {
     FeedStep step = m_follower.next(now);
--- a/src/feed/topicfollower.cpp
+++ b/src/feed/topicfollower.cpp
@@ -30,6 +30,18 @@
     , m_after(std::string())
 {}
 
+void TopicFollower::useSettings(const FollowingSettings &settings, TimePoint now)
+{
+    if (settings == m_settings) {
+        return;
+    }
+    m_settings = settings;
+    m_patience.useLimits(settings.leastPatience, settings.mostPatience);
+    m_retry.useLimits(settings.leastRetry, settings.mostRetry);
+    m_notBefore = std::min(m_notBefore, now + std::max(settings.pacing, settings.mostRetry));
+    m_inWork.reset();
+}
+
 FeedStep TopicFollower::next(TimePoint now)
 {
     if (m_inWork) {
--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -57,6 +57,14 @@
     m_share.useLimits(spec.loadsPerSecond, m_settings.bounds);
 }
 
+void ModelKeeper::useBounds(const ServingBounds &bounds)
+{
+    m_settings.bounds = bounds;
+    if (m_spec) {
+        m_share.useLimits(m_spec->loadsPerSecond, bounds);
+    }
+}
+
 void ModelKeeper::useFence(std::uint64_t fence)
 {
     if (!m_fence || fence > *m_fence) {
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -86,10 +86,7 @@
         m_core.log.write(DecisionEvent::StateApplied,
                          m_core.loop.now(),
                          {{fieldnames::StateVersion, changed->state->version}});
-        const ServingPool *pool = changed->state->pool(m_core.settings.pool);
-        if (pool != nullptr && pool->engine) {
-            m_keeper.useSpec(*pool->engine);
-        }
+        useSpec();
     }
     advance();
 }
@@ -290,6 +287,22 @@
 void AgentNode::reload(const NodeSettings &settings)
 {
     m_core.settings = settings;
+    const ServingBounds &bounds = settings.bounds;
+    m_store.useServer(parseEndpoint(settings.storeAddress).value_or(Endpoint{}));
+    m_desired.useSettings(FollowingSettings::forState(bounds), bounds.keyRevocation, m_core.loop.now());
+    m_keeper.useBounds(bounds);
+    useSpec();
+    m_desiredDriver.advance();
+    advance();
+}
+
+void AgentNode::useSpec()
+{
+    const ServingStatePtr &state = m_desired.state();
+    const ServingPool *pool = state == nullptr ? nullptr : state->pool(m_core.settings.pool);
+    if (pool != nullptr && pool->engine) {
+        m_keeper.useSpec(*pool->engine);
+    }
 }
 
 } // namespace celeryroute
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -226,6 +226,16 @@
 void EntryNode::reload(const NodeSettings &settings)
 {
     m_core.settings = settings;
+    const ServingBounds &bounds = settings.bounds;
+    const TimePoint now = m_core.loop.now();
+    m_store.useServer(endpointOf(settings.storeAddress));
+    m_desired.useSettings(FollowingSettings::forKeys(bounds), bounds.keyRevocation, now);
+    m_targets.useSettings(FollowingSettings::forTargets(bounds), settings.heartbeat, now);
+    const ServingStatePtr &state = m_desired.state();
+    m_allowances.useBounds(bounds, state == nullptr ? std::vector<ServingCustomer>() : state->customers, now);
+    m_retries.useBounds(bounds);
+    m_desiredDriver.advance();
+    m_targetsDriver.advance();
 }
 
 } // namespace celeryroute
--- a/src/node/feeddriver.cpp
+++ b/src/node/feeddriver.cpp
@@ -62,12 +62,16 @@
     // The turn may have taken long; what is learned counts from the moment of asking.
     const TimePoint began = m_loop.now();
     const FeedCall call = step.call;
+    const std::uint64_t number = ++m_call;
     m_store.call(m_translation.feedCall(call),
                  step.timeout,
-                 [this, call, began](const MessageHead &head, const std::string &body) {
+                 [this, call, began, number](const MessageHead &head, const std::string &body) {
                      const FeedAnswer answer = head.status == 0 ? FeedAnswer(FeedUnavailable{0})
                                                                 : m_translation.feedAnswer(call, head.status, body);
                      m_metrics.countStoreCall(std::visit(StoreCallKindOf{}, call), outcomeOf(answer));
+                     if (number != m_call) {
+                         return; // Given up for another one.
+                     }
                      if (head.status == 0) {
                          m_follower.timedOut(m_loop.now());
                      } else {
--- a/src/node/nodecommand.cpp
+++ b/src/node/nodecommand.cpp
@@ -21,7 +21,7 @@
 int printHelp()
 {
     std::printf("Usage: %s=FILE celeryrouted [--check | --help | --version]\n\n"
-                "Runs the role that FILE names until SIGTERM; SIGHUP reads FILE again.\n"
+                "Runs the role that FILE names until SIGTERM; FILE is read again when it changes and at SIGHUP.\n"
                 "  --check    name every mistake in FILE and exit\n"
                 "  --help     print this text and exit\n"
                 "  --version  print the version and exit\n\n"
--- a/src/node/nodemain.cpp
+++ b/src/node/nodemain.cpp
@@ -3,6 +3,8 @@
 #include <celeryroute/detail/node/agentnode.h>
 #include <celeryroute/detail/node/entrynode.h>
 #include <celeryroute/detail/node/nodecore.h>
+#include <celeryroute/detail/node/settingschange.h>
+#include <celeryroute/detail/node/settingswatch.h>
 #include <celeryroute/detail/node/signalpipe.h>
 #include <celeryroute/detail/settings/exitcode.h>
 
@@ -12,6 +14,7 @@
 #include <sstream>
 #include <unistd.h>
 #include <variant>
+#include <vector>
 
 namespace celeryroute {
 
@@ -39,13 +42,42 @@
         || code == ResultCode::SettingInvalid || code == ResultCode::SettingConflict;
 }
 
-void reload(NodeCore &core, Role &role, const std::string &path)
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const std::string &name : names) {
+        text += (text.empty() ? "" : ",") + name;
+    }
+    return text;
+}
+
+/// What makes a process read its settings again.
+enum class ReloadCause {
+    Signal, ///< Always answered by a line in the log.
+    File,
+};
+
+void takeOver(NodeCore &core, Role &role, const NodeSettings &read, ReloadCause cause)
+{
+    const SettingsChange change = compareSettings(core.settings, read);
+    if (!change.changed.empty()) {
+        std::visit([&change](auto &node) { node->reload(change.settings); }, role);
+    }
+    const std::string changed = joined(change.changed);
+    const std::string nextStart = joined(change.nextStart);
+    if (cause == ReloadCause::Signal || !changed.empty() || !nextStart.empty()) {
+        core.log.write(DecisionEvent::SettingsReloaded,
+                       core.loop.now(),
+                       {{"changed", std::string_view(changed)}, {"next_start", std::string_view(nextStart)}});
+    }
+}
+
+void reload(NodeCore &core, Role &role, const std::string &path, ReloadCause cause)
 {
     handleErrors(
         [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(settings, loadSettings(path));
-            std::visit([&settings = settings](auto &node) { node->reload(settings); }, role);
-            core.log.write(DecisionEvent::SettingsReloaded, core.loop.now(), {});
+            takeOver(core, role, settings, cause);
             return true;
         },
         [&core](const Error &error) {
@@ -58,8 +90,9 @@
 
 Result<bool> serve(const std::string &path, const PlatformTranslation &translation)
 {
-    BOOST_LEAF_AUTO(settings, loadSettings(path));
     EventLoop loop;
+    SettingsWatch watch(path, loop.now());
+    BOOST_LEAF_AUTO(settings, loadSettings(path));
     NodeCore core(loop, settings, translation);
     core.log.write(DecisionEvent::ProcessStart,
                    loop.now(),
@@ -67,11 +100,18 @@
     Role role = makeRole(core);
     const SignalPipe signals(loop, [&](int signal) {
         if (signal == SIGHUP) {
-            reload(core, role, path);
+            watch.noteRead();
+            reload(core, role, path, ReloadCause::Signal);
         } else {
             std::visit([](auto &node) { node->beginStop(); }, role);
         }
     });
+    loop.atTurnEnd([&] {
+        if (watch.changed(loop.now())) {
+            watch.noteRead();
+            reload(core, role, path, ReloadCause::File);
+        }
+    });
     BOOST_LEAF_CHECK(std::visit([](auto &node) { return node->start(); }, role));
     loop.run();
     core.log.flush();
--- a/src/node/plaincaller.cpp
+++ b/src/node/plaincaller.cpp
@@ -2,6 +2,8 @@
 
 #include <celeryroute/detail/http1/messagewriter.h>
 
+#include <vector>
+
 namespace celeryroute {
 
 class PlainCaller::Exchange final : public ExchangeUser
@@ -18,15 +20,21 @@
 
     void start(TargetRequest request, Duration timeout)
     {
-        m_timer = m_owner.m_loop.at(m_owner.m_loop.now() + timeout, [this] {
-            m_timer = 0;
-            m_connection->abandon();
-            m_head = {};
-            finish();
-        });
+        m_timer = m_owner.m_loop.at(m_owner.m_loop.now() + timeout, [this] { giveUp(); });
         m_connection = &m_owner.m_channels.start(m_owner.m_server, std::move(request), *this);
     }
 
+    /// @brief Ends the call without an answer, if it is still in work.
+    void giveUp()
+    {
+        if (m_timer == 0) {
+            return;
+        }
+        m_connection->abandon();
+        m_head = {};
+        finish();
+    }
+
     void exchangeHead(MessageHead head) override
     {
         m_head = std::move(head);
@@ -95,6 +103,22 @@
     begun->start(std::move(request), timeout);
 }
 
+void PlainCaller::useServer(const Endpoint &server)
+{
+    if (server == m_server) {
+        return;
+    }
+    m_server = server;
+    m_host = toString(server);
+    std::vector<Exchange *> inWork;
+    for (const auto &[exchange, owner] : m_exchanges) {
+        inWork.push_back(exchange);
+    }
+    for (Exchange *exchange : inWork) {
+        exchange->giveUp();
+    }
+}
+
 void PlainCaller::finish(Exchange *exchange)
 {
     m_loop.defer([this, exchange] { m_exchanges.erase(exchange); });
--- a/tests/src/process-serving.cpp
+++ b/tests/src/process-serving.cpp
@@ -109,6 +109,8 @@
     Endpoint callers{*parseIp(EntryIp), freeEndpoint().port};
     Endpoint readiness{*parseIp(EntryIp), freeEndpoint().port};
     int peerPort = std::min<int>(freeEndpoint().port, 65000);
+    int keyRevocationMs = 1000;
+    std::string storeAddress = store.address();
     std::unique_ptr<ChildProcess> entry;
     std::unique_ptr<ChildProcess> agent;
 
@@ -120,23 +122,30 @@
         (void)std::remove(file.c_str());
     }
 
-    std::unique_ptr<ChildProcess> start(const std::string &role, const std::string &ip, const std::string &more)
+    void writeSettings(const std::string &role, const std::string &ip, const std::string &more)
     {
         std::ofstream(file) << "name = " << role << "\nrole = " << role << "\nip = " << ip
                             << "\ndomain = a\nfirst-start = true\n"
-                            << "key-revocation-ms = 1000\nstop-grace-s = 5\nstore-address = " << store.address()
+                            << "key-revocation-ms = " << keyRevocationMs
+                            << "\nstop-grace-s = 5\nstore-address = " << storeAddress
                             << "\npeer-port-first = " << peerPort << "\npeer-port-last = " << peerPort + 9 << '\n'
                             << more;
+    }
+    std::unique_ptr<ChildProcess> start(const std::string &role, const std::string &ip, const std::string &more)
+    {
+        writeSettings(role, ip, more);
         setenv("CELERYROUTE_CONFIG", file.c_str(), 1);
         auto process = std::make_unique<ChildProcess>("celeryrouted", std::vector<std::string>());
         CHECK(process->waitForOutput("process.start"));
         return process;
     }
+    std::string entryAddresses() const
+    {
+        return "listen-address = " + toString(callers) + "\nreadiness-address = " + toString(readiness) + '\n';
+    }
     void startEntry()
     {
-        entry = start("entry",
-                      EntryIp,
-                      "listen-address = " + toString(callers) + "\nreadiness-address = " + toString(readiness));
+        entry = start("entry", EntryIp, entryAddresses());
         CHECK(turnUntil(loop, [this] { return !RawCaller(loop, readiness).ended(); }));
     }
     void startAgent()
@@ -224,6 +233,45 @@
     CHECK(becomes(503, [this] { return callStatus("/pay/a", "key-b"); }));
 }
 
+TEST(Serving, changedSettings_areInForceWithAndWithoutASignal)
+{
+    keyRevocationMs = 80'000;
+    app.answerAll(SignedAnswer);
+    publish(desiredState(1));
+    registerTarget("i-1", "app", app.address());
+    startEntry();
+    CHECK(becomes(200, [this] { return callStatus("/pay/a"); }));
+    const auto logged = [this](const std::string &text) {
+        return turnUntil(loop, [this, &text] { return entry->output().find(text) != std::string::npos; });
+    };
+    // Without a signal: the read that is held by the longer bound is given up, and keys grow stale sooner.
+    keyRevocationMs = 1000;
+    writeSettings("entry", EntryIp, entryAddresses());
+    CHECK(logged("\"changed\":\"key-revocation-ms\",\"next_start\":\"\""));
+    CHECK_EQUAL(200, callStatus("/pay/a"));
+    store.refuse("keyed", 503);
+    CHECK(becomes(503, [this] { return callStatus("/pay/a"); }));
+    // A broken file leaves the old settings in force.
+    std::ofstream(file) << "role = entry\n";
+    entry->signal(SIGHUP);
+    CHECK(logged("settings.rejected"));
+    CHECK_EQUAL(200, statusOf(call(callers, "/open/a")));
+    // The store has another address, and what cannot change is named.
+    ServingStore other(loop);
+    for (const int version : {1, 2}) {
+        other.put("keyed.op", "config", desiredState(version).dump());
+    }
+    storeAddress = other.address();
+    writeSettings("entry", EntryIp, entryAddresses() + "heartbeat-ms = 1200\ncpu-share = 0.5\n");
+    entry->signal(SIGHUP);
+    CHECK(logged("\"changed\":\"store-address,cpu-share,heartbeat-ms\""));
+    CHECK(logged("\"state_version\":2"));
+    writeSettings("entry", EntryIp, "listen-address = 127.0.0.2:1\nreadiness-address = 127.0.0.2:2\n");
+    entry->signal(SIGHUP);
+    CHECK(logged("\"next_start\":\"listen-address,readiness-address\""));
+    CHECK_EQUAL(404, statusOf(call(callers, "/nothing/")));
+}
+
 TEST(Serving, callForAModelOnDisk_waitsForItsLoadAndIsAnswered)
 {
     publish(desiredState(1));
--- a/tests/src/unit-allowance.cpp
+++ b/tests/src/unit-allowance.cpp
@@ -299,6 +299,42 @@
     TimePoint now{};
 };
 
+TEST(RetryAllowance, changedBounds_holdInEveryWindowFromThenOn)
+{
+    std::mt19937_64 random(12);
+    MemberView view("a", 1, now);
+    RetryAllowance retries(limits, view);
+    std::deque<std::pair<TimePoint, bool>> sends; // whether it was a further one
+    int first = 0;
+    int further = 0;
+    TimePoint changed = now;
+    for (int i = 0; i < 100000; ++i) {
+        now += std::chrono::microseconds(random() % 20000);
+        if (random() % 3000 == 0) {
+            limits.retryRatio = 0.05 * static_cast<double>(1 + random() % 8);
+            limits.retrySlack = static_cast<double>(random() % 80);
+            limits.retryWindow = std::chrono::seconds(1 + random() % 20);
+            retries.useBounds(limits);
+            changed = now;
+        }
+        const bool again = random() % 3 > 0;
+        if (again && !retries.take("p", now)) {
+            continue;
+        }
+        if (!again) {
+            retries.noteFirstSend("p", now);
+        }
+        sends.emplace_back(now, again);
+        (again ? further : first) += 1;
+        while (now - sends.front().first > limits.retryWindow) {
+            (sends.front().second ? further : first) -= 1;
+            sends.pop_front();
+        }
+        const bool whole = now - changed > limits.retryWindow;
+        CHECK_TEXT(!whole || further <= limits.retryRatio * first + limits.retrySlack, "seed 12");
+    }
+}
+
 TEST(RetryAllowance, anyWindow_keepsRatioAndSlackOverAllEntries)
 {
     constexpr std::uint64_t Seed = 11;
--- a/tests/src/unit-feed.cpp
+++ b/tests/src/unit-feed.cpp
@@ -310,6 +310,99 @@
     }
 }
 
+TEST(Feed, boundThatIsLoosened_countsForLaterReadsOnly)
+{
+    Freshness freshness(1s);
+    freshness.confirm(Start);
+    freshness.useBound(10s, Start + 100ms);
+    CHECK(freshness.keyedCallsAllowed(Start + 699ms) && !freshness.keyedCallsAllowed(Start + 700ms));
+    freshness.confirm(Start + 50ms); // Begun under the shorter bound.
+    CHECK(freshness.keyedCallsAllowed(Start + 749ms) && !freshness.keyedCallsAllowed(Start + 750ms));
+    freshness.useBound(20s, Start + 200ms);
+    freshness.confirm(Start + 150ms);
+    CHECK(!freshness.keyedCallsAllowed(Start + 850ms));
+    freshness.confirm(Start + 200ms);
+    CHECK(freshness.keyedCallsAllowed(Start + 18s) && !freshness.keyedCallsAllowed(Start + 18200ms));
+    freshness.useBound(1s, Start + 300ms);
+    CHECK(freshness.keyedCallsAllowed(Start + 899ms) && !freshness.keyedCallsAllowed(Start + 900ms));
+}
+
+TEST(Feed, boundThatIsTightened_givesUpTheReadThatIsHeldForLonger)
+{
+    topic.write("config", "1");
+    ServingBounds tight;
+    tight.keyRevocation = 1s;
+    ServingBounds loose;
+    loose.keyRevocation = 60s;
+    DesiredFeed feed(FollowingSettings::forKeys(loose), loose.keyRevocation, readVersion, 1);
+    Driver<DesiredFeed> driver{feed, topic};
+    for (TimePoint now = Start; now < Start + 30s; now += 2ms) {
+        driver.step(now, [&](FeedAnswer answer, TimePoint began) { feed.answered(std::move(answer), began, now); });
+        if (now == Start + 20s) {
+            feed.useSettings(FollowingSettings::forKeys(tight), tight.keyRevocation, now);
+            driver.inWork.reset();
+            CHECK(!feed.freshness().keyedCallsAllowed(now));
+        }
+        CHECK(now < Start + 10ms || (now >= Start + 20s && now < Start + 20010ms)
+              || feed.freshness().keyedCallsAllowed(now));
+    }
+}
+
+TEST(Feed, anyScheduleOfChangedBounds_keepsTheBoundInForceFromThenOn)
+{
+    constexpr std::uint64_t Seeds = 100;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        const std::string name = "seed " + std::to_string(seed);
+        Topic desired;
+        desired.write("config", "1");
+        std::vector<TimePoint> written{TimePoint{}, Start};
+        ServingBounds present = bounds;
+        std::vector<std::pair<TimePoint, Duration>> inForce{{Start, present.keyRevocation}};
+        DesiredFeed feed(FollowingSettings::forKeys(present), present.keyRevocation, readVersion, seed);
+        Driver<DesiredFeed> driver{feed, desired};
+        TimePoint now = Start;
+        for (int tick = 0; tick < 8'000; ++tick, now += 5ms) {
+            if (random() % 300 == 0) {
+                driver.down = random() % 3 == 0;
+                driver.lost = random() % 3 == 0 ? 0.4 : 0;
+                driver.latency = random() % 3 == 0 ? 300ms : 4ms;
+                now += random() % 8 == 0 ? 3s : 0s;
+            }
+            if (random() % 200 == 0) {
+                present.keyRevocation = std::chrono::milliseconds(400 + random() % 20'000);
+                feed.useSettings(FollowingSettings::forKeys(present), present.keyRevocation, now);
+                driver.inWork.reset();
+                driver.onItsWay.reset();
+                inForce.emplace_back(now, present.keyRevocation);
+            }
+            if (!driver.down && random() % 150 == 0) {
+                desired.write("config", std::to_string(written.size()));
+                written.push_back(now);
+            }
+            driver.step(now, [&](FeedAnswer answer, TimePoint began) { feed.answered(std::move(answer), began, now); });
+            if (!feed.freshness().keyedCallsAllowed(now) || feed.state()->version + 1 >= written.size()) {
+                continue;
+            }
+            // The bound at the time of the change holds until a shorter one does.
+            const TimePoint replaced = written[feed.state()->version + 1];
+            Duration bound = Duration::max();
+            for (std::size_t i = 0; i < inForce.size(); ++i) {
+                const bool ended = i + 1 < inForce.size() && inForce[i + 1].first <= replaced;
+                bound = ended ? bound : std::min(bound, inForce[i].second);
+            }
+            CHECK_TEXT(now - replaced <= bound, name.c_str());
+        }
+        driver.down = false;
+        driver.lost = 0;
+        driver.latency = 4ms;
+        for (int tick = 0; tick < 2'000 && !feed.freshness().keyedCallsAllowed(now); ++tick, now += 5ms) {
+            driver.step(now, [&](FeedAnswer answer, TimePoint began) { feed.answered(std::move(answer), began, now); });
+        }
+        CHECK_TEXT(feed.freshness().keyedCallsAllowed(now), name.c_str());
+    }
+}
+
 TEST(Feed, anyScheduleOfFaults_keepsStateFreshOrRefusesAndConverges)
 {
     constexpr std::uint64_t Seeds = 60;
--- a/tests/src/unit-keeper.cpp
+++ b/tests/src/unit-keeper.cpp
@@ -453,3 +453,24 @@
         CHECK(static_cast<double>(total) >= row.leastUse * row.rate * 299);
     }
 }
+
+TEST(StoreLoadShare, tightenedBounds_holdFromThenOn)
+{
+    ServingBounds bounds;
+    StoreLoadShare share(1);
+    share.useLimits(2, bounds);
+    share.useTargets(1);
+    const auto loads = [&share](TimePoint now) {
+        int count = 0;
+        for (; share.permits(now, 0); ++count) {
+            share.noteBegan(now);
+        }
+        return count;
+    };
+    CHECK_EQUAL(13, loads(TimePoint(10s)));
+    bounds.loadWindow = 10s;
+    bounds.loadOverage = 0.5;
+    share.useLimits(2, bounds);
+    CHECK_EQUAL(0, loads(TimePoint(19s)));
+    CHECK_EQUAL(12, loads(TimePoint(21s)));
+}
--- a/tests/src/unit-nodesettings.cpp
+++ b/tests/src/unit-nodesettings.cpp
@@ -1,8 +1,13 @@
 #include <celeryroute/detail/node/nodesettings.h>
+#include <celeryroute/detail/node/settingschange.h>
+#include <celeryroute/detail/node/settingswatch.h>
 
+#include <filesystem>
 #include <fstream>
 #include <regex>
+#include <set>
 #include <sstream>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -176,3 +181,87 @@
     expected.bounds = ServingBounds{400ms, 77ms, 77ms, 77s, 77s, 77, 77s, 77, 77s, 77, 77, 77s, 77, 77ms, true};
     CHECK(settings == expected);
 }
+
+TEST(NodeSettings, changes_areTakenOverOrNamedForTheNextStart)
+{
+    const NodeSettings before = settingsOf(EntryText);
+    NodeSettings read = before;
+    CHECK(compareSettings(before, read) == (SettingsChange{before, {}, {}}));
+    read.bounds.drain = 1s;
+    read.storeAddress = "10.200.1.8:8225";
+    NodeSettings expected = read;
+    read.name = "front-a-2";
+    read.role = NodeRole::Agent;
+    read.listenAddress = "10.1.0.25:8222";
+    const SettingsChange change = compareSettings(before, read);
+    CHECK(change == (SettingsChange{expected, {"store-address", "drain-ms"}, {"name", "role", "listen-address"}}));
+    CHECK(compareSettings(change.settings, expected) == (SettingsChange{expected, {}, {}}));
+}
+
+TEST(NodeSettings, everySettingOfTheTemplate_isComparedWhenItChanges)
+{
+    // Each name of the help text with a value that differs from EntryText's.
+    const char *const numbers[] = {"peer-port-first", "peer-port-last", "memory-limit-mb",   "max-descriptors",
+                                   "cpu-share",       "heartbeat-ms",   "key-revocation-ms", "state-apply-ms",
+                                   "drain-ms",        "stop-grace-s",   "address-reuse-s",   "retry-ratio",
+                                   "retry-window-s",  "retry-slack",    "quota-window-s",    "quota-overage",
+                                   "quota-slack",     "load-window-s",  "load-overage",      "order-lease-ms"};
+    std::string text = "target-address = 1.2.3.4:5\nrole = agent\nip = 1.2.3.4\nfirst-start = true\n";
+    for (const char *name : {"name", "domain", "pool"}) {
+        text += std::string(name) + " = other\n";
+    }
+    for (const char *name : {"listen-address", "readiness-address", "store-address"}) {
+        text += std::string(name) + " = 1.2.3.4:6\n";
+    }
+    for (const char *name : numbers) {
+        text += std::string(name) + " = 7777\n";
+    }
+    const SettingsChange change = compareSettings(settingsOf(EntryText),
+                                                  settingsOf(text + "targets-check-fences = false"));
+    std::set<std::string> compared(change.changed.begin(), change.changed.end());
+    compared.insert(change.nextStart.begin(), change.nextStart.end());
+    std::istringstream help(nodeSettingsHelp());
+    std::size_t names = 0;
+    for (std::string line; std::getline(help, line); ++names) {
+        const std::string name = line.substr(2, line.find(' ', 2) - 2);
+        CHECK_TEXT(compared.contains(name), name.c_str());
+    }
+    CHECK_EQUAL(names, compared.size());
+}
+
+TEST(NodeSettings, fileThatIsBeingWritten_isReadWhenItHasSettled)
+{
+    const std::string path = "settings-watch-" + std::to_string(getpid());
+    std::ofstream(path) << "a";
+    TimePoint now(100s);
+    SettingsWatch watch(path, now);
+    std::vector<Duration> reads;
+    const auto step = [&](Duration time) {
+        now = TimePoint(100s) + time;
+        if (watch.changed(now)) {
+            watch.noteRead();
+            reads.push_back(time);
+        }
+    };
+    step(2s);
+    std::ofstream(path) << "ab";
+    step(3s); // Not looked at yet.
+    step(4s);
+    std::ofstream(path) << "abc";
+    step(4200ms);
+    step(4300ms);
+    CHECK(reads.empty());
+    step(4400ms);
+    step(10s);
+    CHECK(reads == std::vector<Duration>{4400ms});
+    // One that is replaced by another of the same size, and one that is taken away.
+    std::ofstream(path + "-new") << "xyz";
+    std::filesystem::rename(path + "-new", path);
+    step(20s);
+    step(21s);
+    std::filesystem::remove(path);
+    step(30s);
+    step(31s);
+    step(40s);
+    CHECK(reads == (std::vector<Duration>{4400ms, 21s, 31s}));
+}
