--- a/include/celeryroute/detail/feed/topicfollower.h
+++ b/include/celeryroute/detail/feed/topicfollower.h
@@ -71,6 +71,7 @@
     std::uint64_t m_listingEnd = 0; ///< End of the listing's first page.
     bool m_listedAgain = false; ///< Since a read of records was last answered.
     std::uint64_t m_offset = 0; ///< Next record to read.
+    bool m_unheld = false; ///< Since the settings changed nothing was read whole: what is known may be old for them.
     TimePoint m_notBefore = TimePoint::min();
     std::optional<TimePoint> m_confirmed;
     std::optional<TimePoint> m_lastFailure;
--- a/src/feed/freshness.cpp
+++ b/src/feed/freshness.cpp
@@ -37,7 +37,10 @@
 
 void Freshness::confirm(TimePoint readBegan)
 {
-    m_confirmed = std::max(m_confirmed.value_or(readBegan), readBegan);
+    if (m_confirmed && readBegan <= *m_confirmed) {
+        return; // Said before, perhaps under another bound.
+    }
+    m_confirmed = readBegan;
     m_until = std::max(m_until, readBegan + (readBegan < m_validFrom ? m_earlierValidity : m_validity));
 }
 
--- a/src/feed/topicfollower.cpp
+++ b/src/feed/topicfollower.cpp
@@ -40,6 +40,7 @@
     m_retry.useLimits(settings.leastRetry, settings.mostRetry);
     m_notBefore = std::min(m_notBefore, now + std::max(settings.pacing, settings.mostRetry));
     m_inWork.reset();
+    m_unheld = true;
 }
 
 FeedStep TopicFollower::next(TimePoint now)
@@ -119,8 +120,9 @@
 
 Duration TopicFollower::hold(TimePoint now) const
 {
-    // After a failure the first answer must come at once: it says that the store is back.
-    if (failing()) {
+    // After a failure the first answer must come at once: it says that the store is back. So must that
+    // after a change of settings: by the earlier ones, what is known may not last for a held read.
+    if (failing() || m_unheld) {
         return Duration::zero();
     }
     Duration longest = m_settings.hold;
@@ -246,6 +248,7 @@
         m_returned = now;
     }
     m_retry.succeeded();
+    m_unheld = false;
     m_confirmed = std::max(m_confirmed.value_or(callBegan), callBegan);
 }
 
--- a/tests/src/unit-feed.cpp
+++ b/tests/src/unit-feed.cpp
@@ -327,6 +327,26 @@
     CHECK(freshness.keyedCallsAllowed(Start + 899ms) && !freshness.keyedCallsAllowed(Start + 900ms));
 }
 
+TEST(Feed, boundThatIsLoosened_interruptsNoCalls)
+{
+    topic.write("config", "1");
+    ServingBounds tight;
+    tight.keyRevocation = 1s;
+    ServingBounds loose;
+    loose.keyRevocation = 60s;
+    DesiredFeed feed(FollowingSettings::forKeys(tight), tight.keyRevocation, readVersion, 1);
+    Driver<DesiredFeed> driver{feed, topic};
+    for (TimePoint now = Start; now < Start + 90s; now += 2ms) {
+        driver.step(now, [&](FeedAnswer answer, TimePoint began) { feed.answered(std::move(answer), began, now); });
+        if (now == Start + 20s) {
+            feed.useSettings(FollowingSettings::forKeys(loose), loose.keyRevocation, now);
+            driver.inWork.reset();
+        }
+        CHECK(now < Start + 10ms || feed.freshness().keyedCallsAllowed(now));
+    }
+    CHECK(driver.calls <= 70);
+}
+
 TEST(Feed, boundThatIsTightened_givesUpTheReadThatIsHeldForLonger)
 {
     topic.write("config", "1");
