Hold back requests that crash targets before their targets' deaths are known

Review of the suspicion of requests: - A target that starts again under its id was never counted as dead; its crashes had one name. - A death shows in the registry after three heartbeats, but lost sends were forgotten after a fixed 4 s. - A send that hung on a dead host ended after the registry had dropped it, and was not counted. - Until the death was known the caller came again as often as it liked; entries that started anew or were out of touch learnt the newest 32 marks only. - Quarantine was asked once per call, not before each send, and did not tell callers apart. - Marks were forgotten after 2 min although the request came again.

Lost sends count until it is known whether their target died, and are told to the other entries; marks are told a fixed number of times, and all anew when an entry comes in touch. The test of forgotten marks was written for 2 min; it now asks for 10 min and that a return is remembered.

unit-crashsuspects: 300 seeds, three entries, up to 0.3 of datagrams lost, entries that start anew; never more than three late sends.

--- a/include/celeryroute/detail/allowance/memberview.h
+++ b/include/celeryroute/detail/allowance/memberview.h
@@ -60,6 +60,11 @@
         return m_memberCount;
     }
     /// @brief Part of each allowance that this entry may use, together with those that it hears.
+    /// @brief How often a peer has come in touch so far.
+    std::uint64_t joins() const
+    {
+        return m_joins;
+    }
     double poolFraction() const
     {
         return m_poolFraction;
@@ -123,6 +128,7 @@
     bool m_told = false; ///< How many entries there are has been looked up.
     std::size_t m_memberCount = 1;
     double m_poolFraction = 1;
+    std::uint64_t m_joins = 0;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -73,8 +73,8 @@
     bool takeAllowance();
     void pickPool();
     double cost() const;
+    bool heldBack();
     bool stateHolds();
-    std::uint64_t digest() const;
 
     // Choice of target.
     void attempt();
@@ -135,6 +135,8 @@
 
     TargetConnection *m_exchange = nullptr;
     std::string m_target;
+    std::int64_t m_targetBornMs = 0;
+    std::uint64_t m_digest = 0; ///< Of caller, path and body: a request that comes again has the same.
     CallTicket m_ticket = 0;
     bool m_ticketOpen = false;
     Answer m_answer;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -45,6 +45,8 @@
     void takeTargets(const std::vector<TargetEvent> &events);
     ChangedModels take(const TargetChanged &event);
     ChangedModels take(const TargetGone &event);
+    std::int64_t bornOf(const std::string &target) const;
+    void noteRestart(const std::string &target, std::int64_t bornBefore);
     void updateAgents();
     void markSuccessors();
     void expireTargets();
--- a/src/allowance/memberview.cpp
+++ b/src/allowance/memberview.cpp
@@ -164,6 +164,7 @@
     peer.confirmedAt = sent->sentAt;
     if (!peer.pooled) {
         peer.pooled = true;
+        ++m_joins;
         m_changes.push_back({address, PeerEvent::Joined, now - peer.absentSince});
         updateFraction(now);
     }
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -47,8 +47,8 @@
     if (!stateHolds()) {
         return;
     }
-    if (m_gateway.suspects().quarantined(digest(), m_gateway.loop().now())) {
-        refuse(HttpStatus::ServiceUnavailable, reasons::Suspect, QuarantineRetryAfter);
+    m_digest = stableHash(m_customerName + '\n' + m_request.head.target + '\n' + m_request.body);
+    if (heldBack()) {
         return;
     }
     const Duration deadline = m_fields.deadline.value_or(UnlimitedCall);
@@ -65,9 +65,14 @@
     attempt();
 }
 
-std::uint64_t Call::digest() const
+// A request that crashes the targets that run it is sent no more.
+bool Call::heldBack()
 {
-    return stableHash(m_request.head.target + '\n' + m_request.body);
+    const bool held = m_gateway.suspects().quarantined(m_digest, m_gateway.loop().now());
+    if (held) {
+        refuse(HttpStatus::ServiceUnavailable, reasons::Suspect, QuarantineRetryAfter);
+    }
+    return held;
 }
 
 // Asked again before each send: routes and keys may have changed while the call waited.
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -110,7 +110,7 @@
         return;
     }
     ++m_runs;
-    m_gateway.suspects().noteAnswered(digest(), m_gateway.loop().now());
+    m_gateway.suspects().noteAnswered(m_digest, m_gateway.loop().now());
     const int status = m_answer.head.status;
     const bool success = status >= HttpStatus::Ok && status < HttpStatus::MultipleChoices;
     if (m_answer.events) {
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -189,6 +189,10 @@
         }
         return;
     }
+    // What it did elsewhere may have become known since.
+    if (heldBack()) {
+        return;
+    }
     if (m_arrivals == 0) {
         m_gateway.admission().noteFirstSend(m_pool, now);
     } else if (!m_gateway.admission().takeFurtherSend(m_pool, now)) {
@@ -199,6 +203,7 @@
     ++m_sends;
     ++m_arrivals;
     m_target = targetId;
+    m_targetBornMs = target->bornMs;
     m_sentAt = now;
     m_lastProgress = now;
     m_held = false;
@@ -281,7 +286,7 @@
     m_arrivals -= sent ? 0 : 1;
     if (sent && !m_answer.notRun) {
         ++m_runs;
-        m_gateway.suspects().noteUnanswered(digest(), m_target, m_gateway.loop().now());
+        m_gateway.suspects().noteUnanswered({m_digest, m_target, m_targetBornMs, m_sentAt}, m_gateway.loop().now());
     } else if (failure == ExchangeFailure::NotConnected) {
         m_gateway.suspects().targetDied(m_target, m_gateway.loop().now());
     }
--- a/src/gateway/crashsuspects.cpp
+++ b/src/gateway/crashsuspects.cpp
@@ -1,103 +1,198 @@
 #include <celeryroute/detail/gateway/crashsuspects.h>
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace celeryroute {
 
 namespace {
 
-constexpr std::uint32_t CrashesToQuarantine = 3;
-constexpr Duration DeathDelay = std::chrono::seconds(4); ///< Until a death shows in the registry.
-constexpr Duration MarkLifetime = std::chrono::minutes(2);
-constexpr std::size_t MaxUnanswered = 512;
-constexpr std::size_t MaxMarks = 2048;
-constexpr std::size_t MaxToldMarks = 32;
+constexpr std::size_t CrashesToQuarantine = 3;
+constexpr int HeartbeatsToExpiry = 3; ///< Of a record in the registry.
+constexpr Duration RegistryDelay = std::chrono::seconds(1); ///< Until its expiry is read here.
+constexpr Duration DeathMemory = std::chrono::minutes(1); ///< A send that hung on a dead target ends within this.
+constexpr Duration Lifetime = std::chrono::minutes(10); ///< Of a suspect of which nothing is heard.
+constexpr Duration ExpiryInterval = std::chrono::seconds(10);
+constexpr std::size_t MaxLost = 512;
+constexpr std::size_t MaxSuspects = 1024;
+constexpr std::ptrdiff_t MaxCleared = 8; ///< Crashes of one request that are known not to be its fault.
+constexpr std::size_t MarksPerMessage = 32;
+constexpr std::uint32_t TimesTold = 20; ///< Any of these messages may be lost.
+constexpr std::uint32_t TimesRelayed = 3; ///< Of a mark that another entry told.
+constexpr std::uint32_t TimesToldAgain = 8; ///< To an entry that came in touch.
 
 } // namespace
 
-void CrashSuspects::noteUnanswered(std::uint64_t request, const std::string &target, TimePoint now)
+CrashSuspects::CrashSuspects()
+{
+    useHeartbeat(std::chrono::seconds(1));
+}
+
+void CrashSuspects::useHeartbeat(Duration heartbeat)
+{
+    m_deathDelay = heartbeat * HeartbeatsToExpiry + RegistryDelay;
+}
+
+// A send to a host that has lost power ends long after the registry has dropped its target.
+void CrashSuspects::noteUnanswered(const LostSend &send, TimePoint now)
 {
     expire(now);
-    m_unanswered.push_back({request, target, now});
-    if (m_unanswered.size() > MaxUnanswered) {
-        m_unanswered.pop_front();
+    const auto died = m_died.find(send.target);
+    if (died != m_died.end() && died->second >= send.sentAt) {
+        add(send.request, {send.target, send.bornMs}, now);
+        return;
     }
+    remember(send, 0, now);
 }
 
-void CrashSuspects::noteAnswered(std::uint64_t request, TimePoint now)
+void CrashSuspects::remember(const LostSend &send, std::uint32_t told, TimePoint now)
 {
-    std::erase_if(m_unanswered, [request](const Unanswered &entry) { return entry.request == request; });
-    if (m_crashes.erase(request) == 0) {
+    const bool known = std::any_of(m_lost.begin(), m_lost.end(), [&send](const Ended &lost) {
+        return lost.send.request == send.request && lost.send.target == send.target && lost.send.bornMs == send.bornMs;
+    });
+    if (known) {
         return;
     }
-    for (Marked &marked : m_marks) {
-        marked.cleared = marked.cleared || marked.mark.request == request;
+    m_lost.push_back({send, now, told});
+    m_telling = true;
+    if (m_lost.size() > MaxLost) {
+        m_lost.pop_front();
     }
+}
+
+void CrashSuspects::noteAnswered(std::uint64_t request, TimePoint now)
+{
     expire(now);
+    std::erase_if(m_lost, [request](const Ended &lost) { return lost.send.request == request; });
+    const auto found = m_suspects.find(request);
+    if (found == m_suspects.end()) {
+        return;
+    }
+    Suspect &suspect = found->second;
+    std::move(suspect.crashes.begin(), suspect.crashes.end(), std::back_inserter(suspect.cleared));
+    suspect.crashes.clear();
+    if (std::ssize(suspect.cleared) > MaxCleared) {
+        suspect.cleared.erase(suspect.cleared.begin(), suspect.cleared.end() - MaxCleared);
+    }
 }
 
 void CrashSuspects::targetDied(const std::string &target, TimePoint now)
 {
     expire(now);
-    for (const Unanswered &entry : m_unanswered) {
-        if (entry.target == target) {
-            add({entry.request, target}, now);
+    m_died[target] = now;
+    for (const Ended &lost : m_lost) {
+        if (lost.send.target == target) {
+            add(lost.send.request, {lost.send.target, lost.send.bornMs}, now);
         }
     }
-    std::erase_if(m_unanswered, [&target](const Unanswered &entry) { return entry.target == target; });
+    std::erase_if(m_lost, [&target](const Ended &lost) { return lost.send.target == target; });
 }
 
 void CrashSuspects::merge(const CrashMark &mark, TimePoint now)
 {
     expire(now);
-    add(mark, now);
+    if (mark.pending) {
+        remember({mark.request, mark.target, mark.bornMs, now}, TimesTold, now);
+    } else {
+        add(mark.request, {mark.target, mark.bornMs, TimesTold - TimesRelayed}, now);
+    }
 }
 
-void CrashSuspects::add(const CrashMark &mark, TimePoint now)
+void CrashSuspects::add(std::uint64_t request, const Crash &crash, TimePoint now)
 {
-    const bool known = std::any_of(m_marks.begin(), m_marks.end(), [&mark](const Marked &marked) {
-        return marked.mark == mark;
-    });
-    if (known) {
+    const auto [position, isNew] = m_suspects.try_emplace(request);
+    Suspect &suspect = position->second;
+    const auto same = [&crash](const Crash &other) { return crash.sameAs(other); };
+    if (std::any_of(suspect.crashes.begin(), suspect.crashes.end(), same)
+        || std::any_of(suspect.cleared.begin(), suspect.cleared.end(), same)) {
         return;
     }
-    m_marks.push_back({mark, now});
-    ++m_crashes[mark.request];
-    if (m_marks.size() > MaxMarks) {
-        m_marks.pop_front();
+    suspect.crashes.push_back(crash);
+    suspect.news = now;
+    m_telling = true;
+    if (isNew && m_suspects.size() > MaxSuspects) {
+        makeRoom();
     }
 }
 
-bool CrashSuspects::quarantined(std::uint64_t request, TimePoint) const
+bool CrashSuspects::quarantined(std::uint64_t request, TimePoint now)
 {
-    const auto found = m_crashes.find(request);
-    return found != m_crashes.end() && found->second >= CrashesToQuarantine;
+    expire(now);
+    const auto found = m_suspects.find(request);
+    const std::size_t crashes = found == m_suspects.end() ? 0 : found->second.crashes.size();
+    const auto pending = static_cast<std::size_t>(
+        std::count_if(m_lost.begin(), m_lost.end(), [request](const Ended &lost) {
+            return lost.send.request == request;
+        }));
+    if (crashes >= CrashesToQuarantine) {
+        found->second.news = now;
+    }
+    return crashes + pending >= CrashesToQuarantine;
 }
 
-std::vector<CrashMark> CrashSuspects::marks() const
+std::vector<CrashMark> CrashSuspects::marks(std::uint64_t joins)
 {
+    const bool again = std::exchange(m_joins, joins) != joins;
+    if (!m_telling && !again) {
+        return {};
+    }
+    std::vector<Candidate> all = candidates(again);
+    m_telling = !all.empty();
+    // Those told least come first, so that all have their turn; among them the worst suspects.
+    std::sort(all.begin(), all.end(), [](const Candidate &left, const Candidate &right) {
+        return std::tie(*left.told, right.crashes, left.mark.request, left.mark.target)
+            < std::tie(*right.told, left.crashes, right.mark.request, right.mark.target);
+    });
+    all.resize(std::min(all.size(), MarksPerMessage));
     std::vector<CrashMark> marks;
-    for (auto marked = m_marks.rbegin(); marked != m_marks.rend() && marks.size() < MaxToldMarks; ++marked) {
-        if (!marked->cleared) {
-            marks.push_back(marked->mark);
-        }
+    for (const Candidate &candidate : all) {
+        ++*candidate.told;
+        marks.push_back(candidate.mark);
     }
     return marks;
 }
 
-void CrashSuspects::expire(TimePoint now)
+std::vector<CrashSuspects::Candidate> CrashSuspects::candidates(bool again)
 {
-    while (!m_unanswered.empty() && now - m_unanswered.front().at > DeathDelay) {
-        m_unanswered.pop_front();
-    }
-    while (!m_marks.empty() && now - m_marks.front().at > MarkLifetime) {
-        const Marked &oldest = m_marks.front();
-        const auto crashes = m_crashes.find(oldest.mark.request);
-        if (!oldest.cleared && crashes != m_crashes.end() && --crashes->second == 0) {
-            m_crashes.erase(crashes);
+    std::vector<Candidate> all;
+    for (auto &[request, suspect] : m_suspects) {
+        for (Crash &crash : suspect.crashes) {
+            crash.told = again ? std::min(crash.told, TimesTold - TimesToldAgain) : crash.told;
+            if (crash.told < TimesTold) {
+                all.push_back({{request, crash.target, crash.bornMs, false}, suspect.crashes.size(), &crash.told});
+            }
         }
-        m_marks.pop_front();
     }
+    for (Ended &lost : m_lost) {
+        if (lost.told < TimesTold) {
+            all.push_back({{lost.send.request, lost.send.target, lost.send.bornMs, true}, 0, &lost.told});
+        }
+    }
+    return all;
+}
+
+void CrashSuspects::expire(TimePoint now)
+{
+    while (!m_lost.empty() && now - m_lost.front().at > m_deathDelay) {
+        m_lost.pop_front();
+    }
+    if (now < m_nextExpiry) {
+        return;
+    }
+    m_nextExpiry = now + ExpiryInterval;
+    std::erase_if(m_died, [now](const auto &died) { return now - died.second > DeathMemory; });
+    std::erase_if(m_suspects, [now](const auto &entry) { return now - entry.second.news > Lifetime; });
+}
+
+// The one with the fewest crashes goes; among equals the one of which nothing was heard for longest.
+void CrashSuspects::makeRoom()
+{
+    m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &left, const auto &right) {
+        return std::pair(left.second.crashes.size(), left.second.news)
+            < std::pair(right.second.crashes.size(), right.second.news);
+    }));
 }
 
 } // namespace celeryroute
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -84,6 +84,7 @@
 
 Result<void> EntryNode::start()
 {
+    m_gateway.suspects().useHeartbeat(m_core.settings.heartbeat);
     BOOST_LEAF_CHECK(m_peers.open(m_peerEndpoint));
     BOOST_LEAF_CHECK(m_gateway.listen(endpointOf(m_core.settings.listenAddress)));
     BOOST_LEAF_CHECK(m_readiness.listen(endpointOf(m_core.settings.readinessAddress)));
@@ -169,7 +170,24 @@
                           {"born_ms", record.bornMs},
                           {"remaining_ms", toMilliseconds(record.remaining.value_or(Duration::zero()))}});
     }
-    return m_book.setRecord(record, m_core.loop.now());
+    const std::int64_t bornMs = bornOf(record.id);
+    const ChangedModels changed = m_book.setRecord(record, m_core.loop.now());
+    noteRestart(record.id, bornMs);
+    return changed;
+}
+
+std::int64_t EntryNode::bornOf(const std::string &target) const
+{
+    const KnownTarget *known = m_book.target(target);
+    return known == nullptr ? 0 : known->bornMs;
+}
+
+// A target that starts again under its id never leaves the registry.
+void EntryNode::noteRestart(const std::string &target, std::int64_t bornBefore)
+{
+    if (bornBefore != 0 && bornOf(target) != bornBefore) {
+        m_gateway.suspects().targetDied(target, m_core.loop.now());
+    }
 }
 
 ChangedModels EntryNode::take(const TargetGone &event)
@@ -234,6 +252,7 @@
     const ServingStatePtr &state = m_desired.state();
     m_allowances.useBounds(bounds, state == nullptr ? std::vector<ServingCustomer>() : state->customers, now);
     m_retries.useBounds(bounds);
+    m_gateway.suspects().useHeartbeat(settings.heartbeat);
     m_desiredDriver.advance();
     m_targetsDriver.advance();
 }
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -95,7 +95,10 @@
         learnEntry(entry);
     }
     if (m_agents.contains(state.instance())) {
-        m_gateway.targetsChanged(m_book.setView(state.instance(), viewOf(state), now));
+        const std::int64_t bornMs = bornOf(state.instance());
+        const ChangedModels changed = m_book.setView(state.instance(), viewOf(state), now);
+        noteRestart(state.instance(), bornMs);
+        m_gateway.targetsChanged(changed);
     }
 }
 
@@ -105,8 +108,8 @@
     for (const wire::EntryGossip::Member &member : envelope.gossip().members()) {
         learnEntry(member.address());
     }
-    for (const wire::EntryGossip::Crash &crash : envelope.gossip().crashes()) {
-        m_gateway.suspects().merge({crash.request(), crash.target()}, m_core.loop.now());
+    for (const CrashMark &mark : readMarks(envelope.gossip())) {
+        m_gateway.suspects().merge(mark, m_core.loop.now());
     }
     m_allowances.hear(readReport(envelope), m_core.loop.now());
     m_book.setEntries(static_cast<std::uint32_t>(m_allowances.members().memberCount()));
@@ -154,10 +157,8 @@
         const OutgoingReport outgoing = m_allowances.makeReport(m_core.loop.now());
         wire::Envelope envelope;
         writeReport(outgoing.report, *envelope.mutable_gossip());
-        for (const CrashMark &mark : m_gateway.suspects().marks()) {
-            wire::EntryGossip::Crash &crash = *envelope.mutable_gossip()->add_crashes();
-            crash.set_request(mark.request);
-            crash.set_target(mark.crash);
+        if (outgoing.receivers.empty()) {
+            writeMarks(m_gateway.suspects().marks(m_allowances.members().joins()), *envelope.mutable_gossip());
         }
         const std::vector<std::string> all(m_entries.begin(), m_entries.end());
         for (const std::string &address : outgoing.receivers.empty() ? all : outgoing.receivers) {
--- a/src/node/gossipmessages.cpp
+++ b/src/node/gossipmessages.cpp
@@ -23,6 +23,26 @@
     }
 }
 
+void writeMarks(const std::vector<CrashMark> &marks, wire::EntryGossip &gossip)
+{
+    for (const CrashMark &mark : marks) {
+        wire::EntryGossip::Crash &out = *gossip.add_crashes();
+        out.set_request(mark.request);
+        out.set_target(mark.target);
+        out.set_born_ms(mark.bornMs);
+        out.set_pending(mark.pending);
+    }
+}
+
+std::vector<CrashMark> readMarks(const wire::EntryGossip &gossip)
+{
+    std::vector<CrashMark> marks;
+    for (const wire::EntryGossip::Crash &crash : gossip.crashes()) {
+        marks.push_back({crash.request(), crash.target(), crash.born_ms(), crash.pending()});
+    }
+    return marks;
+}
+
 EntryReport readReport(const wire::Envelope &envelope)
 {
     const wire::EntryGossip &gossip = envelope.gossip();
--- a/tests/src/unit-crashsuspects.cpp
+++ b/tests/src/unit-crashsuspects.cpp
@@ -1,5 +1,13 @@
+#include <celeryroute/detail/allowance/allowancepool.h>
 #include <celeryroute/detail/gateway/crashsuspects.h>
 
+#include <array>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace celeryroute;
@@ -12,14 +20,24 @@
     TimePoint now{1h};
     CrashSuspects suspects;
 
-    void crash(const std::string &target, std::initializer_list<std::uint64_t> requests)
+    void crash(const std::string &target, std::initializer_list<std::uint64_t> requests, std::int64_t bornMs = 0)
     {
         for (const std::uint64_t request : requests) {
-            suspects.noteUnanswered(request, target, now);
+            suspects.noteUnanswered({request, target, bornMs, now}, now);
         }
         now += 1s;
         suspects.targetDied(target, now);
     }
+    std::size_t told()
+    {
+        std::set<std::pair<std::uint64_t, std::string>> all;
+        for (std::vector<CrashMark> marks = suspects.marks(0); !marks.empty(); marks = suspects.marks(0)) {
+            for (const CrashMark &mark : marks) {
+                all.emplace(mark.request, mark.target);
+            }
+        }
+        return all.size();
+    }
 };
 
 TEST(CrashSuspects, requestOfThreeDeadTargets_isQuarantinedAndItsNeighbourIsNot)
@@ -37,43 +55,251 @@
 TEST(CrashSuspects, lostAnswersOfLivingTargets_countForNothing)
 {
     for (const char *target : {"a", "b", "c", "d"}) {
-        suspects.noteUnanswered(Guilty, target, now);
+        suspects.noteUnanswered({Guilty, target, 0, now}, now);
         now += 10s;
         suspects.targetDied(target, now);
     }
     CHECK_FALSE(suspects.quarantined(Guilty, now));
 }
 
+TEST(CrashSuspects, deathsThatShowLateInTheRegistry_countByTheHeartbeat)
+{
+    suspects.useHeartbeat(3s);
+    for (const char *target : {"a", "b", "c"}) {
+        suspects.noteUnanswered({Guilty, target, 0, now}, now);
+        now += 9500ms;
+        suspects.targetDied(target, now);
+    }
+    CHECK_TRUE(suspects.quarantined(Guilty, now));
+}
+
+TEST(CrashSuspects, sendThatHangsOnADeadTarget_countsWhenItEnds)
+{
+    for (const char *target : {"a", "b", "c"}) {
+        const TimePoint sent = now;
+        now += 4s;
+        suspects.targetDied(target, now);
+        suspects.noteUnanswered({Guilty, target, 0, sent}, now + 8s);
+        suspects.noteUnanswered({Innocent, target, 0, now + 1s}, now + 2s); // Sent to what came after.
+    }
+    CHECK_TRUE(suspects.quarantined(Guilty, now));
+    CHECK_FALSE(suspects.quarantined(Innocent, now));
+}
+
+TEST(CrashSuspects, targetThatStartsAgainUnderItsId_crashesAnew)
+{
+    for (const std::int64_t bornMs : {1, 1, 2}) {
+        crash("a", {Guilty}, bornMs);
+        CHECK_FALSE(suspects.quarantined(Guilty, now));
+    }
+    crash("a", {Guilty}, 3);
+    CHECK_TRUE(suspects.quarantined(Guilty, now));
+}
+
 TEST(CrashSuspects, oneCrashToldByManyEntries_countsOnce)
 {
     for (int i = 0; i < 5; ++i) {
-        suspects.merge({Guilty, "a"}, now);
-        suspects.merge({Guilty, "b"}, now);
+        suspects.merge({Guilty, "a", 1}, now);
+        suspects.merge({Guilty, "b", 1}, now);
     }
     CHECK_FALSE(suspects.quarantined(Guilty, now));
-    suspects.merge({Guilty, "c"}, now);
+    suspects.merge({Guilty, "c", 1}, now);
     CHECK_TRUE(suspects.quarantined(Guilty, now));
-    UNSIGNED_LONGS_EQUAL(3, suspects.marks().size());
+    UNSIGNED_LONGS_EQUAL(3, told());
 }
 
 TEST(CrashSuspects, answeredRequest_isNotMarkedAgainByTheSameCrashes)
 {
     for (const char *target : {"a", "b", "c"}) {
-        suspects.merge({Guilty, target}, now);
+        suspects.merge({Guilty, target, 1}, now);
     }
     suspects.noteAnswered(Guilty, now);
     for (const char *target : {"a", "b", "c"}) {
-        suspects.merge({Guilty, target}, now);
+        suspects.merge({Guilty, target, 1}, now);
     }
     CHECK_FALSE(suspects.quarantined(Guilty, now));
-    CHECK_TRUE(suspects.marks().empty());
+    CHECK_TRUE(suspects.marks(0).empty());
 }
 
-TEST(CrashSuspects, oldCrashes_areForgotten)
+TEST(CrashSuspects, oldCrashes_areForgottenUnlessTheRequestComesAgain)
+{
+    crash("a", {Guilty, Innocent});
+    crash("b", {Guilty, Innocent});
+    crash("c", {Guilty});
+    for (int minutes = 0; minutes < 60; minutes += 8) {
+        now += 8min;
+        CHECK_TRUE(suspects.quarantined(Guilty, now));
+    }
+    crash("d", {Innocent});
+    CHECK_FALSE(suspects.quarantined(Innocent, now));
+    now += 11min;
+    crash("e", {});
+    CHECK_FALSE(suspects.quarantined(Guilty, now));
+}
+
+TEST(CrashSuspects, sendsWithoutAnAnswer_holdARequestBackUntilItIsKnownWhetherTheirTargetsDied)
+{
+    suspects.noteUnanswered({Guilty, "a", 1, now}, now);
+    suspects.noteUnanswered({Guilty, "a", 1, now}, now);
+    suspects.noteUnanswered({Guilty, "b", 1, now}, now);
+    CHECK_FALSE(suspects.quarantined(Guilty, now));
+    suspects.merge({Guilty, "c", 1, true}, now + 1s);
+    CHECK_TRUE(suspects.quarantined(Guilty, now + 1s));
+    UNSIGNED_LONGS_EQUAL(2, told()); // Only what was lost here.
+    suspects.targetDied("c", now + 4s);
+    CHECK_TRUE(suspects.quarantined(Guilty, now + 4s));
+    CHECK_FALSE(suspects.quarantined(Guilty, now + 5s));
+    UNSIGNED_LONGS_EQUAL(1, told());
+}
+
+TEST(CrashSuspects, manySuspects_leaveRoomForTheWorst)
 {
     crash("a", {Guilty});
     crash("b", {Guilty});
-    now += 3min;
+    for (std::uint64_t request = 100; request < 5000; ++request) {
+        suspects.merge({request, "a", 1}, now);
+    }
     crash("c", {Guilty});
-    CHECK_FALSE(suspects.quarantined(Guilty, now));
+    CHECK_TRUE(suspects.quarantined(Guilty, now));
+    CHECK_TRUE(told() <= 1026);
+}
+
+namespace {
+
+/// Entries that tell each other of crashes over a network that loses datagrams.
+class Entries
+{
+public:
+    static constexpr std::size_t Count = 3;
+
+    struct Entry {
+        CrashSuspects suspects;
+        std::unique_ptr<AllowancePool> pool;
+        TimePoint down = TimePoint::min(); ///< Until then.
+    };
+
+    TimePoint now{1h};
+    double lost = 0;
+    std::array<Entry, Count> entries;
+
+    explicit Entries(std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (std::size_t i = 0; i < Count; ++i) {
+            start(i);
+        }
+    }
+
+    /// @brief A new process without any memory.
+    void start(std::size_t index)
+    {
+        entries[index].suspects = CrashSuspects();
+        entries[index].pool = std::make_unique<AllowancePool>(addressOf(index), ++m_incarnation, ServingBounds(), now);
+    }
+    void step()
+    {
+        now += 10ms;
+        for (std::size_t i = 0; i < Count; ++i) {
+            Entry &sender = entries[i];
+            if (now < sender.down) {
+                continue;
+            }
+            sender.pool->advance(now);
+            if (sender.pool->reportDue() > now) {
+                continue;
+            }
+            const OutgoingReport outgoing = sender.pool->makeReport(now);
+            const std::vector<CrashMark> marks = outgoing.receivers.empty()
+                ? sender.suspects.marks(sender.pool->members().joins())
+                : std::vector<CrashMark>();
+            for (std::size_t j = 0; j < Count; ++j) {
+                if (j != i && now >= entries[j].down && !happens(lost)) {
+                    receive(entries[j], outgoing.report, marks);
+                }
+            }
+        }
+    }
+    bool happens(double chance)
+    {
+        return std::uniform_real_distribution<double>()(m_random) < chance;
+    }
+    std::size_t any(std::size_t count)
+    {
+        return m_random() % count;
+    }
+
+private:
+    static std::string addressOf(std::size_t index)
+    {
+        return "10.0.0." + std::to_string(index + 1);
+    }
+    void receive(Entry &receiver, const EntryReport &report, const std::vector<CrashMark> &marks) const
+    {
+        for (const CrashMark &mark : marks) {
+            receiver.suspects.merge(mark, now);
+        }
+        receiver.pool->hear(report, now);
+    }
+
+    std::mt19937_64 m_random;
+    std::uint64_t m_incarnation = 0;
+};
+
+} // namespace
+
+// The caller comes again at any entry, and each send crashes its target; the death shows later. What is
+// counted as the rule does: sends later than the settling time behind the third crash.
+TEST(CrashSuspects, anyScheduleOfEntries_sendsACrashingRequestNoMoreThanThreeTimesAfterTheThirdCrash)
+{
+    constexpr Duration Settling = 3s;
+    constexpr std::uint64_t CrashingRequest = 7;
+    constexpr std::uint64_t Seeds = 300;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        Entries world(seed);
+        world.lost = 0.1 * static_cast<double>(seed % 4);
+        struct Death {
+            std::string target;
+            TimePoint shows;
+        };
+        std::vector<Death> deaths;
+        std::vector<TimePoint> crashes;
+        std::uint32_t late = 0;
+        std::array<TimePoint, Entries::Count> inTouch{};
+        inTouch.fill(world.now);
+        const TimePoint end = world.now + 90s;
+        while (world.now < end) {
+            world.step();
+            if (world.any(1200) == 0) {
+                const std::size_t index = world.any(Entries::Count);
+                world.start(index); // One entry at a time, so that two remember.
+                world.entries[index].down = world.now + 1s;
+                inTouch[index] = world.now + 1s + Settling;
+            }
+            std::erase_if(deaths, [&world](const Death &death) {
+                for (Entries::Entry &entry : world.entries) {
+                    if (death.shows <= world.now && world.now >= entry.down) {
+                        entry.suspects.targetDied(death.target, world.now);
+                    }
+                }
+                return death.shows <= world.now;
+            });
+            const std::size_t at = world.any(Entries::Count);
+            Entries::Entry &entry = world.entries[at];
+            if (world.any(80) != 0 || world.now < entry.down
+                || entry.suspects.quarantined(CrashingRequest, world.now)) {
+                continue;
+            }
+            const std::string target = "i-" + std::to_string(crashes.size());
+            const bool counts = crashes.size() >= 3 && world.now >= crashes[2] + Settling && world.now >= inTouch[at];
+            late += counts ? 1 : 0;
+            entry.suspects.noteUnanswered({CrashingRequest, target, 1, world.now}, world.now);
+            crashes.push_back(world.now);
+            deaths.push_back({target, world.now + std::chrono::milliseconds(2400 + world.any(1200))});
+        }
+        CHECK_TEXT(late <= 3, ("seed " + std::to_string(seed)).c_str());
+        for (Entries::Entry &entry : world.entries) {
+            CHECK_TEXT(entry.suspects.quarantined(CrashingRequest, world.now) || world.now < entry.down + Settling,
+                       ("seed " + std::to_string(seed)).c_str());
+        }
+    }
 }
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -496,6 +496,32 @@
     }
 }
 
+TEST(Gateway, requestThatCrashesItsTargets_isSentNoMoreForThisCallerAlone)
+{
+    for (const bool known : {false, true}) { // Whether the deaths are known at once, or not yet.
+        GatewayWorld fresh(8);
+        fresh.route("open").maxAttempts = 9;
+        fresh.apply();
+        const auto dies = [&](const ServingTarget::Request &request) {
+            fresh.replies("", Then::Close)(request);
+            if (known) {
+                fresh.gateway.suspects().targetDied(request.field(fresh.names.instance), fresh.loop.now());
+            }
+        };
+        fresh.scripts = {dies, dies, dies, fresh.replies(Ok)};
+        CHECK_EQUAL(502, statusOf(fresh.call("/open/a", {}, "body")));
+        CHECK_EQUAL(3U, fresh.arrived.size());
+        const std::string again = fresh.call("/open/a", {}, "body");
+        CHECK_EQUAL(503, statusOf(again));
+        CHECK(fieldOf(again, "Retry-After") != "(none)");
+        CHECK_EQUAL(3U, fresh.arrived.size());
+        CHECK_EQUAL(200, statusOf(fresh.call("/open/a", {}, "other")));
+        CHECK_EQUAL(200,
+                    statusOf(fresh.callRaw("POST /open/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r\r\n"
+                                           "Connection: close\r\nContent-Length: 4\r\n\r\nbody")));
+    }
+}
+
 TEST(Gateway, callerThatLeaves_endsItsCallAtTheTargetUnlessItRunsOnceOnly)
 {
     world.apply();
--- a/tests/src/unit-node.cpp
+++ b/tests/src/unit-node.cpp
@@ -158,6 +158,9 @@
     wire::Envelope read;
     CHECK(read.ParseFromString(envelope.SerializeAsString()));
     CHECK(readReport(read) == report);
+    const std::vector<CrashMark> marks = {{7, "i-1", 1000, false}, {~0ULL, "i-2", 0, true}};
+    writeMarks(marks, *read.mutable_gossip());
+    CHECK(readMarks(read.gossip()) == marks);
 }
 
 TEST(NodeParts, signals_arriveOnTheLoop)
