Keep the weight store's rate while targets come and go

The model of the shares (spec/loadslots.pml) showed that the rule broke: when a target left, the others took its part while the loads that it had begun were still in the window, and a target that came began loads before the others counted with it.

A count that falls counts a window later; a target that came waits for a window and 2 s, a restarted agent with an old target for a window as before. The count of targets lies in StoreLoadShare alone.

--- a/include/celeryroute/detail/keeper/demandbook.h
+++ b/include/celeryroute/detail/keeper/demandbook.h
@@ -45,12 +45,6 @@
     /// @brief When @p item was last seen in use; the distant past if it never was.
     TimePoint lastUsed(const std::string &item) const;
 
-    /// @brief Targets of the pool, the most that any entry knows; 0 before any said so.
-    std::uint32_t poolTargets() const
-    {
-        return m_poolTargets;
-    }
-
     /// @brief Drops what entries said that fell silent, and items long out of use. To be called before
     /// the book is read.
     void expire(TimePoint now);
@@ -76,7 +70,6 @@
     std::unordered_map<std::string, Use> m_uses;
     std::unordered_map<std::string, std::uint32_t> m_inFlight; ///< Sums over the entries.
     std::unordered_set<std::string> m_wanting; ///< Entries with wants.
-    std::uint32_t m_poolTargets = 0;
     TimePoint m_nextSweep;
     TimePoint m_nextForget;
 };
--- a/include/celeryroute/detail/keeper/storeloadshare.h
+++ b/include/celeryroute/detail/keeper/storeloadshare.h
@@ -19,10 +19,15 @@
     explicit StoreLoadShare(std::uint64_t seed);
 
     void useLimits(double loadsPerSecond, const ServingBounds &bounds);
-    void useTargets(std::uint32_t targets);
+    /// @brief There are @p targets, as an entry says at @p now. A smaller number counts only when none has
+    /// said a larger one for a window: what the others began is still in it.
+    void useTargets(std::uint32_t targets, TimePoint now);
 
-    /// @brief Loads may have begun unseen until @p now.
-    void noteUnknownPast(TimePoint now);
+    /// @brief Loads may have begun unseen until @p until.
+    void noteUnknownPast(TimePoint until);
+
+    /// @brief The target has come at @p now: the others count without it for a moment yet.
+    void noteJoined(TimePoint now);
 
     /// @brief A load has begun at @p now at the latest.
     void noteBegan(TimePoint now);
@@ -38,7 +43,9 @@
 
     double m_limit = 0; ///< Loads of all targets in one window.
     Duration m_window{};
-    std::uint32_t m_targets = 0;
+    std::uint32_t m_targets = 0; ///< Most in this period and the one before.
+    std::uint32_t m_most = 0; ///< In this period.
+    TimePoint m_periodEnd = TimePoint::min();
     std::uint64_t m_seed;
     std::deque<TimePoint> m_began;
     TimePoint m_unknownUntil = TimePoint::min();
--- a/src/keeper/demandbook.cpp
+++ b/src/keeper/demandbook.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration WantsKept = 1s; ///< Without a word of the entry.
 constexpr Duration CallsKept = 5s; ///< Without a word of the entry.
-constexpr Duration EntryKept = 60s; ///< For its count of targets.
+constexpr Duration EntryKept = 60s; ///< Without a word of it.
 constexpr Duration UseMemory = 30s; ///< Over which use fades to a third.
 constexpr Duration UseKept = 600s;
 constexpr Duration SweepInterval = 250ms;
@@ -41,7 +41,6 @@
     } else {
         m_wanting.insert(entry);
     }
-    m_poolTargets = std::max(m_poolTargets, demand.poolTargets);
     known.demand = std::move(demand);
     known.heard = now;
 }
@@ -158,16 +157,10 @@
     std::erase_if(m_wanting, [&](const std::string &name) { return now - m_entries.at(name).heard > WantsKept; });
 }
 
-// The count of targets outlives the entries that named it: none knows a better one.
 void DemandBook::forgetOld(TimePoint now)
 {
     std::erase_if(m_entries, [now](const auto &named) { return now - named.second.heard > EntryKept; });
     std::erase_if(m_uses, [now](const auto &named) { return now - named.second.last > UseKept; });
-    std::uint32_t most = 0;
-    for (const auto &[name, entry] : m_entries) {
-        most = std::max(most, entry.demand.poolTargets);
-    }
-    m_poolTargets = most > 0 ? most : m_poolTargets;
 }
 
 } // namespace celeryroute
--- a/src/keeper/modelkeeper.cpp
+++ b/src/keeper/modelkeeper.cpp
@@ -90,6 +90,11 @@
     for (std::uint32_t i = 0; i < effect.storeLoadsBegan; ++i) {
         m_share.noteBegan(now);
     }
+    const bool newWithAgent = first && !m_settings.firstStart && m_settings.startedMs != 0 && report.bornMs != 0
+        && report.bornMs >= m_settings.startedMs - ClockDoubtMs;
+    if (effect.newLifetime || newWithAgent) {
+        m_share.noteJoined(now);
+    }
     noteResidents(before, first || effect.newLifetime, now);
     if (m_report.copies != report.copies) {
         m_catalog.useCopies(report.copies);
@@ -118,7 +123,7 @@
 void ModelKeeper::noteUsage(const std::string &entry, const EntryDemand &demand, TimePoint now)
 {
     m_demand.note(entry, demand, now);
-    m_share.useTargets(m_demand.poolTargets());
+    m_share.useTargets(demand.poolTargets, now);
 }
 
 void ModelKeeper::noteOutcome(const TargetOrder &order, OrderAnswer outcome, TimePoint now)
--- a/src/keeper/storeloadshare.cpp
+++ b/src/keeper/storeloadshare.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace celeryroute {
 
@@ -9,6 +10,7 @@
 
 constexpr double Slack = 2; ///< Loads in a window beside the store's rate.
 constexpr double Deviations = 4; ///< Of the number of turns that meet in one window, below the limit.
+constexpr Duration CountLag = std::chrono::seconds(2); ///< Until all agents are told of a target that came.
 constexpr double TurnShare = 0.25; ///< Of a window in which a turn can be taken.
 
 } // namespace
@@ -23,14 +25,27 @@
     m_limit = loadsPerSecond * toSeconds(bounds.loadWindow) * bounds.loadOverage + Slack;
 }
 
-void StoreLoadShare::useTargets(std::uint32_t targets)
+void StoreLoadShare::useTargets(std::uint32_t targets, TimePoint now)
 {
-    m_targets = targets;
+    if (targets == 0) {
+        return; // That entry does not know.
+    }
+    if (now >= m_periodEnd) {
+        m_periodEnd = now + m_window;
+        m_targets = std::exchange(m_most, targets);
+    }
+    m_most = std::max(m_most, targets);
+    m_targets = std::max(m_targets, m_most);
+}
+
+void StoreLoadShare::noteUnknownPast(TimePoint until)
+{
+    m_unknownUntil = std::max(m_unknownUntil, until);
 }
 
-void StoreLoadShare::noteUnknownPast(TimePoint now)
+void StoreLoadShare::noteJoined(TimePoint now)
 {
-    m_unknownUntil = std::max(m_unknownUntil, now);
+    noteUnknownPast(now + CountLag);
 }
 
 void StoreLoadShare::noteBegan(TimePoint now)
