--- a/include/celeryroute/detail/allowance/memberview.h
+++ b/include/celeryroute/detail/allowance/memberview.h
@@ -61,6 +61,11 @@
         return m_memberCount;
     }
     /// @brief Part of each allowance that this entry may use, together with those that it hears.
+    /// @brief How often a peer has come in touch so far.
+    std::uint64_t joins() const
+    {
+        return m_joins;
+    }
     double poolFraction() const
     {
         return m_poolFraction;
@@ -127,6 +132,7 @@
     bool m_told = false; ///< How many entries there are has been looked up.
     std::size_t m_memberCount = 1;
     double m_poolFraction = 1;
+    std::uint64_t m_joins = 0;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/feed/topicfollower.h
+++ b/include/celeryroute/detail/feed/topicfollower.h
@@ -24,6 +24,10 @@
 public:
     TopicFollower(FeedTopic topic, FollowingSettings settings, std::uint64_t seed);
 
+    /// @brief Follows by other settings from now on. A call in work is given up, as it was begun by
+    /// those before; the driver drops its answer when next() returns another one.
+    void useSettings(const FollowingSettings &settings, TimePoint now);
+
     /// @brief What to do now; a returned call counts as begun.
     FeedStep next(TimePoint now);
     /// @brief Records that changed, in the order of the topic; an empty value says that the key is gone.
@@ -68,6 +72,7 @@
     std::uint64_t m_listingEnd = 0; ///< End of the listing's first page.
     bool m_listedAgain = false; ///< Since a read of records was last answered.
     std::uint64_t m_offset = 0; ///< Next record to read.
+    bool m_unheld = false; ///< Since the settings changed nothing was read whole: what is known may be old for them.
     TimePoint m_notBefore = TimePoint::min();
     std::optional<TimePoint> m_confirmed;
     std::optional<TimePoint> m_lastFailure;
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -135,12 +135,15 @@
     void wantSpare(const LoadWant &want);
     /// @brief A target has died; what had ended there without an answer is suspected of it.
     void targetDied(const std::string &target);
+    /// @brief A send may have run and got no answer.
+    void noteUnanswered(const LostSend &send);
     /// @brief What the agent of @p target is to be asked for.
     std::vector<WantedItem> wantsAt(const std::string &target) const;
     /// @brief Removes @p call after this turn.
     void finished(Call &call);
 
 private:
+    void logSuspected(const CrashSuspects::Suspicion &suspicion, const std::string &target);
     void callerRequest(CallerConnection &connection, CallerRequest request) override;
     void callerLeft(CallerConnection &connection) override;
     void callerDrained(CallerConnection &connection) override;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -40,6 +40,8 @@
     ChangedModels take(const TargetChanged &event);
     ChangedModels take(const TargetGone &event);
     void addAgent(const TargetRecord &record);
+    std::int64_t bornOf(const std::string &target) const;
+    void noteRestart(const std::string &target, std::int64_t bornBefore);
     void expireTargets();
 
     void received(const wire::Envelope &envelope);
--- a/include/celeryroute/detail/node/feeddriver.h
+++ b/include/celeryroute/detail/node/feeddriver.h
@@ -6,6 +6,7 @@
 #include <celeryroute/detail/node/storewatch.h>
 #include <celeryroute/detail/telemetry/servingmetrics.h>
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -47,6 +48,7 @@
     StoreWatch m_watch;
     Follower m_follower;
     EventLoop::TimerId m_timer = 0;
+    std::uint64_t m_call = 0; ///< Number of the newest call; answers to others count for nothing.
 };
 
 } // namespace celeryroute
--- a/src/feed/topicfollower.cpp
+++ b/src/feed/topicfollower.cpp
@@ -30,6 +30,19 @@
     , m_after(std::string())
 {}
 
+void TopicFollower::useSettings(const FollowingSettings &settings, TimePoint now)
+{
+    if (settings == m_settings) {
+        return;
+    }
+    m_settings = settings;
+    m_patience.useLimits(settings.leastPatience, settings.mostPatience);
+    m_retry.useLimits(settings.leastRetry, settings.mostRetry);
+    m_notBefore = std::min(m_notBefore, now + std::max(settings.pacing, settings.mostRetry));
+    m_inWork.reset();
+    m_unheld = true;
+}
+
 FeedStep TopicFollower::next(TimePoint now)
 {
     if (m_inWork) {
@@ -107,8 +120,9 @@
 
 Duration TopicFollower::hold(TimePoint now) const
 {
-    // After a failure the first answer must come at once: it says that the store is back.
-    if (failing()) {
+    // After a failure the first answer must come at once: it says that the store is back. So must that
+    // after a change of settings: by the earlier ones, what is known may not last for a held read.
+    if (failing() || m_unheld) {
         return Duration::zero();
     }
     Duration longest = m_settings.hold;
@@ -236,6 +250,7 @@
         m_returned = now;
     }
     m_retry.succeeded();
+    m_unheld = false;
     m_confirmed = std::max(m_confirmed.value_or(current), current);
 }
 
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -210,6 +210,10 @@
         }
         return;
     }
+    // What it did elsewhere may have become known since.
+    if (heldBack()) {
+        return;
+    }
     if (m_arrivals == 0) {
         m_gateway.admission().noteFirstSend(m_pool, now);
     } else if (!m_gateway.admission().takeFurtherSend(m_pool, now)) {
@@ -223,6 +227,7 @@
         logResumed(targetId);
     }
     m_target = targetId;
+    m_targetBornMs = target->bornMs;
     m_sentAt = now;
     m_lastProgress = now;
     m_held = false;
@@ -328,7 +333,7 @@
     m_arrivals -= sent ? 0 : 1;
     if (sent && !m_answer.notRun) {
         ++m_runs;
-        m_gateway.suspects().noteUnanswered(digest(), m_target, m_gateway.loop().now(), m_fields.requestId);
+        m_gateway.noteUnanswered({m_digest, m_target, m_targetBornMs, m_sentAt, m_fields.requestId});
     } else if (failure == ExchangeFailure::NotConnected) {
         m_gateway.targetDied(m_target);
     }
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -75,7 +75,7 @@
          {fieldnames::HeardIncarnation, incarnationOf(heard)},
          {fieldnames::HeardMessage, messageOf(heard)},
          {"crashes",
-          reason == reasons::Suspect ? std::optional(m_gateway.suspects().crashes(digest())) : std::nullopt}});
+          reason == reasons::Suspect ? std::optional(m_gateway.suspects().crashes(m_digest)) : std::nullopt}});
     m_gateway.metrics().countRefusal(reason);
     m_gateway.metrics().countRequest(m_route == nullptr ? CallKind::Idempotent : m_route->kind,
                                      RequestOutcome::Refused);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,16 +56,28 @@
 void Gateway::targetDied(const std::string &target)
 {
     for (const CrashSuspects::Suspicion &suspicion : m_suspects.targetDied(target, m_parts.loop.now())) {
-        m_parts.log.write(DecisionEvent::RequestSuspected,
-                          m_parts.loop.now(),
-                          suspicion.id,
-                          {{fieldnames::Target, target},
-                           {"digest", suspicion.request},
-                           {"crashes", suspicion.crashes},
-                           {fieldnames::Message, nextMessage()}});
+        logSuspected(suspicion, target);
     }
 }
 
+void Gateway::noteUnanswered(const LostSend &send)
+{
+    if (const auto suspicion = m_suspects.noteUnanswered(send, m_parts.loop.now())) {
+        logSuspected(*suspicion, send.target);
+    }
+}
+
+void Gateway::logSuspected(const CrashSuspects::Suspicion &suspicion, const std::string &target)
+{
+    m_parts.log.write(DecisionEvent::RequestSuspected,
+                      m_parts.loop.now(),
+                      suspicion.id,
+                      {{fieldnames::Target, target},
+                       {"digest", suspicion.request},
+                       {"crashes", suspicion.crashes},
+                       {fieldnames::Message, nextMessage()}});
+}
+
 Result<void> Gateway::listen(const Endpoint &endpoint)
 {
     return m_server.listen(endpoint);
--- a/src/keeper/demandbook.cpp
+++ b/src/keeper/demandbook.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration WantsKept = 1s; ///< Without a word of the entry.
 constexpr Duration CallsKept = 5s; ///< Without a word of the entry.
-constexpr Duration EntryKept = 60s; ///< For its count of targets.
+constexpr Duration EntryKept = 60s; ///< Without a word of it.
 constexpr Duration UseMemory = 30s; ///< Over which use fades to a third.
 constexpr Duration UseKept = 600s;
 constexpr Duration SweepInterval = 250ms;
@@ -41,14 +41,8 @@
     } else {
         m_wanting.insert(entry);
     }
-    const std::uint32_t before = known.demand.poolTargets;
     known.demand = std::move(demand);
     known.heard = now;
-    if (known.demand.poolTargets >= m_poolTargets) {
-        m_poolTargets = known.demand.poolTargets;
-    } else if (before == m_poolTargets) {
-        countTargets();
-    }
 }
 
 void DemandBook::count(const EntryDemand &demand, bool add)
@@ -167,17 +161,6 @@
 {
     std::erase_if(m_entries, [now](const auto &named) { return now - named.second.heard > EntryKept; });
     std::erase_if(m_uses, [now](const auto &named) { return now - named.second.last > UseKept; });
-    countTargets();
-}
-
-// The count of targets outlives the entries that named it: none knows a better one.
-void DemandBook::countTargets()
-{
-    std::uint32_t most = 0;
-    for (const auto &[name, entry] : m_entries) {
-        most = std::max(most, entry.demand.poolTargets);
-    }
-    m_poolTargets = most > 0 ? most : m_poolTargets;
 }
 
 } // namespace celeryroute
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -117,10 +117,7 @@
                           {"routes", state.routes.size()},
                           {"pools", state.pools.size()},
                           {"customers", state.customers.size()}});
-        const ServingPool *pool = state.pool(m_core.settings.pool);
-        if (pool != nullptr && pool->engine) {
-            m_keeper.useSpec(*pool->engine);
-        }
+        useSpec();
     }
     advance();
 }
@@ -383,6 +380,22 @@
 void AgentNode::reload(const NodeSettings &settings)
 {
     m_core.settings = settings;
+    const ServingBounds &bounds = settings.bounds;
+    m_store.useServer(parseEndpoint(settings.storeAddress).value_or(Endpoint{}));
+    m_desired.useSettings(FollowingSettings::forState(bounds), bounds.keyRevocation, m_core.loop.now());
+    m_keeper.useBounds(bounds);
+    useSpec();
+    m_desiredDriver.advance();
+    advance();
+}
+
+void AgentNode::useSpec()
+{
+    const ServingStatePtr &state = m_desired.state();
+    const ServingPool *pool = state == nullptr ? nullptr : state->pool(m_core.settings.pool);
+    if (pool != nullptr && pool->engine) {
+        m_keeper.useSpec(*pool->engine);
+    }
 }
 
 } // namespace celeryroute
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -92,6 +92,7 @@
 
 Result<void> EntryNode::start()
 {
+    m_gateway.suspects().useHeartbeat(m_core.settings.heartbeat);
     BOOST_LEAF_CHECK(m_peers.open(m_peerEndpoint));
     BOOST_LEAF_CHECK(m_gateway.listen(endpointOf(m_core.settings.listenAddress)));
     BOOST_LEAF_CHECK(m_readiness.listen(endpointOf(m_core.settings.readinessAddress)));
@@ -197,7 +198,24 @@
     }
     m_agents.noteTarget(record);
     addAgent(record);
-    return m_book.setRecord(record, m_core.loop.now());
+    const std::int64_t bornMs = bornOf(record.id);
+    const ChangedModels changed = m_book.setRecord(record, m_core.loop.now());
+    noteRestart(record.id, bornMs);
+    return changed;
+}
+
+std::int64_t EntryNode::bornOf(const std::string &target) const
+{
+    const KnownTarget *known = m_book.target(target);
+    return known == nullptr ? 0 : known->bornMs;
+}
+
+// A target that starts again under its id never leaves the registry.
+void EntryNode::noteRestart(const std::string &target, std::int64_t bornBefore)
+{
+    if (bornBefore != 0 && bornOf(target) != bornBefore) {
+        m_gateway.targetDied(target);
+    }
 }
 
 ChangedModels EntryNode::take(const TargetGone &event)
@@ -279,6 +297,17 @@
 void EntryNode::reload(const NodeSettings &settings)
 {
     m_core.settings = settings;
+    const ServingBounds &bounds = settings.bounds;
+    const TimePoint now = m_core.loop.now();
+    m_store.useServer(endpointOf(settings.storeAddress));
+    m_desired.useSettings(FollowingSettings::forKeys(bounds), bounds.keyRevocation, now);
+    m_targets.useSettings(FollowingSettings::forTargets(bounds), settings.heartbeat, now);
+    const ServingStatePtr &state = m_desired.state();
+    m_allowances.useBounds(bounds, state == nullptr ? std::vector<ServingCustomer>() : state->customers, now);
+    m_retries.useBounds(bounds);
+    m_gateway.suspects().useHeartbeat(settings.heartbeat);
+    m_desiredDriver.advance();
+    m_targetsDriver.advance();
 }
 
 } // namespace celeryroute
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -79,7 +79,10 @@
         learnEntry(entry);
     }
     if (m_agents.agent(state.instance()) != nullptr) {
-        m_gateway.targetsChanged(m_book.setView(state.instance(), viewOf(state), now, heardMessage(envelope)));
+        const std::int64_t bornMs = bornOf(state.instance());
+        const ChangedModels changed = m_book.setView(state.instance(), viewOf(state), now, heardMessage(envelope));
+        noteRestart(state.instance(), bornMs);
+        m_gateway.targetsChanged(changed);
     }
 }
 
@@ -93,13 +96,13 @@
     for (const wire::EntryGossip::Member &member : envelope.gossip().members()) {
         learnEntry(member.address());
     }
-    for (const wire::EntryGossip::Crash &crash : envelope.gossip().crashes()) {
-        if (m_gateway.suspects().merge({crash.request(), crash.target()}, now)) {
+    for (const CrashMark &mark : readMarks(envelope.gossip())) {
+        if (m_gateway.suspects().merge(mark, now)) {
             m_core.log.write(DecisionEvent::RequestSuspected,
                              now,
-                             {{fieldnames::Target, crash.target()},
-                              {"digest", crash.request()},
-                              {"crashes", m_gateway.suspects().crashes(crash.request())},
+                             {{fieldnames::Target, mark.target},
+                              {"digest", mark.request},
+                              {"crashes", m_gateway.suspects().crashes(mark.request)},
                               {fieldnames::HeardIncarnation, envelope.incarnation()},
                               {fieldnames::HeardMessage, envelope.sequence()}});
         }
@@ -164,10 +167,8 @@
         const OutgoingReport outgoing = m_allowances.makeReport(m_core.loop.now());
         wire::Envelope envelope;
         writeReport(outgoing.report, *envelope.mutable_gossip());
-        for (const CrashMark &mark : m_gateway.suspects().marks()) {
-            wire::EntryGossip::Crash &crash = *envelope.mutable_gossip()->add_crashes();
-            crash.set_request(mark.request);
-            crash.set_target(mark.crash);
+        if (outgoing.receivers.empty()) {
+            writeMarks(m_gateway.suspects().marks(m_allowances.members().joins()), *envelope.mutable_gossip());
         }
         const std::vector<std::string> all(m_entries.begin(), m_entries.end());
         for (const std::string &address : outgoing.receivers.empty() ? all : outgoing.receivers) {
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -275,7 +275,7 @@
         engine.failing = number == 1 && m_fleet.failingTarget > 0;
         engine.share = StoreLoadShare(stableHash(engine.id));
         engine.share.useLimits(m_fleet.storeLoadsPerSecond, {});
-        engine.share.useTargets(static_cast<std::uint32_t>(m_fleet.targets));
+        engine.share.useTargets(static_cast<std::uint32_t>(m_fleet.targets), m_now);
         m_engines.push_back(std::move(engine));
     }
 
