--- a/include/celeryroute/detail/http1/targetchannels.h
+++ b/include/celeryroute/detail/http1/targetchannels.h
@@ -13,6 +13,9 @@
 {
 public:
     TargetChannels(EventLoop &loop, TargetConnection::Conventions conventions);
+    ~TargetChannels();
+    TargetChannels(const TargetChannels &) = delete;
+    TargetChannels &operator=(const TargetChannels &) = delete;
 
     /// @brief Begins an exchange with @p endpoint over a kept or a new channel.
     TargetConnection &start(const Endpoint &endpoint, TargetRequest request, ExchangeUser &user);
@@ -45,7 +48,7 @@
     std::map<TargetConnection *, std::unique_ptr<TargetConnection>> m_connections;
     std::map<Endpoint, std::vector<TargetConnection *>> m_idle; ///< The most recently used last.
     std::uint64_t m_opened = 0;
-    bool m_sweeping = false;
+    EventLoop::TimerId m_sweepTimer = 0;
 };
 
 } // namespace celeryroute
--- a/src/http1/targetchannels.cpp
+++ b/src/http1/targetchannels.cpp
@@ -17,6 +17,11 @@
     , m_conventions(std::move(conventions))
 {}
 
+TargetChannels::~TargetChannels()
+{
+    m_loop.cancel(m_sweepTimer);
+}
+
 TargetConnection &TargetChannels::start(const Endpoint &endpoint, TargetRequest request, ExchangeUser &user)
 {
     TargetConnection *connection = request.single ? nullptr : takeIdle(endpoint, request);
@@ -95,15 +100,14 @@
 
 void TargetChannels::scheduleSweep()
 {
-    if (!m_sweeping) {
-        m_sweeping = true;
-        m_loop.at(m_loop.now() + SweepInterval, [this] { sweep(); });
+    if (m_sweepTimer == 0) {
+        m_sweepTimer = m_loop.at(m_loop.now() + SweepInterval, [this] { sweep(); });
     }
 }
 
 void TargetChannels::sweep()
 {
-    m_sweeping = false;
+    m_sweepTimer = 0;
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
         std::erase_if(entry->second, [this](TargetConnection *connection) {
             if (connection->expiry() > m_loop.now()) {
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -735,6 +735,18 @@
     CHECK_EQUAL(requests, target.requests().size());
 }
 
+TEST(TargetChannels, channelsAreDestroyed_theirTimerIsGone)
+{
+    auto own = std::make_unique<TargetChannels>(loop, TargetConnection::Conventions{"X-Request-Id"});
+    target.answerAll(Own);
+    Exchange exchange;
+    own->start(target.endpoint(), targetRequest("own", {}), exchange);
+    CHECK(finish(exchange));
+    own.reset();
+    const TimePoint later = loop.now() + 3s; // Idle channels are looked through every two seconds.
+    CHECK(turnUntil(loop, [this, later] { return loop.now() > later; }));
+}
+
 TEST(TargetChannels, failures_areTold)
 {
     struct Row {
