--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -1,8 +1,9 @@
 /*
  * Calls with keys against a key that is withdrawn (src/feed, docs/design/system.md).
  *
- * One entry, one key, one call at a time. The entry reads the desired state; an answer says what the
- * store held at some moment after the read began, and comes at any later time or never. A call is checked
+ * One entry, one key, one call at a time. The entry reads the desired state. The store answers with what
+ * is new, or holds the read and says at the end that nothing is; the answer comes at any later time or
+ * never. A read that was held for its whole time is good up to its end, any other from its begin. A call is checked
  * when it is admitted and again before it is written. The process may be suspended at any step, and the
  * bound may change while it runs.
  *
@@ -21,6 +22,7 @@
 #define LONG 5
 #define SHORT 3
 #define MARGIN 1
+#define HOLD 2         /* of a read that is held; others are answered at once */
 
 byte now = 0;
 byte clock = 0;        /* what the process's clock shows */
@@ -37,6 +39,9 @@
 
 bool reading = false;
 byte readBegan = 0;
+byte readStart = 0;    /* the same in the store's time */
+byte hold = 0;
+bool records = false;  /* the answer has some */
 bool served = false;
 bool answer = false;   /* the key is withdrawn */
 bool lateAnswer = false; /* of a read that was given up, still on its way */
@@ -69,7 +74,8 @@
     reading = false;
     served = false;
     known = known || value;
-    confirm(from)
+    confirm(from);
+    records = false
 }
 
 inline changeBound() {
@@ -122,14 +128,34 @@
     :: atomic { !withdrawn -> withdrawn = true; withdrawnAt = now; due = now + bound }
 
     /* Reads. A cut of the store is one whose answers never come. */
-    :: atomic { !suspended && !reading -> reading = true; readBegan = clock }
-    :: atomic { reading && !served -> served = true; answer = withdrawn }
+    :: atomic { !suspended && !reading ->
+        reading = true;
+        readBegan = clock;
+        readStart = now;
+        records = false;
+        if
+        :: hold = 0
+        :: hold = HOLD
+        fi
+    }
+    :: atomic { reading && !served && withdrawn && !known -> served = true; answer = true; records = true }
+#ifdef BROKEN_HELD_FOR_LESS
+    :: atomic { reading && !served && !(withdrawn && !known) -> served = true; answer = withdrawn }
+#else
+    :: atomic { reading && !served && !(withdrawn && !known) && now >= readStart + hold ->
+        served = true;
+        answer = withdrawn
+    }
+#endif
     :: atomic { !suspended && reading && served ->
+        if
 #ifdef BROKEN_AGE_FROM_ANSWER
-        take(answer, clock)
+        :: true -> take(answer, clock)
 #else
-        take(answer, readBegan)
+        :: !records && clock >= readBegan + hold -> take(answer, readBegan + hold)
+        :: else -> take(answer, readBegan)
 #endif
+        fi
     }
     :: atomic { !suspended && reading ->  /* given up */
         lateAnswer = served;
