--- a/tests/src/unit-decisioncost.cpp
+++ b/tests/src/unit-decisioncost.cpp
@@ -125,14 +125,16 @@
 
 constexpr int Repeats = 200;
 
+// A round more of samples, and longer names at the larger size, are no growth with it.
+void checkFlat(double few, double many)
+{
+    CHECK(few > 0);
+    CHECK(many <= 2 * few + 8);
+}
+
 } // namespace
 
-TEST_GROUP(DecisionCost){// A round more of samples, and longer names at the larger size, are no growth with it.
-                         static void checkFlat(double few, double many){CHECK(few > 0);
-CHECK(many <= 2 * few + 8);
-}
-}
-;
+TEST_GROUP(DecisionCost){};
 
 TEST(DecisionCost, theFleetIsLarger_anEngineCallIsChosenForWithAsManyAllocations)
 {
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -67,26 +67,32 @@
     }
 }
 
-TEST_GROUP(RouteTable){static RouteTable table(){ServingState state;
-for (const auto &[name, host, prefix] : {std::array<const char *, 3>{"root", "api.example", "/"},
-                                         {"a", "api.example", "/a/"},
-                                         {"ab", "Api.Example", "/a/b/"},
-                                         {"other", "other.example", "/a/"}}) {
-    ServingRoute route;
-    route.name = name;
-    route.host = host;
-    route.pathPrefix = prefix;
-    state.routes.push_back(route);
-}
-state.customers.resize(2);
-state.customers[0].name = "alpha";
-state.customers[0].keys = {"k1", "k2"};
-state.customers[1].name = "beta";
-state.customers[1].keys = {"k3"};
-return RouteTable(std::make_shared<const ServingState>(std::move(state)));
-}
+namespace {
+
+RouteTable table()
+{
+    ServingState state;
+    for (const auto &[name, host, prefix] : {std::array<const char *, 3>{"root", "api.example", "/"},
+                                             {"a", "api.example", "/a/"},
+                                             {"ab", "Api.Example", "/a/b/"},
+                                             {"other", "other.example", "/a/"}}) {
+        ServingRoute route;
+        route.name = name;
+        route.host = host;
+        route.pathPrefix = prefix;
+        state.routes.push_back(route);
+    }
+    state.customers.resize(2);
+    state.customers[0].name = "alpha";
+    state.customers[0].keys = {"k1", "k2"};
+    state.customers[1].name = "beta";
+    state.customers[1].keys = {"k3"};
+    return RouteTable(std::make_shared<const ServingState>(std::move(state)));
 }
-;
+
+} // namespace
+
+TEST_GROUP(RouteTable){};
 
 TEST(RouteTable, longestPrefixOfTheHost_decides)
 {
--- a/tests/src/unit-keeperschedules.cpp
+++ b/tests/src/unit-keeperschedules.cpp
@@ -422,16 +422,16 @@
     }
 };
 
-} // namespace
-
-TEST_GROUP(KeeperSchedules){static void check(const Cell &cell, std::uint64_t seed, const std::string &found = {}){
+void check(const Cell &cell, std::uint64_t seed, const std::string &found = {})
+{
     const std::string fault = cell.fault + cell.engine.fault + found;
-if (!fault.empty()) {
-    FAIL(("seed " + std::to_string(seed) + ": " + fault).c_str());
-}
+    if (!fault.empty()) {
+        FAIL(("seed " + std::to_string(seed) + ": " + fault).c_str());
+    }
 }
+
 /// Plays a minute of faults; afterwards a wanted item is there within its load time and a little.
-static std::uint64_t play(const Rates &rates, std::uint64_t seed, const std::function<void(World &)> &change = {})
+std::uint64_t play(const Rates &rates, std::uint64_t seed, const std::function<void(World &)> &change = {})
 {
     World world(seed);
     if (change) {
@@ -449,8 +449,10 @@
     check(cell, seed, cell.engine.holds(parseItem(item)) ? "" : item + " is not there");
     return cell.refused;
 }
-}
-;
+
+} // namespace
+
+TEST_GROUP(KeeperSchedules){};
 
 TEST(KeeperSchedules, noFaults_everyOrderIsTaken)
 {
--- a/tests/src/unit-nodesettings.cpp
+++ b/tests/src/unit-nodesettings.cpp
@@ -37,16 +37,16 @@
 targets-check-fences = true
 )";
 
-} // namespace
-
-TEST_GROUP(NodeSettings){static Error errorOf(const std::string &text){return handleErrors(
-    [&text]() -> Result<Error> {
-        BOOST_LEAF_CHECK(readNodeSettings(text));
-        return Error{ResultCode::Ok, {}};
-    },
-    [](const Error &error) { return error; });
+Error errorOf(const std::string &text)
+{
+    return handleErrors(
+        [&text]() -> Result<Error> {
+            BOOST_LEAF_CHECK(readNodeSettings(text));
+            return Error{ResultCode::Ok, {}};
+        },
+        [](const Error &error) { return error; });
 }
-static NodeSettings settingsOf(const std::string &text)
+NodeSettings settingsOf(const std::string &text)
 {
     return handleErrors([&text] { return readNodeSettings(text); },
                         [](const Error &error) {
@@ -54,15 +54,17 @@
                             return NodeSettings();
                         });
 }
-static std::string templateText()
+std::string templateText()
 {
     std::ifstream file(CELERYROUTE_SOURCE_DIR "/deploy/node.settings.template");
     std::stringstream text;
     text << file.rdbuf();
     return text.str();
 }
-}
-;
+
+} // namespace
+
+TEST_GROUP(NodeSettings){};
 
 TEST(NodeSettings, valuesOfAnEntry_areReadAndTheRestKeepsDefaults)
 {
--- a/tests/src/unit-resultcode.cpp
+++ b/tests/src/unit-resultcode.cpp
@@ -9,17 +9,23 @@
 
 using namespace celeryroute;
 
-TEST_GROUP(ResultCodeTable){static std::string expectedPage(){std::ostringstream page;
-page << "| number | name | HTTP | meaning | example |\n|---|---|---|---|---|\n";
-for (const ResultCodeInfo &info : resultCodeInfos()) {
-    const std::string status = info.httpStatus == 0 ? "" : std::to_string(info.httpStatus);
-    page << "| " << static_cast<int>(info.code) << " | " << info.name << " | " << status << " | " << info.meaning
-         << " | " << info.example << " |\n";
-}
-return page.str();
-}
+namespace {
+
+std::string expectedPage()
+{
+    std::ostringstream page;
+    page << "| number | name | HTTP | meaning | example |\n|---|---|---|---|---|\n";
+    for (const ResultCodeInfo &info : resultCodeInfos()) {
+        const std::string status = info.httpStatus == 0 ? "" : std::to_string(info.httpStatus);
+        page << "| " << static_cast<int>(info.code) << " | " << info.name << " | " << status << " | " << info.meaning
+             << " | " << info.example << " |\n";
+    }
+    return page.str();
 }
-;
+
+} // namespace
+
+TEST_GROUP(ResultCodeTable){};
 
 TEST(ResultCodeTable, allRows_numbersAscend)
 {
--- a/tests/src/unit-transport.cpp
+++ b/tests/src/unit-transport.cpp
@@ -61,19 +61,20 @@
 constexpr std::chrono::milliseconds HangGuard{10'000};
 constexpr std::chrono::milliseconds RefusalWait{700};
 
+void bindAnyPort(PeerServer &server)
+{
+    const bool bound = handleErrors(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(server.bind("127.0.0.1:0"));
+            return true;
+        },
+        [](const Error &) { return false; });
+    CHECK(bound);
+}
+
 } // namespace
 
-TEST_GROUP(PeerTransport){static void bindAnyPort(PeerServer & server){const bool bound = handleErrors(
-                                                                           [&]() -> Result<bool> {
-                                                                               BOOST_LEAF_CHECK(
-                                                                                   server.bind("127.0.0.1:0"));
-                                                                               return true;
-                                                                           },
-                                                                           [](const Error &) { return false; });
-CHECK(bound);
-}
-}
-;
+TEST_GROUP(PeerTransport){};
 
 TEST(PeerTransport, plainLink_messageAndAnswerPass)
 {
