Make unit-entry independent of the speed of the machine

Cause: the fake agents answer two heartbeats and then none. The link timeouts of the fixture were the defaults (reconnect after 1.5 s, lost after 4 s) and the calls' deadline 5 s. When the test thread stands still for longer between submit and refusal, both agents are lost at the same time, or the deadline has passed, and no second attempt follows: 'the message did not come'. Replay: a pause before the refusal in refusedAsNotRun_isTriedAtAnotherHost; 0 to 4.0 s passed, 4.1 s and 4.5 s failed each time with the recorded text. Change: the fixture's timeouts and deadline are one hour; the test of the silent agent keeps the default timeouts.

--- a/tests/src/unit-entry.cpp
+++ b/tests/src/unit-entry.cpp
@@ -249,8 +249,19 @@
                 return true;
             },
             [](const Error &) { return false; });
+        // The agents of this group answer two heartbeats only; on a busy machine a test may take longer than the
+        // default timeouts.
+        LinkTimeouts patient;
+        patient.reconnectAfter = std::chrono::hours(1);
+        patient.unreachableAfter = std::chrono::hours(1);
+        startDispatcher(patient);
+    }
+
+    void startDispatcher(LinkTimeouts timeouts)
+    {
         DispatcherSettings settings;
         settings.instance = "entry-1";
+        settings.link = timeouts;
         settings.link.heartbeatInterval = std::chrono::milliseconds(20);
         DispatcherHooks hooks;
         hooks.state = [this] { return std::atomic_load(&state); };
@@ -310,6 +321,7 @@
         CallerCall call = handleErrors([&] { return buildChatCall(*state, request, true, MonotonicClock::now()); },
                                        [](const Error &) { return CallerCall(); });
         call.worstCaseTokens = 0; // Disables budgets, which other tests cover.
+        call.deadline = MonotonicClock::now() + std::chrono::hours(1);
         dispatcher->submit(std::move(call), responder);
         return waitFor(agent, [](const proto::Envelope &e) { return e.has_submit(); });
     }
@@ -431,6 +443,7 @@
 
 TEST(DispatcherWithFakeAgent, agentSilentAfterSubmit_isReportedAsUnknown)
 {
+    startDispatcher(LinkTimeouts());
     submitCall(false);
     CHECK(responder->body().find("\"run\":\"unknown\"") != std::string::npos);
 }
