Let the exchange of state grow slower with the fleet

Agents sent their whole state to all entries every 150 ms while anything ran.

Change: - Reports between entries: intervals grow beyond 16 entries, timeouts do not. Whole reports are sent at intervals and when an entry joins or leaves; in between, updates carry what was spent since a report that the receiver has, and one acknowledgement. An update counts only with the reports on which it builds. Acknowledgements are urgent when the sender says that it waits for them. - All entries together spend at most eight levels ahead of acknowledgements. An entry that lacks the state says so in its demand and is sent it.

--- a/include/celeryroute/detail/allowance/customerallowance.h
+++ b/include/celeryroute/detail/allowance/customerallowance.h
@@ -53,6 +53,12 @@
     /// @brief Notes that report @p sequence carries the present total.
     void noteReported(std::uint64_t sequence);
 
+    /// @brief Whether a report after @p sequence carries another total than the one before it.
+    bool hasChangedSince(std::uint64_t sequence) const;
+
+    /// @brief Whether a large part of what may be spent ahead of acknowledgements is used up.
+    bool awaitsAcknowledgements() const;
+
     /// @brief Whether spending @p tokens should be reported to the other entries at once.
     bool isUrgent(double tokens) const;
 
--- a/include/celeryroute/detail/allowance/customerratelimiter.h
+++ b/include/celeryroute/detail/allowance/customerratelimiter.h
@@ -58,7 +58,7 @@
     /// or ReportTiming::discoveryTime has passed.
     void expectMembers(std::size_t members, TimePoint now);
 
-    /// @brief Updates memberships and shares to @p now. Call it at the latest when a report is due.
+    /// @brief Updates memberships and shares to @p now. Call it at the latest at advanceDue().
     void advance(TimePoint now);
 
     /// @brief Takes @p cost from the allowance of @p customer if it suffices. Unknown customers have no limit.
@@ -74,9 +74,15 @@
     /// @brief Time at which the next report is due.
     TimePoint reportDue() const;
 
+    /// @brief Time at which to call advance() again at the latest. It is not later than reportDue().
+    TimePoint advanceDue() const;
+
     /// @brief Makes the report to send now.
     OutgoingReport makeReport(TimePoint now);
 
+    /// @brief The form of @p outgoing for @p receiver.
+    EntryReport reportFor(const std::string &receiver, const OutgoingReport &outgoing) const;
+
     const EntryMembership &members() const
     {
         return m_members;
@@ -91,15 +97,17 @@
     void applyChange(const PeerChange &change, TimePoint now);
     void applyUsableShare(TimePoint now);
     void scheduleAcknowledgement(const std::string &peer, TimePoint due);
+    std::vector<CustomerSpending> spendingSince(std::uint64_t base) const;
+    bool awaitsAcknowledgements() const;
 
     ServingBounds m_bounds;
-    ReportTiming m_timing;
     EntryMembership m_members;
     UsableShare m_usableShare;
     bool m_changed = false; ///< Peers have connected or disconnected since the share was applied.
     std::unordered_map<std::string, CustomerAllowance> m_allowances;
     TimePoint m_lastReport; ///< Time of the last report to all entries.
     TimePoint m_reportDue;
+    TimePoint m_wholeReportDue;
     bool m_hasUnreportedSpending = false; ///< Tokens were spent since the last report to all entries.
     TimePoint m_acknowledgementDue =
         TimePoint::max(); ///< Time at which an acknowledgement to m_acknowledgementReceivers is due.
--- a/include/celeryroute/detail/allowance/entrymembership.h
+++ b/include/celeryroute/detail/allowance/entrymembership.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +46,12 @@
     /// @return true if the process was suspended since the last call
     bool advance(TimePoint now);
 
+    /// @brief Time at which to call advance() again at the latest, since a longer pause counts as a suspension.
+    TimePoint advanceDue() const
+    {
+        return m_advanced + m_timing.suspensionThreshold / 2;
+    }
+
     /// @brief Applies the report of another entry.
     /// @return false if a newer report of its sender is known
     bool receive(const EntryReport &report, TimePoint now);
@@ -52,9 +59,22 @@
     /// @brief Assigns the sequence number of the report that is sent now.
     std::uint64_t nextSequence(TimePoint now);
 
-    /// @brief Acknowledgements of all peers, for the next report.
+    /// @brief Acknowledgements of all peers, for a whole report.
     std::vector<MemberAcknowledgement> acknowledgements() const;
 
+    /// @brief The acknowledgement for an update to @p address, or nothing if that peer needs a whole report.
+    std::optional<MemberAcknowledgement> acknowledgementOf(const std::string &address) const;
+
+    /// @brief The report on which an update with the newest sequence number builds: the oldest that can still be
+    /// acknowledged in time. 0 if there is none but the newest.
+    std::uint64_t updateBase() const;
+
+    /// @brief The timing for the present number of members.
+    const ReportTiming &timing() const
+    {
+        return m_timing;
+    }
+
     /// @brief Removes and returns the changes since the last call, in order.
     std::vector<PeerChange> takeChanges();
 
@@ -92,7 +112,8 @@
 private:
     struct Peer {
         std::uint64_t incarnation = 0;
-        std::uint64_t sequence = 0;
+        std::uint64_t sequence = 0; ///< Newest report received.
+        std::uint64_t known = 0; ///< Newest report of which everything that it builds on is known.
         std::uint64_t acknowledged = 0;
         TimePoint receivedAt{};
         TimePoint confirmedAt{}; ///< Time at which the newest acknowledged report was sent.
@@ -108,6 +129,7 @@
     };
 
     Peer *acceptReport(const EntryReport &report, TimePoint now);
+    void noteMembers(Peer &peer, const EntryReport &report, TimePoint now);
     void noteAcknowledgement(const std::string &address, Peer &peer, TimePoint now);
     void disconnect(const std::string &address, Peer &peer, TimePoint since);
     void disconnectSilent(TimePoint now);
@@ -117,11 +139,13 @@
     void countMention(const std::string &address, bool add);
     void setAcknowledgements(Peer &peer, std::vector<MemberAcknowledgement> acknowledgements);
     void updateHidden(Peer &peer, TimePoint now);
+    void updateAllHidden(TimePoint now);
     void updateUsableFraction(TimePoint now);
 
     std::string m_address;
     std::uint64_t m_incarnation;
-    ReportTiming m_timing;
+    ReportTiming m_basicTiming;
+    ReportTiming m_timing; ///< For the present number of members.
     TimePoint m_started;
     TimePoint m_advanced;
     TimePoint m_nextCheck;
--- a/include/celeryroute/detail/keeper/demandtracker.h
+++ b/include/celeryroute/detail/keeper/demandtracker.h
@@ -30,6 +30,9 @@
     /// @brief Waiting calls of the entries that reported recently, summed for each item.
     std::vector<ItemBacklog> waitingItems(TimePoint now) const;
 
+    /// @brief Entries that reported recently that calls wait there.
+    std::vector<std::string> waitingEntries(TimePoint now) const;
+
     /// @brief Calls in flight by item. A call of an adapter also counts for its model.
     const std::unordered_map<std::string, std::uint32_t> &inFlight() const
     {
@@ -60,6 +63,7 @@
         TimePoint lastUsed;
     };
 
+    bool isWaiting(const std::string &entry, TimePoint now) const;
     void addUse(const std::string &item, double callSeconds, TimePoint now);
     void count(const EntryDemand &demand, bool add);
     void count(const std::string &item, std::uint32_t calls, bool add);
--- a/include/celeryroute/detail/keeper/modelcontroller.h
+++ b/include/celeryroute/detail/keeper/modelcontroller.h
@@ -72,6 +72,12 @@
         return m_report.copies;
     }
 
+    /// @brief Entries with calls that wait for an item of the target.
+    std::vector<std::string> waitingEntries(TimePoint now) const
+    {
+        return m_demand.waitingEntries(now);
+    }
+
     /// @brief A number that changes whenever the status should be published to the entries at once.
     std::uint64_t stateVersion() const
     {
--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -9,10 +9,12 @@
 #include <celeryroute/detail/node/nodecore.h>
 #include <celeryroute/detail/node/peerroster.h>
 #include <celeryroute/detail/node/peersocket.h>
+#include <celeryroute/detail/node/statepublication.h>
 #include <celeryroute/detail/placement/heardmessage.h>
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -44,8 +46,11 @@
     void handleOrderAnswer(const TargetOrder &order, const MessageHead &head, TimePoint sentAt);
     void noteTargetAnswers(bool answers);
     void logDeclined();
-    void publish(bool urgent);
-    void broadcast();
+    void publish();
+    void schedulePublish();
+    void sendState(const std::vector<std::string> &entries);
+    void sendLoad();
+    std::uint64_t stateNumber() const;
     ServingGauges gauges() const;
 
     NodeCore &m_core;
@@ -68,9 +73,9 @@
     bool m_isReadingReport = false;
     EventLoop::TimerId m_reportTimer = 0;
     TimePoint m_reportAt;
-    TimePoint m_broadcastAt;
-    std::uint64_t m_publishedVersion = 0;
-    TargetStatus m_published;
+    StatePublication m_publication;
+    EventLoop::TimerId m_publishTimer = 0;
+    TimePoint m_publishAt;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -47,11 +47,13 @@
 
     void handleMessage(const wire::Envelope &envelope);
     void handleAgentState(const wire::Envelope &envelope);
+    void handleAgentLoad(const wire::Envelope &envelope);
     void handleGossip(const wire::Envelope &envelope);
     bool sendDemand(const std::string &target);
     void addEntry(const std::string &address);
     void scheduleGossip();
     void sendGossip();
+    void sendReport(const std::string &address, const EntryReport &report, const std::vector<CrashMark> &marks);
     void logAllowances();
     void checkPeers();
 
--- a/include/celeryroute/detail/node/gossipmessages.h
+++ b/include/celeryroute/detail/node/gossipmessages.h
@@ -11,6 +11,7 @@
 namespace celeryroute {
 
 namespace wire {
+class AgentLoad;
 class AgentState;
 class EntryGossip;
 class EntryUsage;
@@ -32,6 +33,9 @@
 /// @brief Writes @p view into @p state.
 void writeView(const TargetStatus &view, wire::AgentState &state);
 
+/// @brief Writes the load of @p status into @p load.
+void writeLoad(const TargetStatus &status, wire::AgentLoad &load);
+
 /// @brief Returns the demand in an entry's message.
 EntryDemand readDemand(const wire::EntryUsage &usage);
 
--- a/include/celeryroute/detail/node/peerroster.h
+++ b/include/celeryroute/detail/node/peerroster.h
@@ -48,6 +48,9 @@
     /// @brief Returns at most @p limit senders; successive calls go round-robin through all of them.
     std::vector<std::string> nextSenders(std::size_t limit);
 
+    /// @brief Returns the addresses of all peers.
+    std::vector<std::string> addresses() const;
+
     /// @brief Returns the number of peers that are not lost.
     std::size_t presentCount() const;
     const std::map<std::string, Peer> &peers() const
--- a/include/celeryroute/detail/node/peersocket.h
+++ b/include/celeryroute/detail/node/peersocket.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -29,6 +30,9 @@
     /// @brief Fills in sender, incarnation and the next sequence number of @p envelope, and sends it.
     void send(const Endpoint &to, wire::Envelope &envelope);
 
+    /// @brief Sends @p envelope to the processes with the IP addresses @p addresses.
+    void sendToAll(const std::vector<std::string> &addresses, std::uint16_t port, wire::Envelope &envelope);
+
     std::uint64_t incarnation() const
     {
         return m_incarnation;
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/placement/healthchange.h>
 #include <celeryroute/detail/placement/knowntarget.h>
 #include <celeryroute/detail/placement/reportedload.h>
+#include <celeryroute/detail/placement/targetload.h>
 #include <celeryroute/detail/placement/targetpool.h>
 #include <celeryroute/detail/serving/servingstate.h>
 
@@ -58,6 +59,11 @@
                           const TargetView &view,
                           TimePoint now,
                           std::optional<HeardMessage> message = std::nullopt);
+    /// @brief Updates the load in the last report of an agent. Ignored if the report is of another state than @p load.
+    ChangedModels setViewLoad(const std::string &id,
+                              const TargetLoad &load,
+                              TimePoint now,
+                              std::optional<HeardMessage> message = std::nullopt);
     /// @brief Takes over the load that a target reported in an answer, unless a report of its agent is fresh.
     void noteLoad(const std::string &id, const ReportedLoad &load, TimePoint now);
 
--- a/include/celeryroute/detail/placement/targetview.h
+++ b/include/celeryroute/detail/placement/targetview.h
@@ -23,6 +23,7 @@
     std::uint64_t cacheUsed = 0; ///< KV cache tokens that cannot be evicted.
     std::uint64_t cacheTotal = 0;
     std::vector<std::string> declined; ///< Items that do not fit into memory beside those in use.
+    std::uint64_t state = 0; ///< Number of the state; rises with each change but of the load.
     bool operator==(const TargetView &) const = default;
 };
 
--- a/src/allowance/customerallowance.cpp
+++ b/src/allowance/customerallowance.cpp
@@ -10,6 +10,12 @@
 
 /// Part of the tolerance that all entries together may spend before their peers have acknowledged it.
 constexpr double UnacknowledgedPart = 0.5;
+/// Part of the level that one entry may spend before its peers have acknowledged it.
+constexpr double MaxUnacknowledgedLevelPart = 0.5;
+/// The level that all entries together may spend before their peers have acknowledged it, as a multiple.
+constexpr double UnacknowledgedLevels = 8;
+/// Part of the limit on unacknowledged spending from which on acknowledgements are urgent.
+constexpr double UrgentUnacknowledgedPart = 0.25;
 /// Part of the tolerance by which a request may exceed the level. Otherwise large requests would be refused more often
 /// than small ones.
 constexpr double DebtPart = 0.25;
@@ -191,6 +197,16 @@
     }
 }
 
+bool CustomerAllowance::hasChangedSince(std::uint64_t sequence) const
+{
+    return !m_reports.empty() && m_reports.back().sequence > sequence;
+}
+
+bool CustomerAllowance::awaitsAcknowledgements() const
+{
+    return m_limits && unacknowledged() > unacknowledgedLimit() * UrgentUnacknowledgedPart;
+}
+
 bool CustomerAllowance::isUrgent(double tokens) const
 {
     return m_limits
@@ -211,14 +227,18 @@
 
 double CustomerAllowance::unacknowledgedLimit() const
 {
-    return m_limits->tolerance * UnacknowledgedPart / static_cast<double>(m_usableShare.members)
-        + std::max(0.0, m_bucket.level()) / 2;
+    const auto members = static_cast<double>(m_usableShare.members);
+    const double levelPart = std::min(MaxUnacknowledgedLevelPart, UnacknowledgedLevels / members);
+    return m_limits->tolerance * UnacknowledgedPart / members + std::max(0.0, m_bucket.level()) * levelPart;
 }
 
+// With all shares, a request of any size is admitted once the bucket is full. With some of them, other groups of
+// entries may admit such requests too, so the debts of all groups must fit into the tolerance.
 double CustomerAllowance::requiredLevel(double cost) const
 {
     const double debt = m_limits->tolerance * DebtPart * m_usableShare.fraction;
-    return std::min(m_bucket.capacity(), std::max(0.0, cost - debt));
+    const double required = std::max(0.0, cost - debt);
+    return m_usableShare.fraction < 1 ? required : std::min(m_bucket.capacity(), required);
 }
 
 // Refused requests are told to retry one after another, since the level would suffice for only one of them if all
--- a/src/allowance/customerratelimiter.cpp
+++ b/src/allowance/customerratelimiter.cpp
@@ -5,16 +5,23 @@
 
 namespace celeryroute {
 
+namespace {
+
+/// Up to this number of members, every report to all entries is a whole one.
+constexpr std::size_t MaxMembersInEveryReport = 8;
+
+} // namespace
+
 CustomerRateLimiter::CustomerRateLimiter(std::string address,
                                          std::uint64_t incarnation,
                                          const ServingBounds &bounds,
                                          TimePoint now,
                                          ReportTiming timing)
     : m_bounds(bounds)
-    , m_timing(timing)
     , m_members(std::move(address), incarnation, now, timing)
     , m_lastReport(now)
     , m_reportDue(now)
+    , m_wholeReportDue(now)
 {
     applyUsableShare(now);
 }
@@ -106,7 +113,7 @@
         if (change.event == PeerEvent::Connected) {
             applyChange(change, now);
         } else if (change.event != PeerEvent::Disconnected) {
-            scheduleAcknowledgement(change.address, now + m_timing.urgentInterval);
+            scheduleAcknowledgement(change.address, now + m_members.timing().urgentDelay);
         }
     }
     const std::uint64_t acknowledged = m_members.acknowledged(report.sender);
@@ -122,6 +129,11 @@
     return std::min(m_reportDue, m_acknowledgementDue);
 }
 
+TimePoint CustomerRateLimiter::advanceDue() const
+{
+    return std::min(reportDue(), m_members.advanceDue());
+}
+
 OutgoingReport CustomerRateLimiter::makeReport(TimePoint now)
 {
     advance(now);
@@ -130,25 +142,64 @@
     report.sender = m_members.address();
     report.incarnation = m_members.incarnation();
     report.sequence = m_members.nextSequence(now);
-    report.members = m_members.acknowledgements();
+    report.urgent = awaitsAcknowledgements();
     for (auto &[name, customerAllowance] : m_allowances) {
         customerAllowance.noteReported(report.sequence);
-        if (customerAllowance.total() != 0) {
-            report.spent.push_back({name, customerAllowance.total()});
-        }
     }
-    if (now < m_reportDue && !m_hasUnreportedSpending && !m_acknowledgementReceivers.empty()) {
+    const bool onlyAcknowledges = now < m_reportDue && !m_hasUnreportedSpending && !m_acknowledgementReceivers.empty();
+    const bool isWholeDue = now >= m_wholeReportDue || m_members.memberCount() <= MaxMembersInEveryReport;
+    if (const std::uint64_t base = m_members.updateBase(); base != 0 && (onlyAcknowledges || !isWholeDue)) {
+        outgoing.update = report;
+        outgoing.update->base = base;
+        outgoing.update->spent = spendingSince(base);
+    }
+    report.members = m_members.acknowledgements();
+    report.spent = spendingSince(0);
+    if (onlyAcknowledges) {
         outgoing.receivers.assign(m_acknowledgementReceivers.begin(), m_acknowledgementReceivers.end());
     } else {
         m_lastReport = now;
-        m_reportDue = now + m_timing.heartbeatInterval;
+        m_reportDue = now + m_members.timing().heartbeatInterval;
         m_hasUnreportedSpending = false;
+        if (isWholeDue) {
+            m_wholeReportDue = now + m_members.timing().wholeReportInterval;
+        }
     }
     m_acknowledgementReceivers.clear();
     m_acknowledgementDue = TimePoint::max();
     return outgoing;
 }
 
+EntryReport CustomerRateLimiter::reportFor(const std::string &receiver, const OutgoingReport &outgoing) const
+{
+    const std::optional<MemberAcknowledgement> acknowledgement = outgoing.update ? m_members.acknowledgementOf(receiver)
+                                                                                 : std::nullopt;
+    if (!acknowledgement) {
+        return outgoing.report;
+    }
+    EntryReport update = *outgoing.update;
+    update.members = {*acknowledgement};
+    return update;
+}
+
+std::vector<CustomerSpending> CustomerRateLimiter::spendingSince(std::uint64_t base) const
+{
+    std::vector<CustomerSpending> spent;
+    for (const auto &[name, customerAllowance] : m_allowances) {
+        if (customerAllowance.hasChangedSince(base)) {
+            spent.push_back({name, customerAllowance.total()});
+        }
+    }
+    return spent;
+}
+
+bool CustomerRateLimiter::awaitsAcknowledgements() const
+{
+    return std::any_of(m_allowances.begin(), m_allowances.end(), [](const auto &entry) {
+        return entry.second.awaitsAcknowledgements();
+    });
+}
+
 const CustomerAllowance *CustomerRateLimiter::find(const std::string &customer) const
 {
     const auto found = m_allowances.find(customer);
@@ -170,30 +221,34 @@
 void CustomerRateLimiter::noteSpending(CustomerAllowance &customerAllowance, double tokens, TimePoint now)
 {
     m_hasUnreportedSpending = true;
-    const Duration interval = customerAllowance.isUrgent(tokens) ? m_timing.urgentInterval : m_timing.changeInterval;
+    const ReportTiming &timing = m_members.timing();
+    const Duration interval = customerAllowance.isUrgent(tokens) ? timing.urgentInterval : timing.changeInterval;
     m_reportDue = std::min(m_reportDue, std::max(now, m_lastReport + interval));
 }
 
 void CustomerRateLimiter::notePeerSpending(const EntryReport &report, bool discovered, TimePoint now)
 {
+    bool charged = false;
     for (const CustomerSpending &spending : report.spent) {
         CustomerAllowance &customerAllowance = allowance(spending.customer, now);
         if (discovered) {
             customerAllowance.addNewPeer(report.sender, spending.total);
-            continue;
-        }
-        const double charged = customerAllowance.noteSpent(report.sender, spending.total, now);
-        if (charged > 0) {
-            scheduleAcknowledgement(
-                report.sender,
-                now + (customerAllowance.isUrgent(charged) ? m_timing.urgentInterval : m_timing.changeInterval));
+        } else {
+            charged = customerAllowance.noteSpent(report.sender, spending.total, now) > 0 || charged;
         }
     }
+    if (report.urgent || charged) {
+        const ReportTiming &timing = m_members.timing();
+        scheduleAcknowledgement(report.sender, now + (report.urgent ? timing.urgentDelay : timing.changeInterval));
+    }
 }
 
 void CustomerRateLimiter::applyChange(const PeerChange &change, TimePoint now)
 {
     m_changed = true;
+    // Peers learn from a whole report which of them use each other's shares.
+    m_wholeReportDue = now;
+    m_reportDue = std::min(m_reportDue, std::max(now, m_lastReport + m_members.timing().changeInterval));
     for (auto &[name, customerAllowance] : m_allowances) {
         switch (change.event) {
         case PeerEvent::Discovered:
--- a/src/allowance/entrymembership.cpp
+++ b/src/allowance/entrymembership.cpp
@@ -19,6 +19,7 @@
 EntryMembership::EntryMembership(std::string address, std::uint64_t incarnation, TimePoint now, ReportTiming timing)
     : m_address(std::move(address))
     , m_incarnation(incarnation)
+    , m_basicTiming(timing)
     , m_timing(timing)
     , m_started(now)
     , m_advanced(now)
@@ -48,7 +49,7 @@
         updateUsableFraction(now);
     }
     if (now >= m_nextCheck) {
-        m_nextCheck = now + m_timing.urgentInterval;
+        m_nextCheck = now + m_timing.urgentDelay;
         disconnectSilent(now);
         removeSilentMembers(now);
         updateUsableFraction(now);
@@ -62,22 +63,31 @@
     if (!peer) {
         return false;
     }
-    const bool sameMembers = sameAddresses(peer->acknowledgements, report.members);
-    setAcknowledgements(*peer, report.members);
-    for (const MemberAcknowledgement &acknowledgement : peer->acknowledgements) {
+    for (const MemberAcknowledgement &acknowledgement : report.members) {
         if (acknowledgement.address == m_address && acknowledgement.incarnation == m_incarnation
             && acknowledgement.sequence <= m_sequence) {
             peer->acknowledged = std::max(peer->acknowledged, acknowledgement.sequence);
         }
     }
-    if (!sameMembers) {
-        updateMemberCount(now);
+    if (!report.isUpdate()) {
+        noteMembers(*peer, report, now);
     }
     noteAcknowledgement(report.sender, *peer, now);
-    updateHidden(*peer, now);
+    if (!report.isUpdate()) {
+        updateHidden(*peer, now);
+    }
     return true;
 }
 
+void EntryMembership::noteMembers(Peer &peer, const EntryReport &report, TimePoint now)
+{
+    const bool sameMembers = sameAddresses(peer.acknowledgements, report.members);
+    setAcknowledgements(peer, report.members);
+    if (!sameMembers) {
+        updateMemberCount(now);
+    }
+}
+
 std::uint64_t EntryMembership::nextSequence(TimePoint now)
 {
     while (!m_sent.empty() && now - m_sent.front().sentAt > m_timing.acknowledgementTimeout) {
@@ -92,11 +102,26 @@
     std::vector<MemberAcknowledgement> result;
     result.reserve(m_peers.size());
     for (const auto &[address, peer] : m_peers) {
-        result.push_back({address, peer.incarnation, peer.sequence, peer.connected});
+        result.push_back({address, peer.incarnation, peer.known, peer.connected});
     }
     return result;
 }
 
+std::optional<MemberAcknowledgement> EntryMembership::acknowledgementOf(const std::string &address) const
+{
+    const auto found = m_peers.find(address);
+    if (found == m_peers.end() || !found->second.connected) {
+        return std::nullopt;
+    }
+    const Peer &peer = found->second;
+    return MemberAcknowledgement{address, peer.incarnation, peer.known, peer.connected};
+}
+
+std::uint64_t EntryMembership::updateBase() const
+{
+    return m_sent.size() < 2 ? 0 : m_sent.front().sequence;
+}
+
 std::vector<PeerChange> EntryMembership::takeChanges()
 {
     return std::exchange(m_changes, {});
@@ -129,6 +154,10 @@
     if (report.sender == m_address || report.sender.empty()) {
         return nullptr;
     }
+    // The spending that an update leaves out is needed of a new peer.
+    if (report.isUpdate() && !m_peers.contains(report.sender)) {
+        return nullptr;
+    }
     const auto [position, isNew] = m_peers.try_emplace(report.sender);
     Peer &peer = position->second;
     if (isNew) {
@@ -138,12 +167,16 @@
     } else if (report.incarnation > peer.incarnation) {
         disconnect(report.sender, peer, now);
         peer.acknowledged = 0;
+        peer.known = 0;
         m_changes.push_back({report.sender, PeerEvent::Restarted, {}});
     } else if (report.incarnation < peer.incarnation || report.sequence <= peer.sequence) {
         return nullptr;
     }
     peer.incarnation = report.incarnation;
     peer.sequence = report.sequence;
+    if (peer.known >= report.base) {
+        peer.known = report.sequence;
+    }
     peer.receivedAt = now;
     if (isNew) {
         updateMemberCount(now);
@@ -170,6 +203,7 @@
         peer.connected = true;
         ++m_connectCount;
         m_changes.push_back({address, PeerEvent::Connected, now - peer.absentSince});
+        updateAllHidden(now);
         updateUsableFraction(now);
     }
 }
@@ -243,6 +277,7 @@
 void EntryMembership::updateMemberCount(TimePoint now)
 {
     m_memberCount = std::max(m_mentions.size(), m_expectedMembers);
+    m_timing = m_basicTiming.forEntries(m_memberCount);
     updateUsableFraction(now);
 }
 
@@ -273,6 +308,13 @@
     }
 }
 
+void EntryMembership::updateAllHidden(TimePoint now)
+{
+    for (auto &[address, peer] : m_peers) {
+        updateHidden(peer, now);
+    }
+}
+
 // Two entries that do not receive each other's reports must not both use the whole share of a third entry that receives
 // both, so the share is divided among them. See docs/design/allowances.md for the proof. An entry that joins or leaves
 // looks hidden for a short time, because the others do not learn of it at the same time. Therefore an entry counts as
--- a/src/keeper/demandtracker.cpp
+++ b/src/keeper/demandtracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace celeryroute {
 
@@ -112,11 +113,26 @@
     return result;
 }
 
+std::vector<std::string> DemandTracker::waitingEntries(TimePoint now) const
+{
+    std::vector<std::string> result;
+    std::copy_if(m_waitingEntries.begin(),
+                 m_waitingEntries.end(),
+                 std::back_inserter(result),
+                 [&](const std::string &name) { return isWaiting(name, now); });
+    return result;
+}
+
+bool DemandTracker::isWaiting(const std::string &entry, TimePoint now) const
+{
+    return now - m_entries.at(entry).reportedAt <= WaitingTimeout;
+}
+
 bool DemandTracker::hasCalls(TimePoint now) const
 {
     return !m_inFlight.empty()
         || std::any_of(m_waitingEntries.begin(), m_waitingEntries.end(), [&](const std::string &name) {
-               return now - m_entries.at(name).reportedAt <= WaitingTimeout;
+               return isWaiting(name, now);
            });
 }
 
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -19,12 +19,9 @@
 constexpr Duration FenceTimeout = std::chrono::seconds(1);
 constexpr Duration MinFenceBackoff = std::chrono::milliseconds(100);
 constexpr Duration MaxFenceBackoff = std::chrono::seconds(1);
-constexpr Duration HeartbeatInterval = std::chrono::milliseconds(900);
 /// Maximum number of entries listed in one message. The list may be incomplete, since entries also learn of each
 /// other by gossip.
 constexpr std::size_t MaxListedEntries = 32;
-/// Minimum interval between state messages if only load figures have changed.
-constexpr Duration LoadUpdateInterval = std::chrono::milliseconds(150);
 
 ModelControllerSettings controllerSettings(const NodeCore &core)
 {
@@ -88,6 +85,7 @@
 AgentNode::~AgentNode()
 {
     m_core.loop.cancel(m_reportTimer);
+    m_core.loop.cancel(m_publishTimer);
 }
 
 Result<void> AgentNode::start()
@@ -172,8 +170,10 @@
     m_lastDemand = HeardMessage{envelope.incarnation(), envelope.sequence()};
     m_controller.noteUsage(envelope.sender(), readDemand(envelope.usage()), now);
     advance();
-    if (!known) {
-        broadcast(); // It lists the entries, which share budgets only once they know of each other.
+    const std::uint64_t state = envelope.usage().state();
+    // The state lists the entries, which share budgets only once they know of each other.
+    if (!known || (state != stateNumber() && m_publication.needsState(state, now))) {
+        sendState({envelope.sender()});
     }
 }
 
@@ -184,7 +184,7 @@
         sendOrder(*order);
     }
     logDeclined();
-    publish(m_controller.stateVersion() != m_publishedVersion);
+    publish();
     scheduleReport();
 }
 
@@ -323,41 +323,73 @@
     advance();
 }
 
-// Changes of the loaded models are sent immediately; other load figures at most once per LoadUpdateInterval.
-void AgentNode::publish(bool urgent)
+void AgentNode::publish()
 {
     const TimePoint now = m_core.loop.now();
-    if (urgent) {
-        m_publishedVersion = m_controller.stateVersion();
-        broadcast();
-        return;
-    }
     const TargetStatus status = m_controller.status(now);
-    const bool differs = status.queued != m_published.queued || status.active != m_published.active
-        || status.cacheUsed != m_published.cacheUsed;
-    if (now - m_broadcastAt >= (differs ? LoadUpdateInterval : HeartbeatInterval)) {
-        broadcast();
+    const Publication publication = m_publication.due(status, stateNumber(), m_entries.peers().size(), now);
+    switch (publication) {
+    case Publication::None:
+        break;
+    case Publication::Load:
+        sendLoad();
+        break;
+    case Publication::State:
+        sendState(m_controller.waitingEntries(now));
+        break;
+    case Publication::StateToAll:
+        m_entries.removeSilent(now);
+        sendState(m_entries.addresses());
+        break;
     }
+    m_publication.notePublished(publication, status, stateNumber(), now);
+    schedulePublish();
 }
 
-void AgentNode::broadcast()
+void AgentNode::schedulePublish()
 {
-    const TimePoint now = m_core.loop.now();
-    m_entries.removeSilent(now);
-    m_broadcastAt = now;
-    m_published = m_controller.status(now);
-    if (m_instance.empty() || m_entries.peers().empty()) {
+    const TimePoint due = m_publication.changeDue(stateNumber(), m_entries.peers().size());
+    if (due == TimePoint::max() || (m_publishTimer != 0 && m_publishAt == due)) {
+        return;
+    }
+    m_core.loop.cancel(m_publishTimer);
+    m_publishAt = due;
+    m_publishTimer = m_core.loop.at(due, [this] {
+        m_publishTimer = 0;
+        publish();
+    });
+}
+
+void AgentNode::sendState(const std::vector<std::string> &entries)
+{
+    if (m_instance.empty() || entries.empty()) {
         return;
     }
     wire::Envelope envelope;
     wire::AgentState &state = *envelope.mutable_agent();
-    writeView(m_published, state);
+    writeView(m_controller.status(m_core.loop.now()), state);
+    state.set_state(stateNumber());
     for (const std::string &address : m_entries.nextSenders(MaxListedEntries)) {
         state.add_entries(address);
     }
-    for (const auto &[address, peer] : m_entries.peers()) {
-        m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
+    m_peers.sendToAll(entries, m_core.settings.firstPeerPort, envelope);
+}
+
+void AgentNode::sendLoad()
+{
+    if (m_instance.empty() || m_entries.peers().empty()) {
+        return;
     }
+    wire::Envelope envelope;
+    writeLoad(m_controller.status(m_core.loop.now()), *envelope.mutable_load());
+    envelope.mutable_load()->set_state(stateNumber());
+    m_peers.sendToAll(m_entries.addresses(), m_core.settings.firstPeerPort, envelope);
+}
+
+// A later agent of the same target has a higher incarnation, so its states have higher numbers.
+std::uint64_t AgentNode::stateNumber() const
+{
+    return m_core.incarnation + m_controller.stateVersion();
 }
 
 ServingGauges AgentNode::gauges() const
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -40,6 +40,7 @@
     wire::EntryUsage &usage = *envelope.mutable_usage();
     usage.set_instance(target);
     usage.set_successor(agent->successor);
+    usage.set_state(known->view ? known->view->state : 0);
     const TargetPool *pool = m_targetTable.pool(agent->pool);
     usage.set_pool_targets(pool == nullptr ? 0 : static_cast<std::uint32_t>(pool->accepting.size()));
     for (const auto &[item, calls] : known->own.items) {
@@ -63,6 +64,8 @@
 {
     if (envelope.has_agent()) {
         handleAgentState(envelope);
+    } else if (envelope.has_load()) {
+        handleAgentLoad(envelope);
     } else if (envelope.has_gossip()) {
         handleGossip(envelope);
     }
@@ -89,6 +92,17 @@
     }
 }
 
+void EntryNode::handleAgentLoad(const wire::Envelope &envelope)
+{
+    const TimePoint now = m_core.loop.now();
+    const wire::AgentLoad &load = envelope.load();
+    if (m_agentPeers.recordMessage(envelope.sender(), envelope.incarnation(), envelope.sequence(), now)
+        && m_agents.agent(load.instance()) != nullptr) {
+        m_gateway.targetsChanged(
+            m_targetTable.setViewLoad(load.instance(), toTargetLoad(load), now, heardMessage(envelope)));
+    }
+}
+
 void EntryNode::handleGossip(const wire::Envelope &envelope)
 {
     const TimePoint now = m_core.loop.now();
@@ -125,7 +139,7 @@
 void EntryNode::scheduleGossip()
 {
     m_core.loop.cancel(m_gossipTimer);
-    m_gossipAt = std::max(m_allowances.reportDue(), m_core.loop.now());
+    m_gossipAt = std::max(m_allowances.advanceDue(), m_core.loop.now());
     m_gossipTimer = m_core.loop.at(m_gossipAt, [this] {
         m_gossipTimer = 0;
         sendGossip();
@@ -158,7 +172,7 @@
     }
     m_peersCheckedAt = now;
     m_agentPeers.updateSilent(KnownTarget::MaxAgentSilence, now);
-    m_entryPeers.updateSilent(ReportTiming().acknowledgementTimeout, now);
+    m_entryPeers.updateSilent(m_allowances.members().timing().acknowledgementTimeout, now);
 }
 
 void EntryNode::sendGossip()
@@ -168,18 +182,23 @@
     logAllowances();
     if (m_allowances.reportDue() <= m_core.loop.now()) {
         const OutgoingReport outgoing = m_allowances.makeReport(m_core.loop.now());
-        wire::Envelope envelope;
-        writeReport(outgoing.report, *envelope.mutable_gossip());
-        if (outgoing.receivers.empty()) {
-            writeMarks(m_gateway.suspects().takeMarks(m_allowances.members().connectCount()),
-                       *envelope.mutable_gossip());
-        }
+        const std::vector<CrashMark> marks = outgoing.receivers.empty()
+            ? m_gateway.suspects().takeMarks(m_allowances.members().connectCount())
+            : std::vector<CrashMark>();
         const std::vector<std::string> all(m_entries.begin(), m_entries.end());
         for (const std::string &address : outgoing.receivers.empty() ? all : outgoing.receivers) {
-            m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
+            sendReport(address, m_allowances.reportFor(address, outgoing), marks);
         }
     }
     scheduleGossip();
 }
 
+void EntryNode::sendReport(const std::string &address, const EntryReport &report, const std::vector<CrashMark> &marks)
+{
+    wire::Envelope envelope;
+    writeReport(report, *envelope.mutable_gossip());
+    writeMarks(marks, *envelope.mutable_gossip());
+    m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
+}
+
 } // namespace celeryroute
--- a/src/node/gossipmessages.cpp
+++ b/src/node/gossipmessages.cpp
@@ -12,11 +12,18 @@
 
 constexpr Duration LongestStoreWait = std::chrono::hours(24);
 
+std::uint32_t storeWaitMs(const TargetStatus &status)
+{
+    return static_cast<std::uint32_t>(toMilliseconds(std::min(status.storeWait, LongestStoreWait)));
+}
+
 } // namespace
 
 void writeReport(const EntryReport &report, wire::EntryGossip &gossip)
 {
     gossip.set_report(report.sequence);
+    gossip.set_base(report.base);
+    gossip.set_urgent(report.urgent);
     for (const CustomerSpending &spent : report.spent) {
         wire::EntryGossip::Spent &out = *gossip.add_spent();
         out.set_customer(spent.customer);
@@ -58,6 +65,8 @@
     report.sender = envelope.sender();
     report.incarnation = envelope.incarnation();
     report.sequence = gossip.report();
+    report.base = gossip.base();
+    report.urgent = gossip.urgent();
     for (const wire::EntryGossip::Spent &spent : gossip.spent()) {
         report.spent.push_back({spent.customer(), spent.total()});
     }
@@ -87,13 +96,22 @@
     state.mutable_in_memory()->Add(view.copies.inMemory.begin(), view.copies.inMemory.end());
     state.mutable_on_disk()->Add(view.copies.onDisk.begin(), view.copies.onDisk.end());
     state.mutable_declined()->Add(view.declined.begin(), view.declined.end());
-    state.set_store_wait_ms(static_cast<std::uint32_t>(toMilliseconds(std::min(view.storeWait, LongestStoreWait))));
+    state.set_store_wait_ms(storeWaitMs(view));
     state.set_queued(view.queued);
     state.set_active(view.active);
     state.set_cache_used(view.cacheUsed);
     state.set_cache_total(view.cacheTotal);
 }
 
+void writeLoad(const TargetStatus &status, wire::AgentLoad &load)
+{
+    load.set_instance(status.instance);
+    load.set_store_wait_ms(storeWaitMs(status));
+    load.set_queued(status.queued);
+    load.set_active(status.active);
+    load.set_cache_used(status.cacheUsed);
+}
+
 EntryDemand readDemand(const wire::EntryUsage &usage)
 {
     EntryDemand demand;
--- a/src/node/peerroster.cpp
+++ b/src/node/peerroster.cpp
@@ -62,6 +62,16 @@
     }
 }
 
+std::vector<std::string> PeerRoster::addresses() const
+{
+    std::vector<std::string> result;
+    result.reserve(m_peers.size());
+    for (const auto &[address, peer] : m_peers) {
+        result.push_back(address);
+    }
+    return result;
+}
+
 std::size_t PeerRoster::presentCount() const
 {
     return static_cast<std::size_t>(
--- a/src/node/peersocket.cpp
+++ b/src/node/peersocket.cpp
@@ -60,6 +60,13 @@
            sizeof(address));
 }
 
+void PeerSocket::sendToAll(const std::vector<std::string> &addresses, std::uint16_t port, wire::Envelope &envelope)
+{
+    for (const std::string &address : addresses) {
+        send({parseIp(address).value_or(0), port}, envelope);
+    }
+}
+
 void PeerSocket::fileReady(std::uint32_t)
 {
     thread_local std::array<char, LargestDatagram> buffer;
--- a/src/placement/agentstateview.cpp
+++ b/src/placement/agentstateview.cpp
@@ -7,6 +7,7 @@
 TargetView toTargetView(const wire::AgentState &state)
 {
     TargetView view;
+    view.state = state.state();
     view.bornMs = state.born_ms();
     view.reachable = state.reachable();
     view.ordering = state.ordering();
@@ -28,4 +29,13 @@
     return view;
 }
 
+TargetLoad toTargetLoad(const wire::AgentLoad &load)
+{
+    return {load.state(),
+            load.queued(),
+            load.active(),
+            load.cache_used(),
+            std::chrono::milliseconds(load.store_wait_ms())};
+}
+
 } // namespace celeryroute
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -265,6 +265,27 @@
     return changed;
 }
 
+ChangedModels TargetTable::setViewLoad(const std::string &id,
+                                       const TargetLoad &load,
+                                       TimePoint now,
+                                       std::optional<HeardMessage> message)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end() || !known->second->view || known->second->view->state != load.state) {
+        return {};
+    }
+    const KnownTarget &target = *known->second;
+    TargetView view = *target.view;
+    view.queued = load.queued;
+    view.active = load.active;
+    view.cacheUsed = load.cacheUsed;
+    view.storeWait = load.storeWait;
+    for (LoadingItem &loading : view.loading) {
+        loading.remaining = std::max(Duration::zero(), loading.remaining - (now - target.viewReceivedAt));
+    }
+    return setView(id, view, now, message);
+}
+
 void TargetTable::noteLoad(const std::string &id, const ReportedLoad &load, TimePoint now)
 {
     const auto known = m_targets.find(id);
--- a/tests/src/unit-allowance.cpp
+++ b/tests/src/unit-allowance.cpp
@@ -132,6 +132,91 @@
     DOUBLES_EQUAL(1, membership.usableFraction(), 1e-9);
 }
 
+TEST(EntryMembership, updates_areAcknowledgedOnlyWithTheReportsOnWhichTheyBuild)
+{
+    struct Row {
+        std::uint64_t sequence;
+        std::uint64_t base;
+        bool accepted;
+        std::uint64_t acknowledged;
+    };
+    const Row rows[] = {
+        {1, 0, true, 1},
+        {2, 1, true, 2},
+        {5, 3, true, 2}, // Reports 3 and 4 were lost.
+        {6, 2, true, 6},
+        {6, 2, false, 6},
+        {9, 7, true, 6},
+        {10, 0, true, 10},
+    };
+    for (const Row &row : rows) {
+        EntryReport report = reportOf("b", 1, row.sequence);
+        report.base = row.base;
+        CHECK_EQUAL(row.accepted, membership.receive(report, now));
+        CHECK_EQUAL(row.acknowledged, membership.acknowledgements().at(0).sequence);
+    }
+}
+
+TEST(EntryMembership, updateOfAnUnknownPeer_isIgnored)
+{
+    EntryReport report = reportOf("b", 1, 7);
+    report.base = 3;
+    CHECK_FALSE(membership.receive(report, now));
+    CHECK_EQUAL(1U, membership.memberCount());
+}
+
+TEST(EntryMembership, update_leavesTheMembersOfThePeerAsTheyWere)
+{
+    receiveReport("b", false, {{"c", 1, 1, true}});
+    CHECK_EQUAL(3U, membership.memberCount());
+    EntryReport report = reportOf("b", 1, ++sequences["b"]);
+    report.base = 1;
+    report.members = {{"a", 1, membership.nextSequence(now), true}};
+    CHECK(membership.receive(report, now));
+    CHECK_EQUAL(3U, membership.memberCount());
+    CHECK(membership.acknowledgementOf("b") == (MemberAcknowledgement{"b", 1, 2, true}));
+    CHECK_FALSE(membership.acknowledgementOf("c"));
+}
+
+TEST(EntryMembership, hiddenEntryConnects_shareIsWholeWithoutAnotherReportOfThePeer)
+{
+    receiveReport("b", false, {{"c", 1, 5, true}});
+    advance(600ms);
+    receiveReport("b", false, {{"c", 1, 9, true}});
+    advance(100ms);
+    DOUBLES_EQUAL(1.5 / 3, membership.usableFraction(), 1e-9);
+    sequences["c"] = 9;
+    receiveReport("c");
+    DOUBLES_EQUAL(1, membership.usableFraction(), 1e-9);
+}
+
+TEST(EntryMembership, noReportIsDueForLong_isNotTakenForASuspension)
+{
+    for (int i = 0; i < 100; ++i) {
+        now = membership.advanceDue();
+        CHECK_FALSE(membership.advance(now));
+    }
+}
+
+TEST_GROUP(ReportTiming){};
+
+TEST(ReportTiming, manyEntries_reportMoreRarelyWithinTheTimeouts)
+{
+    const ReportTiming few;
+    CHECK(few.forEntries(1) == few);
+    CHECK(few.forEntries(16) == few);
+    ReportTiming before = few;
+    for (const std::size_t entries : {17, 31, 68, 300, 1900}) {
+        const ReportTiming many = few.forEntries(entries);
+        CHECK(many.wholeReportInterval > before.wholeReportInterval);
+        CHECK(many.urgentInterval >= before.urgentInterval && many.urgentInterval <= many.changeInterval);
+        CHECK(many.changeInterval <= many.heartbeatInterval);
+        CHECK(3 * many.heartbeatInterval <= many.acknowledgementTimeout);
+        CHECK(many.acknowledgementTimeout == few.acknowledgementTimeout);
+        before = many;
+    }
+}
+
 TEST_GROUP(CustomerRateLimiter)
 {
     TimePoint now{};
@@ -296,6 +381,38 @@
     CHECK(limiter.makeReport(now + 10ms).receivers == std::vector<std::string>{"b"});
 }
 
+TEST(CustomerRateLimiter, acknowledgement_leavesOutWhatThePeerKnows)
+{
+    exchange(0);
+    exchangeFor(0, 3s);
+    CHECK(admit(100));
+    exchange(0);
+    advance(1s);
+    exchange(0);
+    CHECK(admit(100));
+    advance(100ms);
+    exchange(50); // Not acknowledged yet.
+    const OutgoingReport outgoing = limiter.makeReport(now);
+    CHECK(outgoing.update.has_value() == !outgoing.receivers.empty());
+    const EntryReport whole = limiter.reportFor("unknown", outgoing);
+    CHECK(!whole.isUpdate() && whole.spent == std::vector<CustomerSpending>({{"c", 200}}));
+    for (int i = 0; i < 12; ++i) {
+        exchangeFor(50, 100ms);
+    }
+    exchange(51);
+    const OutgoingReport later = limiter.makeReport(now);
+    const EntryReport update = limiter.reportFor("b", later);
+    CHECK(update.isUpdate() && update.spent.empty());
+    CHECK(update.members == std::vector<MemberAcknowledgement>({{"b", 1, sequence, true}}));
+}
+
+TEST(CustomerRateLimiter, shareOfTheEntriesIsSmall_requestBeyondItIsRefused)
+{
+    limiter.expectMembers(68, now);
+    advance(10s);
+    CHECK(wait(Burst) > Duration::zero()); // The debts of 68 such entries would exceed the tolerance.
+}
+
 TEST_GROUP(RetryLimiter)
 {
     ServingBounds limits;
--- a/tests/src/unit-allowancefleet.cpp
+++ b/tests/src/unit-allowancefleet.cpp
@@ -168,11 +168,11 @@
         while (host.limiter->reportDue() <= m_now) {
             const OutgoingReport outgoing = host.limiter->makeReport(m_now);
             for (const std::string &receiver : outgoing.receivers.empty() ? presentHosts() : outgoing.receivers) {
-                send(receiver, outgoing.report);
+                send(receiver, host.limiter->reportFor(receiver, outgoing));
             }
         }
         const auto number = ++host.runNumber;
-        after(host.limiter->reportDue() - m_now + seconds(0, 0.003), [=, this] {
+        after(host.limiter->advanceDue() - m_now + seconds(0, 0.003), [=, this] {
             if (m_hosts[address].runNumber == number) {
                 runEntry(address);
             }
@@ -404,6 +404,14 @@
     }
 }
 
+// Many entries spend a large burst before they hear of each other; or each alone admits a request that its share of a
+// small allowance does not cover.
+TEST(AllowanceFleet, manyEntries_noWindowExceedsTheTolerance)
+{
+    CHECK(runScenario({40, 500000.0, 0, 0, 12, 1, true}, seeds() / 10).overshoot <= 1);
+    CHECK(runScenario({68, 29000.0, 0, 0, 12, 1, true}, seeds() / 20).overshoot <= 1);
+}
+
 TEST(AllowanceFleet, usualDemand_isRarelyRefusedForAnyDistribution)
 {
     for (const std::size_t entries : {1, 3, 4, 7, 40}) {
--- a/tests/src/unit-node.cpp
+++ b/tests/src/unit-node.cpp
@@ -5,6 +5,7 @@
 #include <celeryroute/detail/node/peersocket.h>
 #include <celeryroute/detail/node/readinessserver.h>
 #include <celeryroute/detail/node/signalpipe.h>
+#include <celeryroute/detail/node/statepublication.h>
 
 #include "gatewayworld.h"
 
@@ -73,6 +74,95 @@
     CHECK(changes == expected);
 }
 
+TEST_GROUP(StatePublication)
+{
+    StatePublication publication;
+    TargetStatus status;
+    TimePoint now = TimePoint(100s);
+
+    Publication publish(std::uint64_t version, std::size_t entries)
+    {
+        const Publication due = publication.due(status, version, entries, now);
+        publication.notePublished(due, status, version, now);
+        return due;
+    }
+};
+
+TEST(StatePublication, fewEntries_areToldOfEveryChangeAtOnce)
+{
+    for (std::uint64_t version = 1; version < 5; ++version) {
+        CHECK(publish(version, 5) == Publication::StateToAll);
+        now += 1ms;
+        CHECK(publish(version, 5) == Publication::None);
+    }
+}
+
+TEST(StatePublication, manyEntries_areToldOfChangesTogetherAndThoseWithWaitingCallsAtOnce)
+{
+    constexpr std::size_t Many = 68;
+    CHECK(publish(1, Many) == Publication::StateToAll);
+    int toAll = 0;
+    for (std::uint64_t version = 2; version < 102; ++version) {
+        now += 5ms;
+        const Publication due = publish(version, Many);
+        toAll += due == Publication::StateToAll ? 1 : 0;
+        CHECK(due == Publication::StateToAll || due == Publication::State);
+    }
+    CHECK(toAll <= 10); // At most one in 52 ms.
+    CHECK(publish(101, Many) == Publication::None);
+    const TimePoint due = publication.changeDue(101, Many);
+    if (due != TimePoint::max()) {
+        now = due;
+        CHECK(publish(101, Many) == Publication::StateToAll);
+    }
+    CHECK(publication.changeDue(101, Many) == TimePoint::max());
+}
+
+TEST(StatePublication, loadChanges_areSentAtIntervalsThatGrowWithTheEntries)
+{
+    const auto messagesIn9s = [this](std::size_t entries) {
+        StatePublication fresh;
+        int loads = 0;
+        int states = 0;
+        for (int i = 0; i < 900; ++i) {
+            now += 10ms;
+            ++status.active;
+            const Publication due = fresh.due(status, 1, entries, now);
+            fresh.notePublished(due, status, 1, now);
+            loads += due == Publication::Load ? 1 : 0;
+            states += due == Publication::StateToAll ? 1 : 0;
+        }
+        CHECK(states >= 3 && states <= 4);
+        return loads;
+    };
+    const int few = messagesIn9s(5);
+    const int many = messagesIn9s(68);
+    CHECK(few >= 50 && few <= 60);
+    CHECK(many >= 9 && many * 3 < few);
+    CHECK(messagesIn9s(1900) >= 6); // Each entry hears of the target within its heartbeat.
+}
+
+TEST(StatePublication, idleTarget_isHeardOfWithinItsHeartbeat)
+{
+    CHECK(publish(1, 68) == Publication::StateToAll);
+    now += 899ms;
+    CHECK(publish(1, 68) == Publication::None);
+    now += 1ms;
+    CHECK(publish(1, 68) == Publication::Load);
+}
+
+TEST(StatePublication, entryLacksTheState_needsItOnceItsMessageCannotHaveCrossedIt)
+{
+    publish(1, 5);
+    now += 3s;
+    publish(2, 5);
+    now += 100ms;
+    CHECK_FALSE(publication.needsState(1, now));
+    now += 150ms;
+    CHECK(publication.needsState(1, now) && publication.needsState(0, now));
+    CHECK_FALSE(publication.needsState(2, now));
+}
+
 TEST_GROUP(DemandSender)
 {
     EventLoop loop;
@@ -174,6 +264,8 @@
     report.sequence = 6;
     report.spent = {{"alpha", 12.5}, {"beta", 0}};
     report.members = {{"127.0.0.3", 1, 2, true}, {"127.0.0.4", 3, 4, false}};
+    report.base = 4;
+    report.urgent = true;
     wire::Envelope envelope;
     envelope.set_sender(report.sender);
     envelope.set_incarnation(report.incarnation);
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -76,6 +76,27 @@
     CHECK(!holds("new") && holds("old"));
 }
 
+TEST(TargetTable, loadMessage_updatesTheReportOfTheSameStateOnly)
+{
+    table.setRecord(record(1, "engines"), now);
+    TargetView told = view(1, {"m"});
+    told.state = 7;
+    told.loading = {{"n", 900ms}};
+    table.setView("target-1", told, now);
+    now += 400ms;
+    table.setViewLoad("target-1", {6, 9, 9, 9, 9s}, now);
+    CHECK(*table.target("target-1")->view == told);
+    table.setViewLoad("target-1", {7, 2, 5, 100, 90ms}, now);
+    const KnownTarget &target = *table.target("target-1");
+    CHECK_EQUAL(2U, target.view->queued);
+    CHECK_EQUAL(5U, target.view->active);
+    CHECK_EQUAL(100U, target.view->cacheUsed);
+    CHECK(target.storeWait(now) == 90ms);
+    CHECK(target.loadingFor("n", now) == 500ms);
+    CHECK(target.isViewFresh(now + 1900ms) && holds("m"));
+    CHECK(table.setViewLoad("unknown", {7, 2, 5, 100, 90ms}, now).empty());
+}
+
 TEST(TargetTable, targetRestarts_dataOfPreviousLifetimeIsDiscarded)
 {
     struct Row {
