Read the registry of targets more rarely with more entries

Change: beyond 8 entries the delay grows with their number, up to two fifths of the bound on draining.

--- a/include/celeryroute/detail/feed/targetsfeed.h
+++ b/include/celeryroute/detail/feed/targetsfeed.h
@@ -44,6 +44,8 @@
     TargetsFeed(TopicFollowerSettings settings, Duration heartbeat, Reader reader, std::uint64_t seed);
 
     void useSettings(const TopicFollowerSettings &settings, Duration heartbeat, TimePoint now);
+    /// @brief See TopicFollower.
+    void useBatchDelay(Duration delay);
 
     /// @brief See TopicFollower. A wait ends at nextExpiry() at the latest.
     FeedStep next(TimePoint now);
--- a/include/celeryroute/detail/feed/topicfollower.h
+++ b/include/celeryroute/detail/feed/topicfollower.h
@@ -29,6 +29,9 @@
     /// the driver must drop its answer when next() returns another call.
     void useSettings(const TopicFollowerSettings &settings, TimePoint now);
 
+    /// @brief Changes the delay from an answer with records to the next read. A pending call goes on.
+    void useBatchDelay(Duration delay);
+
     /// @brief The next step of the driver. A returned call counts as started.
     FeedStep next(TimePoint now);
     /// @brief Processes the answer to the pending call.
--- a/include/celeryroute/detail/feed/topicfollowersettings.h
+++ b/include/celeryroute/detail/feed/topicfollowersettings.h
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/serving/servingbounds.h>
 #include <celeryroute/time.h>
 
+#include <cstddef>
 #include <optional>
 
 namespace celeryroute {
@@ -25,8 +26,8 @@
     static TopicFollowerSettings forKeys(const ServingBounds &bounds);
     /// @brief For the desired state, in processes that check no API keys.
     static TopicFollowerSettings forState(const ServingBounds &bounds);
-    /// @brief For the registry of targets.
-    static TopicFollowerSettings forTargets(const ServingBounds &bounds);
+    /// @brief For the registry of targets, which @p readers processes read.
+    static TopicFollowerSettings forTargets(const ServingBounds &bounds, std::size_t readers = 1);
 };
 
 } // namespace celeryroute
--- a/src/feed/targetsfeed.cpp
+++ b/src/feed/targetsfeed.cpp
@@ -27,6 +27,11 @@
     m_minOutage = heartbeat * MinMissedHeartbeats;
 }
 
+void TargetsFeed::useBatchDelay(Duration delay)
+{
+    m_follower.useBatchDelay(delay);
+}
+
 FeedStep TargetsFeed::next(TimePoint now)
 {
     FeedStep step = m_follower.next(now);
--- a/src/feed/topicfollower.cpp
+++ b/src/feed/topicfollower.cpp
@@ -43,6 +43,11 @@
     m_skipHold = true;
 }
 
+void TopicFollower::useBatchDelay(Duration delay)
+{
+    m_settings.batchDelay = delay;
+}
+
 FeedStep TopicFollower::next(TimePoint now)
 {
     if (m_pendingCall) {
--- a/src/feed/topicfollowersettings.cpp
+++ b/src/feed/topicfollowersettings.cpp
@@ -2,6 +2,9 @@
 
 #include <celeryroute/detail/feed/keyfreshness.h>
 
+#include <algorithm>
+#include <cstdint>
+
 namespace celeryroute {
 
 namespace {
@@ -12,6 +15,10 @@
 // KeyFreshness.
 constexpr int KeyHoldPercent = 28;
 constexpr int BatchDelaysPerBound = 10;
+/// With more readers, each reads the registry more rarely.
+constexpr int ReadersAtShortestDelay = 8;
+/// Part of the bound on draining; the rest is for the read, a retry and the calls that were sent before.
+constexpr int MaxDelayPercent = 40;
 
 TopicFollowerSettings commonSettings(const ServingBounds &bounds)
 {
@@ -43,10 +50,14 @@
     return settings;
 }
 
-TopicFollowerSettings TopicFollowerSettings::forTargets(const ServingBounds &bounds)
+// Targets renew their records all the time, so every reader reads once per delay.
+TopicFollowerSettings TopicFollowerSettings::forTargets(const ServingBounds &bounds, std::size_t readers)
 {
     TopicFollowerSettings settings = commonSettings(bounds);
-    settings.batchDelay = bounds.drain / BatchDelaysPerBound;
+    const Duration delay = bounds.drain / BatchDelaysPerBound;
+    settings.batchDelay = std::clamp(delay * static_cast<std::int64_t>(readers) / ReadersAtShortestDelay,
+                                     delay,
+                                     bounds.drain * MaxDelayPercent / 100);
     return settings;
 }
 
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -304,7 +304,9 @@
     const TimePoint now = m_core.loop.now();
     m_store.useServer(endpointOf(settings.storeAddress));
     m_desired.useSettings(TopicFollowerSettings::forKeys(bounds), bounds.keyRevocation, now);
-    m_targets.useSettings(TopicFollowerSettings::forTargets(bounds), settings.heartbeat, now);
+    m_targets.useSettings(TopicFollowerSettings::forTargets(bounds, m_allowances.members().memberCount()),
+                          settings.heartbeat,
+                          now);
     const ServingStatePtr &state = m_desired.state();
     m_allowances.useBounds(bounds, state == nullptr ? std::vector<ServingCustomer>() : state->customers, now);
     m_retries.useBounds(bounds);
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -125,7 +125,9 @@
         }
     }
     m_allowances.receive(readReport(envelope), now);
-    m_targetTable.setEntries(static_cast<std::uint32_t>(m_allowances.members().memberCount()));
+    const std::size_t entries = m_allowances.members().memberCount();
+    m_targetTable.setEntries(static_cast<std::uint32_t>(entries));
+    m_targets.useBatchDelay(TopicFollowerSettings::forTargets(m_core.settings.bounds, entries).batchDelay);
     scheduleGossip();
 }
 
--- a/tests/src/unit-feed.cpp
+++ b/tests/src/unit-feed.cpp
@@ -280,6 +280,26 @@
     CHECK_EQUAL(7, feed.targets().size());
 }
 
+TEST(Feed, manyReadersOfTheRegistry_eachReadsMoreRarelyWithinTheBoundOnDraining)
+{
+    const Duration alone = TopicFollowerSettings::forTargets(bounds).batchDelay;
+    CHECK(TopicFollowerSettings::forTargets(bounds, 5).batchDelay == alone);
+    CHECK(TopicFollowerSettings::forTargets(bounds, 16).batchDelay == 2 * alone);
+    CHECK(TopicFollowerSettings::forTargets(bounds, 1000).batchDelay <= bounds.drain / 2);
+    const auto readsWith = [&](std::size_t readers) {
+        TargetsFeed feed(TopicFollowerSettings::forTargets(bounds), 1200ms, readTarget, 1);
+        feed.useBatchDelay(TopicFollowerSettings::forTargets(bounds, readers).batchDelay);
+        Topic registry;
+        Driver<TargetsFeed> driver{feed, registry, 500};
+        for (TimePoint now = Start; now < Start + 20s; now += 2ms) {
+            registry.write("id" + std::to_string(registry.records.size() % 7), std::to_string(registry.records.size()));
+            driver.step(now, [&](FeedAnswer answer, TimePoint began) { feed.answered(std::move(answer), began, now); });
+        }
+        return driver.calls;
+    };
+    CHECK(readsWith(64) * 3 < readsWith(1));
+}
+
 TEST(Feed, unreadableState_isNotConfirmedAndOlderVersionsAreIgnored)
 {
     DesiredStateFeed feed(TopicFollowerSettings::forKeys(bounds), bounds.keyRevocation, readVersion, 1);
