--- a/benchmarks/capacity-slopes.cpp
+++ b/benchmarks/capacity-slopes.cpp
@@ -201,6 +201,7 @@
     wire::EntryUsage &usage = *message.mutable_usage();
     usage.set_instance("target-12345-0123456789ab");
     usage.set_pool_targets(11'000);
+    usage.set_state(WallMs);
     for (int i = 0; i < items; ++i) {
         wire::EntryUsage::InFlight &calls = *usage.add_in_flight();
         calls.set_item("model-123/adapter-12345");
@@ -220,6 +221,7 @@
     state.set_active(30);
     state.set_cache_used(200'000);
     state.set_cache_total(265'000);
+    state.set_state(WallMs);
     for (int i = 0; i < models; ++i) {
         wire::ResidentModel &model = *state.add_models();
         model.set_name("model-123");
@@ -234,12 +236,25 @@
     return message.ByteSizeLong();
 }
 
+std::size_t agentLoadBytes()
+{
+    wire::Envelope message = servingEnvelope();
+    wire::AgentLoad &load = *message.mutable_load();
+    load.set_instance("target-12345-0123456789ab");
+    load.set_state(WallMs);
+    load.set_active(30);
+    load.set_cache_used(200'000);
+    return message.ByteSizeLong();
+}
+
 EntryReport gossipReport(int sender, int members, int customers)
 {
     EntryReport report;
     report.sender = "10.123.123." + std::to_string(100 + sender);
     report.incarnation = WallMs;
     report.sequence = 1'000'000;
+    report.base = 1'000'000;
+    report.urgent = true;
     for (int i = 0; i < members; ++i) {
         report.members.push_back({"10.123.123." + std::to_string(100 + i), WallMs, 1'000'000, true});
     }
@@ -334,6 +349,7 @@
          slope(snapshotBytes(FewAdapters), snapshotBytes(ManyAdapters), FewAdapters, ManyAdapters)},
         {"entry_usage_bytes", entryUsageBytes(0)},
         {"entry_usage_bytes_per_item", slope(entryUsageBytes(0), entryUsageBytes(FewItems), 0, FewItems)},
+        {"agent_load_bytes", agentLoadBytes()},
         {"agent_state_bytes", agentStateBytes(0, 0)},
         {"agent_state_bytes_per_model", slope(agentStateBytes(0, 0), agentStateBytes(FewItems, 0), 0, FewItems)},
         {"agent_state_bytes_per_entry_named", slope(agentStateBytes(0, 0), agentStateBytes(0, FewItems), 0, FewItems)},
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -37,7 +37,10 @@
 CLAIMS_PER_BATCH = 100
 ENTRY_HOST_CORES = 16
 # The serving roles.
-HEARTBEAT_S, LOAD_NEWS_S, GOSSIP_S = 0.9, 0.15, 0.1
+HEARTBEAT_S = 0.9
+# Intervals that grow with the number of entries, for 64 of them: src/node/statepublication.cpp, src/allowance/reporttiming.cpp.
+LOAD_S, STATE_S = 0.6, 2.7
+REPORT_S, WHOLE_REPORT_S = 1 / 3, 2.0
 DATAGRAM_HEADER_BYTES = 28
 MODELS_PER_TARGET = 2
 ENTRIES_NAMED = 32
@@ -105,10 +108,14 @@
     return {
         "choices": calls_of_entry,
         "usage_sent": WORKERS / HEARTBEAT_S + 2 * calls_of_entry,
-        "states_heard": WORKERS / LOAD_NEWS_S,
-        "gossip_heard": (ENTRIES - 1) / GOSSIP_S,
+        "loads_heard": WORKERS / LOAD_S,
+        "states_heard": WORKERS / STATE_S,
+        "news_heard": WORKERS / LOAD_S + WORKERS / STATE_S,
+        "gossip_heard": (ENTRIES - 1) / REPORT_S,
+        "whole_reports_heard": (ENTRIES - 1) / WHOLE_REPORT_S,
         "usage_heard": AGENTS_PER_NODE * (ENTRIES / HEARTBEAT_S + 2 * REQUESTS_PER_S / WORKERS),
-        "states_sent": AGENTS_PER_NODE * ENTRIES / LOAD_NEWS_S,
+        "loads_sent": AGENTS_PER_NODE * ENTRIES / LOAD_S,
+        "states_sent": AGENTS_PER_NODE * ENTRIES / STATE_S,
     }
 
 
@@ -117,8 +124,11 @@
     usage = sizes["entry_usage_bytes"] + sizes["entry_usage_bytes_per_item"] + DATAGRAM_HEADER_BYTES
     state = (sizes["agent_state_bytes"] + MODELS_PER_TARGET * sizes["agent_state_bytes_per_model"]
              + ENTRIES_NAMED * sizes["agent_state_bytes_per_entry_named"] + DATAGRAM_HEADER_BYTES)
-    gossip = (sizes["gossip_bytes"] + (ENTRIES - 1) * sizes["gossip_bytes_per_member"]
+    load = sizes["agent_load_bytes"] + DATAGRAM_HEADER_BYTES
+    update = (sizes["gossip_bytes"] + sizes["gossip_bytes_per_member"]
               + CUSTOMERS * sizes["gossip_bytes_per_customer"] + DATAGRAM_HEADER_BYTES)
+    whole = update + (ENTRIES - 2) * sizes["gossip_bytes_per_member"]
+    updates_heard = rates["gossip_heard"] - rates["whole_reports_heard"]
     heap = (WORKERS * measured["entry_heap_bytes_per_target"]
             + CUSTOMERS * ENTRIES * measured["entry_heap_bytes_per_customer_and_peer"]) / 1e6
 
@@ -129,16 +139,19 @@
         ("choices of targets, cores", cores("choices", "engine_choice_us"), NODE_CORES),
         ("usage sent to all agents, cores", cores("usage_sent", "demand_due_us"), NODE_CORES),
         ("usage sent to all agents, KB/s", rates["usage_sent"] * usage / 1000, NODE_KB_PER_S),
-        ("states of all agents, cores", cores("states_heard", "agent_state_heard_us"), NODE_CORES),
-        ("states of all agents, KB/s", rates["states_heard"] * state / 1000, NODE_KB_PER_S),
+        ("states and loads of all agents, cores", cores("news_heard", "agent_state_heard_us"), NODE_CORES),
+        ("states and loads of all agents, KB/s",
+         (rates["states_heard"] * state + rates["loads_heard"] * load) / 1000, NODE_KB_PER_S),
         ("gossip heard, cores", cores("gossip_heard", "gossip_heard_us"), NODE_CORES),
-        ("gossip heard, KB/s", rates["gossip_heard"] * gossip / 1000, NODE_KB_PER_S),
+        ("gossip heard, KB/s",
+         (rates["whole_reports_heard"] * whole + updates_heard * update) / 1000, NODE_KB_PER_S),
         ("targets and allowances, memory MB", heap, NODE_MB),
     ]
     node = [
         ("usage heard, cores", cores("usage_heard", "agent_message_us"), NODE_CORES),
         ("usage heard, KB/s", rates["usage_heard"] * usage / 1000, NODE_KB_PER_S),
-        ("states sent to all entries, KB/s", rates["states_sent"] * state / 1000, NODE_KB_PER_S),
+        ("states and loads sent to all entries, KB/s",
+         (rates["states_sent"] * state + rates["loads_sent"] * load) / 1000, NODE_KB_PER_S),
         ("memory, MB", AGENTS_PER_NODE * measured["serving_agent_mb"], NODE_MB),
     ]
     return [(f"Serving entry (one of {ENTRIES})", entry), ("Agents beside the targets of a node (5.8)", node)]
