Recount hidden entries of those peers only that have some

Cause: each entry that connects made all lists of all peers be read again, which with 100 entries that start together is a million look-ups each. Change: only peers with hidden entries are counted again; one that connects can only lower such a count.

--- a/include/celeryroute/detail/allowance/customerratelimiter.h
+++ b/include/celeryroute/detail/allowance/customerratelimiter.h
@@ -107,7 +107,7 @@
     std::unordered_map<std::string, CustomerAllowance> m_allowances;
     TimePoint m_lastReport; ///< Time of the last report to all entries.
     TimePoint m_reportDue;
-    TimePoint m_wholeReportDue;
+    TimePoint m_wholeReportDue; ///< Reports to all entries are whole ones from then on.
     bool m_hasUnreportedSpending = false; ///< Tokens were spent since the last report to all entries.
     TimePoint m_acknowledgementDue =
         TimePoint::max(); ///< Time at which an acknowledgement to m_acknowledgementReceivers is due.
--- a/include/celeryroute/detail/allowance/entrymembership.h
+++ b/include/celeryroute/detail/allowance/entrymembership.h
@@ -139,7 +139,7 @@
     void countMention(const std::string &address, bool add);
     void setAcknowledgements(Peer &peer, std::vector<MemberAcknowledgement> acknowledgements);
     void updateHidden(Peer &peer, TimePoint now);
-    void updateAllHidden(TimePoint now);
+    void lowerHiddenCounts(TimePoint now);
     void updateUsableFraction(TimePoint now);
 
     std::string m_address;
--- a/src/allowance/entrymembership.cpp
+++ b/src/allowance/entrymembership.cpp
@@ -203,7 +203,7 @@
         peer.connected = true;
         ++m_connectCount;
         m_changes.push_back({address, PeerEvent::Connected, now - peer.absentSince});
-        updateAllHidden(now);
+        lowerHiddenCounts(now);
         updateUsableFraction(now);
     }
 }
@@ -308,10 +308,13 @@
     }
 }
 
-void EntryMembership::updateAllHidden(TimePoint now)
+// An entry that connects is hidden no more, so the counts can only fall.
+void EntryMembership::lowerHiddenCounts(TimePoint now)
 {
     for (auto &[address, peer] : m_peers) {
-        updateHidden(peer, now);
+        if (peer.hidden > 0) {
+            updateHidden(peer, now);
+        }
     }
 }
 
