Acknowledge large spending at once with few entries, as before

Change: up to 16 entries a report of large spending is acknowledged after 10 ms, whether its sender waits for that or not. A request beyond the share is refused only with half of the shares or fewer: one silent host of many must not refuse the large requests of small customers.

--- a/include/celeryroute/detail/allowance/reporttiming.h
+++ b/include/celeryroute/detail/allowance/reporttiming.h
@@ -18,6 +18,8 @@
     Duration urgentDelay = std::chrono::milliseconds(10);
     /// A peer is disconnected when its newest acknowledged report is older.
     Duration acknowledgementTimeout = std::chrono::milliseconds(1000);
+    /// Whether large spending is acknowledged after urgentDelay even if its sender does not wait for that.
+    bool acknowledgesLargeSpending = true;
     /// Longest time between reports that name all members and all spending.
     Duration wholeReportInterval = std::chrono::milliseconds(500);
     /// Time until an entry whose reports reach is connected only to a peer reduces the usable share.
--- a/src/allowance/customerallowance.cpp
+++ b/src/allowance/customerallowance.cpp
@@ -19,6 +19,8 @@
 /// Part of the tolerance by which a request may exceed the level. Otherwise large requests would be refused more often
 /// than small ones.
 constexpr double DebtPart = 0.25;
+/// At most one group of connected entries has more than this fraction of the shares.
+constexpr double MajorityFraction = 0.5;
 /// Part of the slack that all entries together hold after a start or a suspension.
 constexpr double InitialPart = 0.25;
 
@@ -232,13 +234,13 @@
     return m_limits->tolerance * UnacknowledgedPart / members + std::max(0.0, m_bucket.level()) * levelPart;
 }
 
-// With all shares, a request of any size is admitted once the bucket is full. With some of them, other groups of
-// entries may admit such requests too, so the debts of all groups must fit into the tolerance.
+// With most of the shares, a request of any size is admitted once the bucket is full. With fewer of them, other groups
+// of entries may admit such requests too, so the debts of all these groups must fit into the tolerance.
 double CustomerAllowance::requiredLevel(double cost) const
 {
     const double debt = m_limits->tolerance * DebtPart * m_usableShare.fraction;
     const double required = std::max(0.0, cost - debt);
-    return m_usableShare.fraction < 1 ? required : std::min(m_bucket.capacity(), required);
+    return m_usableShare.fraction > MajorityFraction ? std::min(m_bucket.capacity(), required) : required;
 }
 
 // Refused requests are told to retry one after another, since the level would suffice for only one of them if all
--- a/src/allowance/customerratelimiter.cpp
+++ b/src/allowance/customerratelimiter.cpp
@@ -228,18 +228,21 @@
 
 void CustomerRateLimiter::notePeerSpending(const EntryReport &report, bool discovered, TimePoint now)
 {
+    const ReportTiming &timing = m_members.timing();
     bool charged = false;
+    bool urgent = report.urgent;
     for (const CustomerSpending &spending : report.spent) {
         CustomerAllowance &customerAllowance = allowance(spending.customer, now);
         if (discovered) {
             customerAllowance.addNewPeer(report.sender, spending.total);
-        } else {
-            charged = customerAllowance.noteSpent(report.sender, spending.total, now) > 0 || charged;
+            continue;
         }
+        const double charge = customerAllowance.noteSpent(report.sender, spending.total, now);
+        charged = charged || charge > 0;
+        urgent = urgent || (timing.acknowledgesLargeSpending && customerAllowance.isUrgent(charge));
     }
-    if (report.urgent || charged) {
-        const ReportTiming &timing = m_members.timing();
-        scheduleAcknowledgement(report.sender, now + (report.urgent ? timing.urgentDelay : timing.changeInterval));
+    if (urgent || charged) {
+        scheduleAcknowledgement(report.sender, now + (urgent ? timing.urgentDelay : timing.changeInterval));
     }
 }
 
--- a/src/allowance/reporttiming.cpp
+++ b/src/allowance/reporttiming.cpp
@@ -26,6 +26,7 @@
     timing.changeInterval = std::min(grown(changeInterval), timing.heartbeatInterval);
     timing.urgentInterval = std::min(grown(urgentInterval), timing.changeInterval);
     timing.wholeReportInterval = grown(wholeReportInterval);
+    timing.acknowledgesLargeSpending = false;
     return timing;
 }
 
--- a/tests/src/unit-allowance.cpp
+++ b/tests/src/unit-allowance.cpp
@@ -213,6 +213,7 @@
         CHECK(many.changeInterval <= many.heartbeatInterval);
         CHECK(3 * many.heartbeatInterval <= many.acknowledgementTimeout);
         CHECK(many.acknowledgementTimeout == few.acknowledgementTimeout);
+        CHECK_FALSE(many.acknowledgesLargeSpending);
         before = many;
     }
 }
@@ -413,6 +414,16 @@
     CHECK(wait(Burst) > Duration::zero()); // The debts of 68 such entries would exceed the tolerance.
 }
 
+TEST(CustomerRateLimiter, onePeerOfManyIsSilent_requestBeyondTheShareIsAdmittedFromAFullBucket)
+{
+    exchange(0);
+    limiter.expectMembers(3, now);
+    exchangeFor(0, 3s);
+    DOUBLES_EQUAL(2.0 / 3, limiter.members().usableFraction(), 1e-9);
+    CHECK(admit(4 * Burst));
+    CHECK_FALSE(admit(4 * Burst));
+}
+
 TEST_GROUP(RetryLimiter)
 {
     ServingBounds limits;
