Log how a target framed its answer and what it left of an unfinished event

request.answered and request.cut carry framing (length, chunked, until_close) and partial_bytes, the bytes after the last complete event of a stream. No decision is changed; unit-telemetry, unit-explain and unit-nodelog pass.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -103,6 +103,7 @@
     /// @param reason why no retry followed, if the answer is a failure
     void forwardAnswer(std::string_view reason = {});
     void recordSuccess();
+    std::optional<std::size_t> partialEventBytes() const;
     void noteFailure(int status, std::string_view reason);
     void beginStream();
     void forwardEvents();
--- a/include/celeryroute/detail/http1/messagehead.h
+++ b/include/celeryroute/detail/http1/messagehead.h
@@ -23,6 +23,9 @@
     UntilClose, ///< Answers only.
 };
 
+/// @brief Name of @p framing in the log.
+std::string_view framingName(BodyFraming framing);
+
 /// The start line and the fields of a request or an answer.
 struct MessageHead {
     std::string method; ///< Requests.
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -166,7 +166,15 @@
                            {"status", m_answer.head.status},
                            {"first_ms", m_firstEventAt.value_or(now) - m_request.received},
                            {"total_ms", total},
-                           {"events", m_splitter.eventCount()}});
+                           {"events", m_splitter.eventCount()},
+                           {"framing", framingName(m_answer.head.framing)},
+                           {"partial_bytes", partialEventBytes()}});
+}
+
+// Bytes that the target sent after the last complete event of its stream.
+std::optional<std::size_t> Call::partialEventBytes() const
+{
+    return m_answer.isEventStream ? std::optional(m_answer.body.size()) : std::nullopt;
 }
 
 // Plain answers are buffered: the caller gets the first byte when the whole answer has arrived.
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -176,6 +176,8 @@
                                {"events", m_splitter.eventCount()},
                                {"last_event", m_splitter.lastId()},
                                {"total_ms", total},
+                               {"framing", framingName(m_answer.head.framing)},
+                               {"partial_bytes", partialEventBytes()},
                                {"resumable", m_route != nullptr && m_route->resumable}});
         m_gateway.metrics().countRequest(kind, RequestOutcome::Cut);
         m_caller->cut();
--- a/src/http1/messagehead.cpp
+++ b/src/http1/messagehead.cpp
@@ -5,6 +5,21 @@
 
 namespace celeryroute {
 
+std::string_view framingName(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::UntilClose:
+        return "until_close";
+    }
+    return {};
+}
+
 namespace {
 
 char lower(char letter)
