--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -235,6 +235,15 @@
     STRCMP_EQUAL("2", target.received("/v1/chat").at(1).headers.at("x-resume-from").c_str());
 }
 
+TEST(Agent, streamEndingInOrderInsideAnEvent_resumesCompleteAndInOrder)
+{
+    start();
+    target.endNextInsideEventAfter(2);
+    entry->submit(chatSubmit("a"));
+    checkCompleteAnswer("a");
+    STRCMP_EQUAL("2", target.received("/v1/chat").at(1).headers.at("x-resume-from").c_str());
+}
+
 TEST(Agent, connectionStalls_resumesOverANewConnection)
 {
     start();
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -782,6 +782,47 @@
     }
 }
 
+TEST(Gateway, streamEndingInsideEvent_isNotCompleteInAnyFraming)
+{
+    struct Row {
+        const char *name;
+        const char *path;
+        std::string first; ///< Answer of the first target, before it closes the connection in order.
+        std::string body;
+        std::size_t arrivals;
+    };
+    const std::string fields = "X-Request-Id: {id}\r\nX-Signature: sig\r\nX-Weights: 7\r\n"
+                               "Content-Type: text/event-stream\r\n";
+    const std::string unframed = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+    const auto withLength = [&fields](const std::string &body) { return httpAnswer(200, body, fields); };
+    const std::string inside = event(1) + "id: 2\ndata: x\n";
+    const std::string rest = SecondHead + chunk(event(2) + event(3)) + LastChunk;
+    const std::string whole = event(1) + event(2) + event(3) + "<end>";
+    const Row rows[] = {
+        {"unframed", "/stream/a", unframed + inside, event(1), 1},
+        {"unframed, first event", "/stream/a", unframed + "id: 1", "", 1},
+        {"unframed, no event", "/stream/a", unframed, "", 1},
+        {"unframed, complete", "/stream/a", unframed + event(1), event(1) + "<end>", 1},
+        {"unframed, resumed", "/resumable/a", unframed + inside, whole, 2},
+        {"length", "/stream/a", withLength(inside), event(1), 1},
+        {"length, resumed", "/resumable/a", withLength(inside), whole, 2},
+        {"chunks", "/stream/a", StreamHead + chunk(inside) + LastChunk, event(1), 1},
+        {"chunks, resumed", "/resumable/a", StreamHead + chunk(inside) + LastChunk, whole, 2},
+    };
+    for (const Row &row : rows) {
+        GatewayWorld fresh(2);
+        fresh.apply();
+        fresh.scripts = {fresh.respondWith(row.first, AfterAnswer::Close), fresh.respondWith(rest)};
+        const std::string answer = fresh.call(row.path);
+        STRCMP_EQUAL_TEXT(row.body.c_str(), chunksOf(answer).c_str(), row.name);
+        CHECK_EQUAL_TEXT(row.body.empty() ? 502 : 200, statusOf(answer), row.name);
+        CHECK_EQUAL_TEXT(row.arrivals, fresh.arrived.size(), row.name);
+        STRCMP_EQUAL_TEXT(row.arrivals > 1 ? "1" : "(none)",
+                          fresh.arrived.back().field("Last-Event-Id").c_str(),
+                          row.name);
+    }
+}
+
 TEST(Gateway, executedCall_isNotRefusedAfterStateChange)
 {
     struct Row {
--- a/tests/support/faketarget.cpp
+++ b/tests/support/faketarget.cpp
@@ -89,6 +89,13 @@
     m_cutAfter = events;
 }
 
+void FakeTarget::endNextInsideEventAfter(int events)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_cutAfter = events;
+    m_cutInOrder = true;
+}
+
 void FakeTarget::silenceNextAfter(int events)
 {
     absl::MutexLock lock(&m_mutex);
@@ -183,6 +190,7 @@
 {
     int cutAfter = -1;
     int silentAfter = -1;
+    bool cutInOrder = false;
     {
         absl::MutexLock lock(&m_mutex);
         if (m_holding) {
@@ -191,6 +199,7 @@
         }
         std::swap(cutAfter, m_cutAfter);
         std::swap(silentAfter, m_silentAfter);
+        std::swap(cutInOrder, m_cutInOrder);
     }
     if (request.path != "/v1/chat/completions") {
         responder->respond({200, {{"content-type", "application/json"}}, R"({"booked":true})"});
@@ -201,9 +210,9 @@
     responder->begin(200, {{"content-type", "text/event-stream"}});
     for (int number = first; number < EventsPerAnswer; ++number) {
         if (number == cutAfter) {
-            // Sends part of an event before closing the connection.
+            // Sends part of an event before ending the answer.
             responder->write(eventText(number).substr(0, 10));
-            responder->end(false);
+            responder->end(cutInOrder);
             return;
         }
         if (number == silentAfter) {
--- a/tests/support/faketarget.h
+++ b/tests/support/faketarget.h
@@ -29,6 +29,8 @@
 
     /// The next streamed answer is cut off, or stalls with its connection open, after this many events.
     void cutNextAfter(int events);
+    /// The next streamed answer ends in order inside the event after this many events.
+    void endNextInsideEventAfter(int events);
     void silenceNextAfter(int events);
     /// The next order takes effect, but its connection is closed without a complete answer.
     void dropNextOrderAnswer();
@@ -61,6 +63,7 @@
     std::vector<HeldCall> m_held ABSL_GUARDED_BY(m_mutex);
     std::vector<Responder> m_silent ABSL_GUARDED_BY(m_mutex);
     int m_cutAfter ABSL_GUARDED_BY(m_mutex) = -1;
+    bool m_cutInOrder ABSL_GUARDED_BY(m_mutex) = false; ///< The cut answer ends as if it were complete.
     int m_silentAfter ABSL_GUARDED_BY(m_mutex) = -1;
     bool m_dropOrderAnswer ABSL_GUARDED_BY(m_mutex) = false;
     bool m_holding ABSL_GUARDED_BY(m_mutex) = false;
