Treat a stream that ends inside an event as broken off

Cause: a target may answer without a length and without chunks, so that the close of the connection ends the answer. A target that crashes in the middle of an event and closes in order then looks like one that has finished. Call::finishStream appended the unfinished event and ended the caller's answer with the last chunk; the standalone agent relayed it as run. The crashing request was also cleared of its crashes, since it counted as answered.

Change: when the exchange ends in order with part of an event left, or without any event and without framing, the call handles it as a torn answer: the caller's answer is cut after the last whole event, or the stream is resumed elsewhere where the route allows. The agent suspends such a stream and resumes it. The class of fault is an end of input that is taken for an end of the message.

Looked for elsewhere: answers of the store and of agents are parsed as a whole and a part of a record or of JSON is rejected; the caller's side cuts an unframed answer with a reset.

--- a/include/celeryroute/detail/agent/answermeter.h
+++ b/include/celeryroute/detail/agent/answermeter.h
@@ -14,8 +14,10 @@
     void begin(const std::string &contentType);
     /// @brief Adds @p data and returns the bytes that may be relayed now.
     std::string take(const std::string &data);
-    /// @brief Returns the remaining bytes at the end of a complete answer.
-    std::string takeRemaining();
+    /// @brief Reads the token counts of an answer that is complete.
+    void finish();
+    /// @brief Whether part of an event has arrived. A stream that ends so has been broken off.
+    bool isInsideEvent() const;
     /// @brief Discards an incomplete event before the stream continues over another connection.
     void dropPartial();
 
--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -68,6 +68,7 @@
         bool notRun = false; ///< The target reported that it did not run the call.
         bool signedByTarget = false;
         bool isEventStream = false; ///< The body is a stream of events.
+        bool hasEvents = false; ///< At least one complete event of the stream has arrived.
     };
 
     void exchangeHead(MessageHead head) override;
@@ -107,6 +108,8 @@
     void noteFailure(int status, std::string_view reason);
     void beginStream();
     void forwardEvents();
+    /// @brief Whether a stream ended before its last event, though the connection shows no failure.
+    bool brokeOffInOrder() const;
     void finishStream();
     void logResumed(const std::string &targetId);
     bool mayRetry() const;
--- a/src/agent/answermeter.cpp
+++ b/src/agent/answermeter.cpp
@@ -55,12 +55,16 @@
     return whole;
 }
 
-std::string AnswerMeter::takeRemaining()
+void AnswerMeter::finish()
 {
     if (!m_eventStream) {
         m_reportedTokens = usageTokens(m_body);
     }
-    return std::exchange(m_partial, {});
+}
+
+bool AnswerMeter::isInsideEvent() const
+{
+    return !m_partial.empty();
 }
 
 void AnswerMeter::dropPartial()
--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -90,11 +90,8 @@
         return;
     }
     attempt->call = 0;
-    if (!end.error) {
-        std::string rest = attempt->meter.takeRemaining();
-        if (!rest.empty()) {
-            sendChunk(*attempt, attempt->chunks.append(std::move(rest)));
-        }
+    if (!end.error && !attempt->meter.isInsideEvent()) {
+        attempt->meter.finish();
         finish(attempt, Outcome{Error{ResultCode::Ok, {}}, proto::RAN}, now);
         return;
     }
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -72,6 +72,7 @@
     if (whole.empty()) {
         return;
     }
+    m_answer.hasEvents = true;
     if (!m_splitter.weightsVersion().empty()) {
         m_weightsVersion = m_splitter.weightsVersion();
     }
@@ -112,6 +113,10 @@
         retry(atCapacity ? reasons::TargetRefused : reasons::WrongInstance);
         return;
     }
+    if (brokeOffInOrder()) {
+        exchangeFailed(ExchangeFailure::Torn);
+        return;
+    }
     ++m_possibleRuns;
     m_gateway.suspects().noteAnswered(m_requestDigest, m_gateway.loop().now());
     const int status = m_answer.head.status;
@@ -140,6 +145,14 @@
     failCall(reasons::TargetFailed);
 }
 
+// A crashing target may close its connection in order, which ends an answer without length and chunks.
+bool Call::brokeOffInOrder() const
+{
+    const bool insideEvent = !m_answer.body.empty();
+    const bool unconfirmed = m_answer.head.framing == BodyFraming::UntilClose && !m_answer.hasEvents;
+    return m_answer.isEventStream && (insideEvent || unconfirmed);
+}
+
 void Call::finishStream()
 {
     endAttempt(CallEnd::Answered);
@@ -147,7 +160,6 @@
         beginStream();
     }
     recordSuccess();
-    m_caller->append(m_answer.body);
     m_caller->finish();
     finish();
 }
