Tell a reset that a write met first from an orderly close

A target that answers before it has read a long request and resets the connection in the middle of an answer without framing could reach its caller as complete.

Cause: the system reports a reset once. When send() got the report, TcpChannel only noted that it had failed; the following recv() returned 0, which was passed on as an orderly close, and an answer that ends with its connection was complete.

Change: a channel whose write has failed ends as reset.

Before: unit-http1 resetThatAWriteReportsFirst failed with exchange.complete.

--- a/src/net/tcpchannel.cpp
+++ b/src/net/tcpchannel.cpp
@@ -150,7 +150,8 @@
         return;
     }
     if (received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
-        fail(received < 0);
+        // The system reports a reset once. If a write got the report, the next read looks like an orderly end.
+        fail(received < 0 || m_failed);
     }
 }
 
