Log which shared prompt parts a crash suspect has

request.suspected carries parts, the digests of all prompt parts but the last. No decision is changed; unit-gateway, unit-crashsuspects, unit-telemetry, unit-explain and unit-nodelog pass.

--- a/include/celeryroute/detail/gateway/callfields.h
+++ b/include/celeryroute/detail/gateway/callfields.h
@@ -28,6 +28,9 @@
     bool operator==(const CallFields &) const = default;
 };
 
+/// @brief Digests of the prompt parts that other requests may share: all but the last one, at most 32.
+std::vector<std::uint64_t> sharedPartDigests(const CallFields &fields);
+
 /// @brief Reads the fields of @p head. Malformed fields are treated as missing.
 CallFields readCallFields(const MessageHead &head, const HeaderNames &names);
 
--- a/include/celeryroute/detail/gateway/crashsuspects.h
+++ b/include/celeryroute/detail/gateway/crashsuspects.h
@@ -27,6 +27,7 @@
     std::int64_t bornMs = 0; ///< Start of the target's lifetime, in Unix milliseconds.
     TimePoint sentAt;
     std::string id = {}; ///< Request id of the caller, for the log.
+    std::vector<std::uint64_t> parts = {}; ///< Digests of the prompt parts that other requests may share.
     bool operator==(const UnansweredSend &) const = default;
 };
 
@@ -44,6 +45,7 @@
         std::string id; ///< Request id of the caller, from the send that was not answered.
         std::uint64_t request = 0; ///< Digest of customer, path and body.
         std::size_t crashes = 0; ///< Crashes of the request that count so far.
+        std::vector<std::uint64_t> parts = {}; ///< Digests of the prompt parts that other requests may share.
         bool operator==(const Suspicion &) const = default;
     };
 
--- a/include/celeryroute/detail/telemetry/eventnames.h
+++ b/include/celeryroute/detail/telemetry/eventnames.h
@@ -111,7 +111,7 @@
     EventDescription{DecisionEvent::RequestFailed, "request.failed", LineVolume::Failure, "attempt target status reason kind customer route sent_ms total_ms not_run state_version", "final answer: a failure after which the request may have run, or the target's own"},
     EventDescription{DecisionEvent::RequestCut, "request.cut", LineVolume::Failure, "attempt target reason kind customer route events last_event total_ms framing partial_bytes resumable", "the answer broke off after its head"},
     EventDescription{DecisionEvent::RequestAbandoned, "request.abandoned", LineVolume::Decision, "attempt target total_ms events", "the caller disconnected; the request is cancelled at its target"},
-    EventDescription{DecisionEvent::RequestSuspected, "request.suspected", LineVolume::Decision, "target digest crashes msg heard_inc heard_msg", "the request was running when a target died"},
+    EventDescription{DecisionEvent::RequestSuspected, "request.suspected", LineVolume::Decision, "target digest crashes parts msg heard_inc heard_msg", "the request was running when a target died"},
     EventDescription{DecisionEvent::AgentFenced, "agent.fenced", LineVolume::Dependency, "target fence msg", "the agent may order its target under this fence"},
     EventDescription{DecisionEvent::AgentOrder, "agent.order", LineVolume::Decision, "target operation item source sequence fence report_age_ms msg heard_inc heard_msg", "the agent orders a load or an unload"},
     EventDescription{DecisionEvent::AgentOutcome, "agent.outcome", LineVolume::Decision, "target operation item outcome status took_ms msg", "the result of an order"},
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -56,6 +56,7 @@
         return;
     }
     m_requestDigest = stableHash(m_customerName + '\n' + m_request.head.target + '\n' + m_request.body);
+    m_sharedParts = sharedPartDigests(m_fields);
     if (refuseIfQuarantined()) {
         return;
     }
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -333,7 +333,8 @@
     m_possibleArrivals -= sent ? 0 : 1;
     if (sent && !m_answer.notRun) {
         ++m_possibleRuns;
-        m_gateway.noteUnanswered({m_requestDigest, m_target, m_targetStartMs, m_sentAt, m_fields.requestId});
+        m_gateway.noteUnanswered(
+            {m_requestDigest, m_target, m_targetStartMs, m_sentAt, m_fields.requestId, m_sharedParts});
     } else if (failure == ExchangeFailure::NotConnected) {
         m_gateway.targetDied(m_target);
     }
--- a/src/gateway/callfields.cpp
+++ b/src/gateway/callfields.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/gateway/callfields.h>
 
+#include <celeryroute/detail/base/digest.h>
+
 #include <algorithm>
 #include <charconv>
 #include <string_view>
@@ -81,6 +83,16 @@
 
 } // namespace
 
+std::vector<std::uint64_t> sharedPartDigests(const CallFields &fields)
+{
+    constexpr std::size_t MaxParts = 32; // Bounds what entries remember of one request and tell each other.
+    std::vector<std::uint64_t> digests;
+    for (std::size_t i = 0; i + 1 < fields.promptParts.size() && i < MaxParts; ++i) {
+        digests.push_back(stableHash(fields.promptParts[i].first));
+    }
+    return digests;
+}
+
 CallFields readCallFields(const MessageHead &head, const HeaderNames &names)
 {
     CallFields fields;
--- a/src/gateway/crashsuspects.cpp
+++ b/src/gateway/crashsuspects.cpp
@@ -55,7 +55,7 @@
     if (!add(send.request, {send.target, send.bornMs}, now)) {
         return std::nullopt;
     }
-    return Suspicion{send.id, send.request, crashes(send.request)};
+    return Suspicion{send.id, send.request, crashes(send.request), send.parts};
 }
 
 void CrashSuspects::addPending(const UnansweredSend &send, std::uint32_t transmissions, TimePoint now)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,6 +26,16 @@
     }
 }
 
+std::string joinDigests(const std::vector<std::uint64_t> &digests)
+{
+    std::string text;
+    for (const std::uint64_t digest : digests) {
+        text += text.empty() ? "" : ",";
+        text += std::to_string(digest);
+    }
+    return text;
+}
+
 } // namespace
 
 Gateway::Gateway(const Dependencies &dependencies, std::uint64_t seed, DemandChanged demandChanged)
@@ -75,6 +85,7 @@
                              {{fieldnames::Target, target},
                               {"digest", suspicion.request},
                               {"crashes", suspicion.crashes},
+                              {"parts", joinDigests(suspicion.parts)},
                               {fieldnames::Message, nextMessage()}});
 }
 
