Show that requests with a crashing prompt part reach target after target

Requests of one customer share a prompt part that crashes each target, and have bodies of their own; sound requests with the same first part are asked in between. More than five of the fifteen reach a target, since no two requests are alike.

--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -529,6 +529,34 @@
     }
 }
 
+TEST(Gateway, requestsSharingACrashingPromptPart_areRefusedWhileSoundOnesAreServed)
+{
+    constexpr int Crashes = 5; // The rule allows no more sends after the fifth crash is known.
+    GatewayWorld fresh(12);
+    fresh.apply();
+    std::size_t crashed = 0;
+    fresh.scripts = {[&](const ScriptedTarget::Request &request) {
+        const bool crashes = request.field(fresh.names.promptParts).find("bad:") != std::string::npos;
+        crashed += crashes ? 1 : 0;
+        fresh.respondWith(crashes ? "" : signedAnswer(200, event(1)),
+                          crashes ? AfterAnswer::Close : AfterAnswer::Keep)(request);
+    }};
+    const auto ask = [&](const std::string &part, int number) {
+        const std::string own = std::to_string(number);
+        return fresh.call("/stream/a",
+                          fresh.names.promptParts + ": system:100," + part + ":50,own" + own + ":10\r\n",
+                          "prompt " + own);
+    };
+    std::string last;
+    for (int number = 0; number < 3 * Crashes; ++number) {
+        last = ask("bad", 2 * number);
+        CHECK_EQUAL(200, statusOf(ask("good", 2 * number + 1)));
+    }
+    CHECK(crashed <= Crashes);
+    CHECK_EQUAL(503, statusOf(last));
+    CHECK(fieldOf(last, "Retry-After") != "(none)");
+}
+
 TEST(Gateway, callerDisconnects_cancelsCallUnlessAtMostOnce)
 {
     world.apply();
