Send no further calls to a target that says in an answer that it leaves

Entries read only the registry, so until its record said draining, and always while the store was away, they went on sending.

Change: an answer with the field, other than a 421, strikes the lifetime of the target that answered in the target table, and LeavingTargets remembers it when the registry drops the record and shows it again. Only a later lifetime ends it. A last target that leaves has its calls refused at once. target.leaving logs the belief.

--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -136,6 +136,8 @@
     void noteDemand(const std::string &target, bool urgent);
     /// @brief Requests an additional replica of an item ahead of demand; no call waits for it.
     void requestSpareReplica(const LoadRequest &want);
+    /// @brief Records that @p target said in an answer that it is leaving, in the lifetime that began at @p bornMs.
+    void noteLeaving(const std::string &target, std::int64_t bornMs);
     /// @brief Marks requests that got no answer from @p target, which has died, as suspects.
     void targetDied(const std::string &target);
     /// @brief The first of the prompt parts @p parts that crashes targets, if there is one.
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/placement/enginecall.h>
 #include <celeryroute/detail/placement/healthchange.h>
 #include <celeryroute/detail/placement/knowntarget.h>
+#include <celeryroute/detail/placement/leavingtargets.h>
 #include <celeryroute/detail/placement/reportedload.h>
 #include <celeryroute/detail/placement/targetload.h>
 #include <celeryroute/detail/placement/targetpool.h>
@@ -67,6 +68,11 @@
     /// @brief Takes over the load that a target reported in an answer, unless a report of its agent is fresh.
     void noteLoad(const std::string &id, const ReportedLoad &load, TimePoint now);
 
+    /// @brief Records that a target said in an answer that it is leaving. It gets no further calls in that lifetime,
+    /// whatever the registry says.
+    /// @return whether that was not known yet
+    bool noteLeaving(const std::string &id, std::int64_t bornMs, TimePoint now);
+
     /// @brief Records that a call to a plain service was sent; 0 if the target is unknown.
     CallTicket noteSent(const std::string &id, TimePoint now);
     /// @brief Records that a call to an engine was sent; 0 if the target is unknown.
@@ -114,6 +120,7 @@
     std::optional<TimePoint> m_recordsConfirmed;
     std::function<void(const HealthChange &)> m_onHealthChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
+    LeavingTargets m_leaving;
     std::unordered_map<std::string, std::unique_ptr<TargetPool>> m_pools;
     std::unordered_map<CallTicket, SentCall> m_calls;
 };
--- a/include/celeryroute/detail/serving/headernames.h
+++ b/include/celeryroute/detail/serving/headernames.h
@@ -20,6 +20,7 @@
     std::string expectWeights = "X-Expect-Weights"; ///< Only weights that may run the call; set by the entry.
     std::string signature = "X-Signature"; ///< Present in every answer that a target computed.
     std::string notRun = "X-Not-Run"; ///< Present if the target did not run the call.
+    std::string leaving = "X-Leaving"; ///< Present in all answers of a target that is leaving.
     std::string load = "X-Load"; ///< Running calls, waiting calls and slots of the target.
     std::string lastEventId = "Last-Event-Id";
     std::string authorization = "Authorization";
--- a/include/celeryroute/detail/telemetry/reasonnames.h
+++ b/include/celeryroute/detail/telemetry/reasonnames.h
@@ -57,7 +57,7 @@
     ReasonDescription{reasons::Stopping, "the process was stopping", "process.unready, process.stop"},
     ReasonDescription{reasons::Allowance, "this entry's share of the allowance was spent", "allowance.changed; level, share, cost"},
     ReasonDescription{reasons::BeyondBurst, "the request costs more than the allowance can ever hold", "cost; the customer's burst"},
-    ReasonDescription{reasons::NoTarget, "no target of the pool may be used", "target.shunned, target.draining, target.removed"},
+    ReasonDescription{reasons::NoTarget, "no target of the pool may be used", "target.shunned, target.draining, target.leaving, target.removed"},
     ReasonDescription{reasons::NotLoaded, "no target holds the item, and a load would have come too late", "agent.order, agent.declined"},
     ReasonDescription{reasons::ModelTooLarge, "no target of the pool can hold the model, or the adapter beside it", "state.applied; sizes of the pool's models"},
     ReasonDescription{reasons::TooLate, "the answer could not have come within the caller's time limit", "held_ms, remaining_ms"},
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -39,6 +39,10 @@
     const std::string *type = head.field("Content-Type");
     m_answer.isEventStream = m_route->kind == CallKind::Stream && head.status == HttpStatus::Ok
         && m_answer.signedByTarget && (type == nullptr || type->find("text/event-stream") != std::string::npos);
+    // Status 421 may come from another instance that has the address now.
+    if (head.field(names.leaving) != nullptr && head.status != HttpStatus::Misdirected) {
+        m_gateway.noteLeaving(m_target, m_targetStartMs);
+    }
     if (const std::string *load = head.field(names.load)) {
         if (const auto read = readLoad(*load)) {
             m_gateway.targetTable().noteLoad(m_target, *read, m_gateway.loop().now());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,6 +54,19 @@
                               {change.ejected ? "for_ms" : "shunned_ms", change.span}});
 }
 
+void Gateway::noteLeaving(const std::string &target, std::int64_t bornMs)
+{
+    const TimePoint now = m_dependencies.loop.now();
+    if (m_dependencies.targetTable.noteLeaving(target, bornMs, now)) {
+        const KnownTarget *known = m_dependencies.targetTable.target(target);
+        m_dependencies.log.write(DecisionEvent::TargetLeaving,
+                                 now,
+                                 {{fieldnames::Target, target},
+                                  {"pool", known == nullptr ? std::string_view() : known->record.pool},
+                                  {"born_ms", bornMs}});
+    }
+}
+
 void Gateway::targetDied(const std::string &target)
 {
     for (const CrashSuspects::Suspicion &suspicion : m_suspects.targetDied(target, m_dependencies.loop.now())) {
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -23,7 +23,7 @@
 
 bool KnownTarget::acceptsCalls() const
 {
-    return registered && !record.draining;
+    return registered && !record.draining && !leaving;
 }
 
 bool KnownTarget::isViewFresh(TimePoint now) const
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -286,6 +286,19 @@
     return setView(id, view, now, message);
 }
 
+bool TargetTable::noteLeaving(const std::string &id, std::int64_t bornMs, TimePoint now)
+{
+    if (!m_leaving.add(id, bornMs, now)) {
+        return false;
+    }
+    const auto known = m_targets.find(id);
+    if (known != m_targets.end() && known->second->bornMs == bornMs) {
+        known->second->leaving = true;
+        reindex(*known->second, now);
+    }
+    return true;
+}
+
 void TargetTable::noteLoad(const std::string &id, const ReportedLoad &load, TimePoint now)
 {
     const auto known = m_targets.find(id);
@@ -586,6 +599,7 @@
     const std::optional<TimePoint> ejected = target.health.ejectedSince();
     target.lifetime = ++m_lifetimes;
     target.bornMs = bornMs;
+    target.leaving = m_leaving.contains(target.record.id, bornMs);
     target.view.reset();
     target.health = fresh.health;
     notifyHealthChange(target, ejected, "new_lifetime", now);
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -6,6 +6,8 @@
 
 #include "gatewayworld.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace celeryroute;
@@ -557,6 +559,58 @@
     CHECK(fieldOf(last, "Retry-After") != "(none)");
 }
 
+TEST(Gateway, targetThatSaysItLeaves_getsNoFurtherCallsInThatLifetime)
+{
+    const std::string leaving = "X-Leaving: 1\r\n";
+    const std::string answers[] = {signedAnswer(200, "ok", leaving),
+                                   signedAnswer(500, "own", leaving),
+                                   httpAnswer(503, {}, "X-Request-Id: {id}\r\nX-Not-Run: 1\r\n" + leaving)};
+    for (const std::string &answer : answers) {
+        GatewayWorld fresh(2);
+        fresh.apply();
+        fresh.scripts = {fresh.respondWith(answer), fresh.respondWith(Ok)};
+        (void)fresh.call("/once/a");
+        const std::string left = fresh.arrived.front().field(fresh.names.instance);
+        const auto arrivalsAtLeft = [&] {
+            return std::count_if(fresh.arrived.begin(), fresh.arrived.end(), [&](const auto &request) {
+                return request.field(fresh.names.instance) == left;
+            });
+        };
+        const auto callOften = [&fresh] {
+            for (int i = 0; i < 20; ++i) {
+                CHECK_EQUAL(200, statusOf(fresh.call("/once/a")));
+            }
+        };
+        callOften();
+        CHECK_EQUAL_TEXT(1, arrivalsAtLeft(), answer.c_str());
+
+        // The registry still shows it ready, and lost it for a while.
+        TargetRecord record = fresh.table.target(left)->record;
+        fresh.table.removeRecord(left, fresh.loop.now());
+        fresh.table.setRecord(record, fresh.loop.now());
+        callOften();
+        CHECK_EQUAL_TEXT(1, arrivalsAtLeft(), answer.c_str());
+
+        ++record.bornMs;
+        fresh.table.setRecord(record, fresh.loop.now());
+        fresh.table.removeRecord(left == "t0" ? "t1" : "t0", fresh.loop.now());
+        callOften();
+        CHECK_EQUAL_TEXT(21, arrivalsAtLeft(), answer.c_str());
+    }
+}
+
+TEST(Gateway, lastTargetSaysItLeaves_callsAreRefusedAtOnce)
+{
+    GatewayWorld fresh(1);
+    fresh.apply();
+    fresh.scripts = {fresh.respondWith(signedAnswer(200, "ok", "X-Leaving: 1\r\n")), fresh.respondWith(Ok)};
+    CHECK_EQUAL(200, statusOf(fresh.call("/once/a")));
+    const std::string refused = fresh.call("/once/a");
+    CHECK_EQUAL(503, statusOf(refused));
+    CHECK(fieldOf(refused, "Retry-After") != "(none)");
+    CHECK_EQUAL(1U, fresh.arrived.size());
+}
+
 TEST(Gateway, callerDisconnects_cancelsCallUnlessAtMostOnce)
 {
     world.apply();
--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -67,6 +67,9 @@
             } else {
                 target.reset(request.channel);
             }
+        } else if (path == "/open/leave") {
+            target.answer(request,
+                          httpAnswer(200, {}, "X-Request-Id: {id}\r\nX-Server-Signature: s\r\nServer-Leaving: 1\r\n"));
         } else if (path == "/open/fail" || path == "/open/misplaced") {
             target.answer(request, httpAnswer(path == "/open/fail" ? 500 : 421, {}, "X-Request-Id: {id}\r\n"));
         } else if (path != "/open/hold") {
@@ -248,6 +251,8 @@
     CHECK(world.runUntilLogged(entry->log, "target.draining"));
     loseStore();
     loseEngineAndAgent();
+    CHECK_EQUAL(200, call("/open/leave", "leave"));
+    CHECK(world.runUntilLogged(entry->log, "target.leaving"));
     other.node->beginStop();
     CHECK(world.runUntilLogged(other.log, "process.stop"));
 
