Send nothing to a target during the pause that it asks for

Change: the target table strikes the target until the pause is over, and a timer of the gateway takes it back and looks at the calls that wait. Of several pauses the longest counts; a new lifetime ends it. A value that is no positive finite number is ignored, one above max-target-pause-s (30 s by default) is bounded; target.paused and the counter celeryroute_target_pauses_total tell which. When no target accepts calls and some pause, callers are refused at once and return after the first pause, in the order of their priority, each class spread over 100 ms (returnAfterPause).

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -90,6 +90,8 @@
     void choosePlainTarget();
     void chooseEngineTarget();
     bool usesEngine() const;
+    std::uint32_t priority() const;
+    std::optional<Duration> returnAfterPauses() const;
     EngineCall engineCall() const;
     void applyChoice(const SendTo &verdict);
     void applyChoice(const WaitForLoad &verdict);
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <celeryroute/detail/placement/plainchooser.h>
 #include <celeryroute/detail/placement/targettable.h>
 #include <celeryroute/detail/serving/headernames.h>
+#include <celeryroute/detail/serving/servingbounds.h>
 #include <celeryroute/detail/telemetry/decisionlog.h>
 #include <celeryroute/detail/telemetry/servingmetrics.h>
 
@@ -136,6 +137,10 @@
     void noteDemand(const std::string &target, bool urgent);
     /// @brief Requests an additional replica of an item ahead of demand; no call waits for it.
     void requestSpareReplica(const LoadRequest &want);
+    /// @brief Sets the longest pause that a target may ask for.
+    void useMaxTargetPause(Duration longest);
+    /// @brief Records that @p target refused a call and asked for a pause of @p asked seconds.
+    void notePause(const std::string &target, std::int64_t bornMs, const std::string &asked);
     /// @brief Records that @p target said in an answer that it is leaving, in the lifetime that began at @p bornMs.
     void noteLeaving(const std::string &target, std::int64_t bornMs);
     /// @brief Marks requests that got no answer from @p target, which has died, as suspects.
@@ -167,6 +172,7 @@
         TimePoint since;
     };
 
+    void scheduleResume();
     void standingChanged(const HealthChange &change);
     void scheduleQueueProcessing();
     void processQueue();
@@ -187,6 +193,8 @@
     std::map<std::uint64_t, std::unique_ptr<Call>> m_calls;
     std::map<CallerConnection *, Call *> m_callsByCaller;
     std::map<std::string, SpareReplica> m_spareReplicas; ///< Last requested spare replica by target.
+    Duration m_maxTargetPause = ServingBounds().maxTargetPause;
+    EventLoop::TimerId m_resumeTimer = 0;
     EventLoop::TimerId m_queueTimer = 0;
     bool m_stopping = false;
 };
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -73,6 +74,15 @@
     /// @return whether that was not known yet
     bool noteLeaving(const std::string &id, std::int64_t bornMs, TimePoint now);
 
+    /// @brief Records that a target asked to get no calls until @p until. Of several pauses the longest counts.
+    void notePause(const std::string &id, std::int64_t bornMs, TimePoint until, TimePoint now);
+    /// @brief Ends the pauses that are over.
+    ChangedModels resumePaused(TimePoint now);
+    /// @brief End of the first pause, if there is one.
+    std::optional<TimePoint> nextResume() const;
+    /// @brief If targets of @p pool pause, the time until the first of them may get calls.
+    std::optional<Duration> pauseLeft(const std::string &pool, TimePoint now) const;
+
     /// @brief Records that a call to a plain service was sent; 0 if the target is unknown.
     CallTicket noteSent(const std::string &id, TimePoint now);
     /// @brief Records that a call to an engine was sent; 0 if the target is unknown.
@@ -121,6 +131,7 @@
     std::function<void(const HealthChange &)> m_onHealthChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
     LeavingTargets m_leaving;
+    std::set<std::string> m_paused; ///< Targets that pause.
     std::unordered_map<std::string, std::unique_ptr<TargetPool>> m_pools;
     std::unordered_map<CallTicket, SentCall> m_calls;
 };
--- a/include/celeryroute/detail/serving/servingbounds.h
+++ b/include/celeryroute/detail/serving/servingbounds.h
@@ -9,6 +9,7 @@
     Duration keyRevocation = std::chrono::seconds(5); ///< Longest time until a revoked key stops working.
     Duration stateApply = std::chrono::seconds(2); ///< Longest time until a new desired state is applied.
     Duration drain = std::chrono::seconds(2); ///< Longest time until a draining target gets no new calls.
+    Duration maxTargetPause = std::chrono::seconds(30); ///< Longest pause that a target may ask for.
     Duration stopGrace = std::chrono::seconds(8); ///< Time from SIGTERM to SIGKILL.
     Duration addressReuse = std::chrono::seconds(2);
     double retryRatio = 0.2; ///< Retries allowed per first send.
--- a/include/celeryroute/detail/telemetry/reasonnames.h
+++ b/include/celeryroute/detail/telemetry/reasonnames.h
@@ -20,6 +20,7 @@
 inline constexpr std::string_view Allowance = "allowance";
 inline constexpr std::string_view BeyondBurst = "beyond_burst";
 inline constexpr std::string_view NoTarget = "no_target";
+inline constexpr std::string_view TargetsPause = "targets_pause";
 inline constexpr std::string_view NotLoaded = "not_loaded";
 inline constexpr std::string_view ModelTooLarge = "model_too_large";
 inline constexpr std::string_view TooLate = "too_late";
@@ -58,6 +59,7 @@
     ReasonDescription{reasons::Allowance, "this entry's share of the allowance was spent", "allowance.changed; level, share, cost"},
     ReasonDescription{reasons::BeyondBurst, "the request costs more than the allowance can ever hold", "cost; the customer's burst"},
     ReasonDescription{reasons::NoTarget, "no target of the pool may be used", "target.shunned, target.draining, target.leaving, target.removed"},
+    ReasonDescription{reasons::TargetsPause, "no target of the pool may be used, and some asked for a pause", "target.paused"},
     ReasonDescription{reasons::NotLoaded, "no target holds the item, and a load would have come too late", "agent.order, agent.declined"},
     ReasonDescription{reasons::ModelTooLarge, "no target of the pool can hold the model, or the adapter beside it", "state.applied; sizes of the pool's models"},
     ReasonDescription{reasons::TooLate, "the answer could not have come within the caller's time limit", "held_ms, remaining_ms"},
--- a/include/celeryroute/detail/telemetry/servingmetrics.h
+++ b/include/celeryroute/detail/telemetry/servingmetrics.h
@@ -40,6 +40,11 @@
         m_retries.add(reason);
     }
     /// @brief Counts a retry that the retry budget did not permit.
+    /// @brief Counts a pause that a target asked for; @p outcome says whether it was taken, bounded or ignored.
+    void countPause(std::string_view outcome)
+    {
+        m_pauses.add(outcome);
+    }
     void countRetryWithheld()
     {
         ++m_retriesWithheld;
@@ -88,6 +93,7 @@
 
     EnumPairCounters<CallKind, RequestOutcome> m_requests;
     NamedCounters m_refusals;
+    NamedCounters m_pauses;
     EnumCounters<CallKind> m_sends;
     NamedCounters m_retries;
     std::uint64_t m_retriesWithheld = 0;
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -43,6 +43,10 @@
     if (head.field(names.leaving) != nullptr && head.status != HttpStatus::Misdirected) {
         m_gateway.noteLeaving(m_target, m_targetStartMs);
     }
+    if (const std::string *pause = head.field("Retry-After");
+        pause != nullptr && head.status == HttpStatus::ServiceUnavailable) {
+        m_gateway.notePause(m_target, m_targetStartMs, *pause);
+    }
     if (const std::string *load = head.field(names.load)) {
         if (const auto read = readLoad(*load)) {
             m_gateway.targetTable().noteLoad(m_target, *read, m_gateway.loop().now());
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -1,10 +1,12 @@
 #include <celeryroute/detail/gateway/call.h>
 
+#include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/gateway/gateway.h>
 #include <celeryroute/detail/gateway/httpstatus.h>
 #include <celeryroute/detail/gateway/targethead.h>
 #include <celeryroute/detail/net/clock.h>
 #include <celeryroute/detail/placement/itemkey.h>
+#include <celeryroute/detail/placement/pauserequest.h>
 #include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
@@ -49,6 +51,11 @@
     }
 }
 
+std::uint32_t Call::priority() const
+{
+    return m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+}
+
 bool Call::usesEngine() const
 {
     const ServingPool *pool = m_table->state().pool(m_pool);
@@ -84,7 +91,7 @@
     call.promptTokens = m_fields.promptTokens;
     call.maxOutputTokens = m_fields.maxOutputTokens;
     call.lengthHint = m_fields.lengthHint;
-    call.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+    call.priority = priority();
     call.remaining = callerDeadline() - m_gateway.loop().now();
     call.targetLatency = m_route->targetLatency;
     call.excluded = m_excluded;
@@ -124,7 +131,22 @@
         failCall(hasStreamed() || m_retryReason.empty() ? reasons::NoSuccessor : m_retryReason);
         return;
     }
-    refuse(HttpStatus::ServiceUnavailable, reasonOf(verdict.reason), verdict.retryAfter);
+    const std::optional<Duration> pause = returnAfterPauses();
+    const bool allPause = verdict.reason == RefuseReason::NoTargets && pause;
+    refuse(HttpStatus::ServiceUnavailable,
+           allPause ? reasons::TargetsPause : reasonOf(verdict.reason),
+           allPause ? *pause : verdict.retryAfter);
+}
+
+// When the caller should come back, if no target accepts calls and some have asked for a pause.
+std::optional<Duration> Call::returnAfterPauses() const
+{
+    const TargetPool *pool = m_gateway.targetTable().pool(m_pool);
+    const std::optional<Duration> left = m_gateway.targetTable().pauseLeft(m_pool, m_gateway.loop().now());
+    if (!left || (pool != nullptr && !pool->accepting.empty())) {
+        return std::nullopt;
+    }
+    return returnAfterPause(*left, priority(), stableHash(m_fields.requestId));
 }
 
 void Call::enqueue(const std::string &item, const std::string &target, Duration expected)
@@ -134,7 +156,7 @@
     waiting.pool = m_pool;
     waiting.item = item;
     waiting.loadTarget = target;
-    waiting.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+    waiting.priority = priority();
     waiting.since = m_request.received;
     waiting.deadline = callerDeadline();
     const WaitingCall *before = m_gateway.queue().find(m_number);
@@ -173,7 +195,7 @@
     fields.instance = target.record.id;
     fields.customer = m_customerName;
     fields.remaining = remaining();
-    fields.priority = m_customer != nullptr ? m_customer->priority.value_or(m_route->priority) : m_route->priority;
+    fields.priority = priority();
     fields.bodyLength = m_request.body.size();
     if (hasStreamed()) {
         fields.lastEventId = m_splitter.lastId();
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -195,7 +195,7 @@
         : reason == reasons::Timeout ? HttpStatus::GatewayTimeout
                                      : HttpStatus::BadGateway;
     noteFailure(status, reason);
-    answerDirectly(status, run ? std::nullopt : std::optional(DefaultRetryAfter));
+    answerDirectly(status, run ? std::nullopt : std::optional(returnAfterPauses().value_or(DefaultRetryAfter)));
 }
 
 void Call::noteFailure(int status, std::string_view reason)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/gateway/httpstatus.h>
+#include <celeryroute/detail/placement/pauserequest.h>
 #include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
@@ -43,6 +44,7 @@
 Gateway::~Gateway()
 {
     m_dependencies.targetTable.onHealthChange({});
+    m_dependencies.loop.cancel(m_resumeTimer);
 }
 
 void Gateway::standingChanged(const HealthChange &change)
@@ -54,6 +56,42 @@
                               {change.ejected ? "for_ms" : "shunned_ms", change.span}});
 }
 
+void Gateway::useMaxTargetPause(Duration longest)
+{
+    m_maxTargetPause = longest;
+}
+
+void Gateway::notePause(const std::string &target, std::int64_t bornMs, const std::string &asked)
+{
+    const TimePoint now = m_dependencies.loop.now();
+    const std::optional<Duration> pause = readPause(asked, m_maxTargetPause);
+    const std::string_view outcome = !pause ? "ignored" : *pause < m_maxTargetPause ? "taken" : "bounded";
+    m_dependencies.metrics.countPause(outcome);
+    m_dependencies.log.write(DecisionEvent::TargetPaused,
+                             now,
+                             {{fieldnames::Target, target},
+                              {"asked", asked},
+                              {"outcome", outcome},
+                              {"for_ms", pause.value_or(Duration::zero())}});
+    if (pause) {
+        m_dependencies.targetTable.notePause(target, bornMs, now + *pause, now);
+        scheduleResume();
+    }
+}
+
+void Gateway::scheduleResume()
+{
+    m_dependencies.loop.cancel(m_resumeTimer);
+    m_resumeTimer = 0;
+    if (const auto due = m_dependencies.targetTable.nextResume()) {
+        m_resumeTimer = m_dependencies.loop.at(*due, [this] {
+            m_resumeTimer = 0;
+            targetsChanged(m_dependencies.targetTable.resumePaused(m_dependencies.loop.now()));
+            scheduleResume();
+        });
+    }
+}
+
 void Gateway::noteLeaving(const std::string &target, std::int64_t bornMs)
 {
     const TimePoint now = m_dependencies.loop.now();
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -96,6 +96,7 @@
 Result<void> EntryNode::start()
 {
     m_gateway.suspects().setHeartbeatInterval(m_core.settings.heartbeat);
+    m_gateway.useMaxTargetPause(m_core.settings.bounds.maxTargetPause);
     BOOST_LEAF_CHECK(m_peers.open(m_peerEndpoint));
     BOOST_LEAF_CHECK(m_gateway.listen(endpointOf(m_core.settings.listenAddress)));
     BOOST_LEAF_CHECK(m_readiness.listen(endpointOf(m_core.settings.readinessAddress)));
@@ -311,6 +312,7 @@
     m_allowances.useBounds(bounds, state == nullptr ? std::vector<ServingCustomer>() : state->customers, now);
     m_retries.useBounds(bounds);
     m_gateway.suspects().setHeartbeatInterval(settings.heartbeat);
+    m_gateway.useMaxTargetPause(bounds.maxTargetPause);
     m_desiredDriver.advance();
     m_targetsDriver.advance();
 }
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -208,6 +208,7 @@
     file.readMilliseconds("key-revocation-ms", bounds.keyRevocation, LeastRevocation);
     file.readMilliseconds("state-apply-ms", bounds.stateApply);
     file.readMilliseconds("drain-ms", bounds.drain);
+    file.readSeconds("max-target-pause-s", bounds.maxTargetPause);
     file.readSeconds("stop-grace-s", bounds.stopGrace);
     file.readSeconds("address-reuse-s", bounds.addressReuse);
     file.read("retry-ratio", bounds.retryRatio);
--- a/src/node/nodesettingshelp.cpp
+++ b/src/node/nodesettingshelp.cpp
@@ -28,6 +28,7 @@
     {"heartbeat-ms", "approximate interval at which targets renew their records"},
     {"key-revocation-ms", "time within which a revoked key stops working"},
     {"state-apply-ms", "time within which desired state takes effect"},
+    {"max-target-pause-s", "longest pause that a target may ask for when it refuses a request; default 30"},
     {"drain-ms", "time after which a draining target gets no new requests"},
     {"stop-grace-s", "time from SIGTERM to the end of the process"},
     {"address-reuse-s", "time after which another target may reuse a target's address"},
--- a/src/node/settingschange.cpp
+++ b/src/node/settingschange.cpp
@@ -55,6 +55,7 @@
     comparison.take("key-revocation-ms", &ServingBounds::keyRevocation);
     comparison.take("state-apply-ms", &ServingBounds::stateApply);
     comparison.take("drain-ms", &ServingBounds::drain);
+    comparison.take("max-target-pause-s", &ServingBounds::maxTargetPause);
     comparison.take("stop-grace-s", &ServingBounds::stopGrace);
     comparison.take("address-reuse-s", &ServingBounds::addressReuse);
     comparison.take("retry-ratio", &ServingBounds::retryRatio);
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -23,7 +23,7 @@
 
 bool KnownTarget::acceptsCalls() const
 {
-    return registered && !record.draining && !leaving;
+    return registered && !record.draining && !leaving && !pausedUntil;
 }
 
 bool KnownTarget::isViewFresh(TimePoint now) const
--- /dev/null
+++ b/src/placement/pauserequest.cpp
@@ -0,0 +1,40 @@
+#include <celeryroute/detail/placement/pauserequest.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace celeryroute {
+
+namespace {
+
+constexpr Duration WindowPerPriority = std::chrono::milliseconds(100);
+constexpr std::uint64_t SpreadSteps = 1024;
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view()
+                                           : text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+} // namespace
+
+std::optional<Duration> readPause(std::string_view text, Duration longest)
+{
+    text = trimmed(text);
+    double seconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(seconds) || seconds <= 0) {
+        return std::nullopt;
+    }
+    return fromSeconds(std::min(seconds, toSeconds(longest)));
+}
+
+Duration returnAfterPause(Duration left, std::uint32_t priority, std::uint64_t digest)
+{
+    const auto step = static_cast<Duration::rep>(digest % SpreadSteps);
+    return left + WindowPerPriority * priority + WindowPerPriority * step / static_cast<Duration::rep>(SpreadSteps);
+}
+
+} // namespace celeryroute
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -299,6 +299,61 @@
     return true;
 }
 
+void TargetTable::notePause(const std::string &id, std::int64_t bornMs, TimePoint until, TimePoint now)
+{
+    const auto known = m_targets.find(id);
+    if (known == m_targets.end() || known->second->bornMs != bornMs || until <= now) {
+        return;
+    }
+    KnownTarget &target = *known->second;
+    target.pausedUntil = std::max(target.pausedUntil.value_or(until), until);
+    m_paused.insert(id);
+    reindex(target, now);
+}
+
+ChangedModels TargetTable::resumePaused(TimePoint now)
+{
+    ChangedModels changed;
+    std::vector<std::string> resumed;
+    for (const std::string &id : m_paused) {
+        KnownTarget &target = *m_targets.at(id);
+        if (*target.pausedUntil <= now) {
+            target.pausedUntil.reset();
+            append(changed, reindex(target, now));
+            resumed.push_back(id);
+        }
+    }
+    for (const std::string &id : resumed) {
+        m_paused.erase(id);
+        eraseIfUnused(id);
+    }
+    sortUnique(changed);
+    return changed;
+}
+
+std::optional<TimePoint> TargetTable::nextResume() const
+{
+    std::optional<TimePoint> next;
+    for (const std::string &id : m_paused) {
+        const TimePoint until = *m_targets.at(id)->pausedUntil;
+        next = std::min(next.value_or(until), until);
+    }
+    return next;
+}
+
+std::optional<Duration> TargetTable::pauseLeft(const std::string &pool, TimePoint now) const
+{
+    std::optional<Duration> least;
+    for (const std::string &id : m_paused) {
+        const KnownTarget &target = *m_targets.at(id);
+        if (target.registered && target.record.pool == pool) {
+            const Duration left = std::max(Duration::zero(), *target.pausedUntil - now);
+            least = std::min(least.value_or(left), left);
+        }
+    }
+    return least;
+}
+
 void TargetTable::noteLoad(const std::string &id, const ReportedLoad &load, TimePoint now)
 {
     const auto known = m_targets.find(id);
@@ -600,6 +655,8 @@
     target.lifetime = ++m_lifetimes;
     target.bornMs = bornMs;
     target.leaving = m_leaving.contains(target.record.id, bornMs);
+    target.pausedUntil.reset();
+    m_paused.erase(target.record.id);
     target.view.reset();
     target.health = fresh.health;
     notifyHealthChange(target, ejected, "new_lifetime", now);
@@ -636,7 +693,8 @@
 void TargetTable::eraseIfUnused(const std::string &id)
 {
     const auto target = m_targets.find(id);
-    if (target != m_targets.end() && !target->second->registered && target->second->own.calls == 0) {
+    if (target != m_targets.end() && !target->second->registered && target->second->own.calls == 0
+        && !target->second->pausedUntil) {
         m_targets.erase(target);
     }
 }
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -138,6 +138,10 @@
     m_retries.expose(text, "reason");
     text.beginFamily("celeryroute_retries_withheld_total", MetricType::Counter, "Further sends beyond the allowance.");
     text.appendSample({}, m_retriesWithheld);
+    text.beginFamily("celeryroute_target_pauses_total",
+                     MetricType::Counter,
+                     "Pauses that targets asked for, by what became of them.");
+    m_pauses.expose(text, "outcome");
     if (gauges.retryAllowance) {
         exposeGauge(text, "celeryroute_retry_allowance", "Further sends left.", GaugeValue(*gauges.retryAllowance));
     }
