Resume a stream only at the software version that began it

Targets of several versions of their software may serve one service, and what two of them write doesn't fit together (new on the users' pages; ORDER, at all machines). An answer that broke off went on at any target with the same weights.

Change: the registry's version is read into the target's record, the entry notes the version of the target that brought the first event, and both choosers take only targets with it for the rest of the answer. Without one the answer is cut behind the last whole event, and no model is loaded for it. request.resumed tells the version.

Measured: unit-gateway brokenStream_resumesOnlyAtTheSoftwareVersionThatBeganIt fails with the comparison taken out of PlainChooser and passes with it; 34 of 34 pass. unit-platform, unit-placement, unit-placementengines, unit-decisioncost and unit-nodelog pass. unit-platform wrote the version as a number, the users' pages as text; both are read.

--- a/benchmarks/capacity-slopes.cpp
+++ b/benchmarks/capacity-slopes.cpp
@@ -280,6 +280,7 @@
                             "engines",
                             "10.123.123.123:9000",
                             "domain-12",
+                            "v1",
                             64,
                             false,
                             {},
--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -176,6 +176,8 @@
     TimePoint m_sentAt;
     std::optional<TimePoint> m_firstEventAt; ///< Time at which the first event was forwarded to the caller.
     EventSplitter m_splitter;
+    std::string m_targetSoftware; ///< Software version of the target that got the call last.
+    std::optional<std::string> m_softwareVersion; ///< Version that began the stream; unset before the first event.
     std::string m_weightsVersion; ///< Version of the weights that produced the stream so far.
     EventLoop::TimerId m_deadlineTimer = 0;
     EventLoop::TimerId m_stallTimer = 0;
--- a/include/celeryroute/detail/placement/enginecall.h
+++ b/include/celeryroute/detail/placement/enginecall.h
@@ -29,6 +29,8 @@
     Duration remaining{}; ///< Time until the caller gives up.
     Duration targetLatency{}; ///< Time in which the caller wants the first event; 0 when it gave none.
     std::optional<std::uint64_t> weightsVersion; ///< The call continues on this version of the weights only.
+    /// The call continues at targets with this version of their software only.
+    std::optional<std::string> softwareVersion;
     std::vector<std::string> excluded; ///< Targets that must not get the call.
     Duration waited{}; ///< Time that the call has waited in this entry.
     bool decidedBefore = false; ///< The call waited and is now decided on again.
--- a/include/celeryroute/detail/placement/plainchooser.h
+++ b/include/celeryroute/detail/placement/plainchooser.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/placement/verdicts.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
     std::string pool;
     std::vector<std::string> excluded; ///< Targets that must not get the call.
     bool repeatable = false; ///< May run more than once, so it may probe an ejected target.
+    /// The call continues at targets with this version of their software only.
+    std::optional<std::string> softwareVersion = {};
     bool operator==(const PlainServiceCall &) const = default;
 };
 
--- a/include/celeryroute/detail/serving/targetrecord.h
+++ b/include/celeryroute/detail/serving/targetrecord.h
@@ -30,6 +30,7 @@
     std::string pool;
     std::string address; ///< `IP:PORT`
     std::string domain;
+    std::string softwareVersion; ///< Version of the target's software, not of weights; empty if unknown.
     std::uint32_t slots = 0;
     bool draining = false;
     std::optional<Duration> remaining; ///< Time until the host is removed.
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -103,6 +103,7 @@
     const TimePoint now = m_gateway.loop().now();
     m_gateway.targetTable().noteFirstEvent(m_ticket, now);
     m_firstEventAt = now;
+    m_softwareVersion = m_targetSoftware;
     m_gateway.metrics().observeFirstByte(m_route->kind, now - m_request.received);
     m_caller->begin(callerAnswerHead(m_answer.head, m_gateway.names()));
 }
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -64,7 +64,7 @@
 
 void Call::choosePlainTarget()
 {
-    const PlainServiceCall ask{m_pool, m_excluded, m_route->isRepeatable()};
+    const PlainServiceCall ask{m_pool, m_excluded, m_route->isRepeatable(), m_softwareVersion};
     const PlainVerdict verdict = m_gateway.plainChooser().choose(ask, m_gateway.loop().now());
     std::visit([this](const auto &chosen) { applyChoice(chosen); }, verdict);
 }
@@ -94,6 +94,7 @@
     call.priority = priority();
     call.remaining = callerDeadline() - m_gateway.loop().now();
     call.targetLatency = m_route->targetLatency;
+    call.softwareVersion = m_softwareVersion;
     call.excluded = m_excluded;
     call.decidedBefore = m_chooserAsked;
     call.waited = m_gateway.loop().now() - m_request.received;
@@ -250,6 +251,7 @@
     }
     m_target = targetId;
     m_targetStartMs = target->bornMs;
+    m_targetSoftware = target->record.softwareVersion;
     m_sentAt = now;
     m_lastProgress = now;
     m_readingPaused = false;
@@ -296,6 +298,7 @@
                            {"from_target", m_target},
                            {"last_event", m_splitter.lastId()},
                            {"weights", m_weightsVersion},
+                           {"software", m_softwareVersion.value_or("")},
                            {fieldnames::Reason, m_retryReason}});
 }
 
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -163,7 +163,8 @@
 // A load from the weight store is expensive, so an unhealthy holder is tried before it.
 EngineDecision EngineChooser::decideWithoutHolder(const EngineCallContext &context, const Holder &bad)
 {
-    if (context.call.weightsVersion && bad.target == nullptr) {
+    const bool continues = context.call.weightsVersion || context.call.softwareVersion;
+    if (continues && bad.target == nullptr) {
         return {Refuse{Duration::zero(), RefuseReason::VersionUnavailable}, std::nullopt};
     }
     const LoadConditions conditions{&context.call.excluded, context.remaining, context.latencyGoal, false};
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -91,7 +91,9 @@
     const ResidentModel *resident = target.model(context.call.model, context.now);
     const bool otherVersion = resident != nullptr && context.call.weightsVersion
         && resident->version != *context.call.weightsVersion;
-    if (resident == nullptr || otherVersion || contains(context.call.excluded, target.record.id)) {
+    const bool otherSoftware = context.call.softwareVersion
+        && target.record.softwareVersion != *context.call.softwareVersion;
+    if (resident == nullptr || otherVersion || otherSoftware || contains(context.call.excluded, target.record.id)) {
         return {};
     }
     Holder holder;
--- a/src/placement/plainchooser.cpp
+++ b/src/placement/plainchooser.cpp
@@ -99,7 +99,8 @@
 PlainChooser::Candidate
 PlainChooser::assess(const TargetPool &pool, KnownTarget &target, const PlainServiceCall &call, TimePoint now)
 {
-    if (contains(call.excluded, target.record.id)) {
+    const bool otherSoftware = call.softwareVersion && target.record.softwareVersion != *call.softwareVersion;
+    if (otherSoftware || contains(call.excluded, target.record.id)) {
         return {};
     }
     const double latency = target.latency.value(pool.latency.value(DefaultLatency, now), now);
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -945,6 +945,45 @@
     }
 }
 
+TEST(Gateway, brokenStream_resumesOnlyAtTheSoftwareVersionThatBeganIt)
+{
+    struct Row {
+        std::size_t sameVersion; ///< Other targets with the software version that began the stream.
+        std::size_t otherVersion;
+        std::string body;
+        std::size_t arrivals;
+    };
+    const std::string whole = event(1) + event(2) + "<end>";
+    const Row rows[] = {{1, 3, whole, 2}, {0, 3, event(1), 1}, {2, 0, whole, 2}};
+    for (const Row &row : rows) {
+        GatewayWorld fresh(1 + row.sameVersion + row.otherVersion);
+        fresh.apply();
+        const auto setVersion = [&fresh](std::size_t number, const std::string &version) {
+            TargetRecord record = fresh.table.target("t" + std::to_string(number))->record;
+            record.softwareVersion = version;
+            fresh.table.setRecord(record, fresh.loop.now());
+        };
+        std::string begun;
+        const auto begin = [&](const ScriptedTarget::Request &request) {
+            begun = request.field(fresh.names.instance);
+            std::size_t same = 0;
+            for (std::size_t i = 0; i < fresh.targets.size(); ++i) {
+                const bool isSame = "t" + std::to_string(i) == begun || same < row.sameVersion;
+                same += isSame && "t" + std::to_string(i) != begun ? 1 : 0;
+                setVersion(i, isSame ? "" : "v2");
+            }
+            fresh.respondWith(StreamHead + chunk(event(1)), AfterAnswer::Close)(request);
+        };
+        fresh.scripts = {begin, fresh.respondWith(SecondHead + chunk(event(2)) + LastChunk)};
+        const std::string answer = fresh.call("/resumable/a");
+        STRCMP_EQUAL(row.body.c_str(), chunksOf(answer).c_str());
+        CHECK_EQUAL(row.arrivals, fresh.arrived.size());
+        STRCMP_EQUAL(
+            "",
+            fresh.table.target(fresh.arrived.back().field(fresh.names.instance))->record.softwareVersion.c_str());
+    }
+}
+
 TEST(Gateway, streamEndingInsideEvent_isNotCompleteInAnyFraming)
 {
     struct Row {
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -105,14 +105,15 @@
 
 TEST(Platform, registryEntry_ofTarget_isParsed)
 {
-    TargetRecord expected{"i-1", "llm", "10.0.0.1:80", "a", 64, false, 1500ms, 1764806400123, 2, {}, {}};
+    TargetRecord expected{"i-1", "llm", "10.0.0.1:80", "a", "3", 64, false, 1500ms, 1764806400123, 2, {}, {}};
     expected.models = {{"m0", 1, {"a3", "a4", "a5"}}};
     expected.copies = {{"m0"}, {"m0", "m1"}};
     CHECK(platform.targetRecord("i-1", EntryText) == expected);
     const std::optional<TargetRecord> plain = platform.targetRecord(
         "i-2",
-        R"({"service":"s","address":"1.2.3.4:5","zone":"","slots":1,"state":"draining","sequence":0})");
+        R"({"service":"s","address":"1.2.3.4:5","zone":"","version":"v1","slots":1,"state":"draining","sequence":0})");
     CHECK(plain && plain->draining && !plain->remaining && plain->bornMs == 0);
+    STRCMP_EQUAL("v1", plain->softwareVersion.c_str());
 }
 
 TEST(Platform, registryEntry_ofAnotherWriter_isRejected)
