--- a/include/celeryroute/detail/gateway/crashingparts.h
+++ b/include/celeryroute/detail/gateway/crashingparts.h
@@ -34,7 +34,7 @@
     bool operator==(const PartAnswer &) const = default;
 };
 
-/// A part that was found to crash targets, or is no longer held to.
+/// A part that was found to crash targets, or is no longer suspected of it.
 struct PartChange {
     std::uint64_t part = 0;
     bool crashing = false;
@@ -48,10 +48,10 @@
 /// Load pattern: requests that have one part in common and differ otherwise crash target after target, while sound
 /// requests share their customer and their other parts and are cut off by the same crashes.
 ///
-/// A part is held to crash targets after crashes in a row, each by a send that began when the one before had ended,
-/// with no complete answer to any request with the part since. Sends that a common cause ends at the same time,
-/// such as a power loss, count as one crash. Where several parts qualify, the likeliest explains all crashes that it
-/// had a part in, and only the remaining ones speak against the others.
+/// A part is found to crash targets after several crashes in a row, each of a send that began after the one before had
+/// ended, with no complete answer to any request with the part since. Sends that a common cause ends at the same time,
+/// such as a power loss, count as one crash. If several parts qualify, the likeliest one explains all crashes of
+/// requests with it, and only the remaining crashes count against the other parts.
 class CrashingParts
 {
 public:
@@ -102,6 +102,7 @@
     void expire(TimePoint now);
     void assess(TimePoint now);
     void evictCrash();
+    void forgetUnusedAnswers();
     void noteAnyAnswer(TimePoint at);
     bool isCleared(std::uint64_t part, TimePoint crashedAt) const;
     Evidence collectEvidence() const;
--- a/src/gateway/answeredparts.cpp
+++ b/src/gateway/answeredparts.cpp
@@ -16,8 +16,7 @@
     if (m_current.size() >= PartsPerGeneration && !m_current.contains(part)) {
         m_previous = std::exchange(m_current, {});
     }
-    const auto [position, isNew] = m_current.try_emplace(part, answeredAt);
-    position->second = std::max(position->second, answeredAt);
+    m_current[part] = std::max(lastAnswer(part).value_or(answeredAt), answeredAt);
 }
 
 std::optional<TimePoint> AnsweredParts::lastAnswer(std::uint64_t part) const
--- a/src/gateway/crashingparts.cpp
+++ b/src/gateway/crashingparts.cpp
@@ -195,9 +195,16 @@
         }
     }
     replaceFindings(std::move(findings), now);
-    if (m_crashes.empty()) {
-        m_toldAnswers.clear();
+    forgetUnusedAnswers();
+}
+
+void CrashingParts::forgetUnusedAnswers()
+{
+    std::unordered_set<std::uint64_t> used;
+    for (const PartCrash &crash : m_crashes) {
+        used.insert(crash.parts.begin(), crash.parts.end());
     }
+    std::erase_if(m_toldAnswers, [&used](const auto &told) { return !used.contains(told.first); });
 }
 
 CrashingParts::Evidence CrashingParts::collectEvidence() const
