--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -954,6 +954,7 @@
         std::size_t arrivals;
     };
     const std::string whole = event(1) + event(2) + "<end>";
+    const std::string rest = SecondHead + chunk(event(2)) + LastChunk;
     const Row rows[] = {{1, 3, whole, 2}, {0, 3, event(1), 1}, {2, 0, whole, 2}};
     for (const Row &row : rows) {
         GatewayWorld fresh(1 + row.sameVersion + row.otherVersion);
@@ -974,7 +975,7 @@
             }
             fresh.respondWith(StreamHead + chunk(event(1)), AfterAnswer::Close)(request);
         };
-        fresh.scripts = {begin, fresh.respondWith(SecondHead + chunk(event(2)) + LastChunk)};
+        fresh.scripts = {begin, fresh.respondWith(rest)};
         const std::string answer = fresh.call("/resumable/a");
         STRCMP_EQUAL(row.body.c_str(), chunksOf(answer).c_str());
         CHECK_EQUAL(row.arrivals, fresh.arrived.size());
