Log why a failed call left its last target, and how long that was silent

A cut told only why no other target followed. The hypotheses on lost streams need to know whether the entry itself had left a silent target before: request.cut and request.failed now carry retry_reason and silent_ms.

--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -179,7 +179,9 @@
                                {"total_ms", total},
                                {"framing", framingName(m_answer.head.framing)},
                                {"partial_bytes", partialEventBytes()},
-                               {"resumable", m_route != nullptr && m_route->resumable}});
+                               {"resumable", m_route != nullptr && m_route->resumable},
+                               {"retry_reason", m_retryReason},
+                               {"silent_ms", now - m_lastProgress}});
         m_gateway.metrics().countRequest(kind, RequestOutcome::Cut);
         m_caller->cut();
         finish();
@@ -215,6 +217,8 @@
                            {"sent_ms", m_sends > 0 ? std::optional(now - m_sentAt) : std::nullopt},
                            {"total_ms", now - m_request.received},
                            {"not_run", m_possibleRuns == 0},
+                           {"retry_reason", m_retryReason},
+                           {"silent_ms", m_sends > 0 ? std::optional(now - m_lastProgress) : std::nullopt},
                            {fieldnames::StateVersion, stateVersion()}});
     m_gateway.metrics().countRequest(kind, RequestOutcome::Failed);
 }
