--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -2,9 +2,9 @@
 #include <celeryroute/detail/gateway/eventsplitter.h>
 #include <celeryroute/detail/gateway/routetable.h>
 #include <celeryroute/detail/gateway/targethead.h>
-#include <celeryroute/detail/http1/messagewriter.h>
 
 #include "gatewayworld.h"
+#include "targetanswers.h"
 
 #include <algorithm>
 
@@ -261,31 +261,6 @@
     CHECK(answer.fields == expected);
 }
 
-namespace {
-
-const std::string Ok = signedAnswer(200, "ok");
-
-std::string chunk(const std::string &bytes)
-{
-    std::string text;
-    appendChunk(text, bytes);
-    return text;
-}
-
-std::string event(int id, const std::string &data = "x")
-{
-    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
-}
-
-const std::string StreamHead = "HTTP/1.1 200 Begun\r\nX-Request-Id: {id}\r\nX-Signature: sig\r\nX-Weights: 7\r\n"
-                               "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string SecondHead = "HTTP/1.1 200 Other\r\nX-Request-Id: {id}\r\nX-Signature: other\r\nX-Weights: 7\r\n"
-                               "Transfer-Encoding: chunked\r\n\r\n";
-const std::string LastChunk = "0\r\n\r\n";
-const std::string Full = httpAnswer(503, {}, "X-Request-Id: {id}\r\nX-Not-Run: 1\r\n");
-
-} // namespace
-
 TEST_GROUP(Gateway)
 {
     GatewayWorld world{2};
