--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -58,7 +58,7 @@
         const std::string &path = request.head.target;
         if (path == "/open/reset" || path == "/pay/reset") {
             target.reset(request.channel);
-        } else if (path.starts_with("/feed/")) {
+        } else if (path.starts_with("/feed/") && path != "/feed/hold") {
             const bool resumed = request.field("Last-Event-Id") == "1";
             target.answer(request, streamHead() + streamEvent(path == "/feed/cut" ? 0 : resumed ? 2 : 1));
             settle(world.loop);
@@ -75,7 +75,7 @@
                           httpAnswer(200, {}, "X-Request-Id: {id}\r\nX-Server-Signature: s\r\nServer-Leaving: 1\r\n"));
         } else if (path == "/open/fail" || path == "/open/misplaced") {
             target.answer(request, httpAnswer(path == "/open/fail" ? 500 : 421, {}, "X-Request-Id: {id}\r\n"));
-        } else if (path != "/open/hold") {
+        } else if (!path.ends_with("/hold")) {
             target.answer(request, Answer);
         }
     }
@@ -126,6 +126,16 @@
         CHECK(turnUntil(world.loop, [this] { return entry->log.text().find("\"left\"") != std::string::npos; }));
         left.close();
         CHECK(world.runUntilLogged(entry->log, "request.abandoned"));
+        CHECK_EQUAL(504, call("/feed/hold", "hedged", "X-Deadline-Ms: 900\r\n"));
+        lineOf(entry->log, "request.hedged", "hedged");
+    }
+    // No other target serves the pool.
+    void keepSilentTarget()
+    {
+        world.registerApp("i-4", world.app);
+        CHECK(turnUntil(world.loop, [this] { return call("/open/a", "only") == 200; }));
+        CHECK_EQUAL(504, call("/feed/hold", "kept", "X-Deadline-Ms: 900\r\n"));
+        lineOf(entry->log, "request.kept", "kept");
     }
     void loseStore()
     {
@@ -257,6 +267,7 @@
     CHECK_EQUAL(503, call("/open/pause", "pause"));
     CHECK(turnUntil(world.loop, [this] { return call("/open/leave", "leave") == 200; }));
     CHECK(world.runUntilLogged(entry->log, "target.leaving"));
+    keepSilentTarget();
     other.node->beginStop();
     CHECK(world.runUntilLogged(other.log, "process.stop"));
 
