Read all topics again when the store comes back from a copy

A process that had read further went on behind what was written at the same offsets: a new desired state or a withdrawn key was never seen, a draining target came back into service, and an agent could get a fence that another one had had.

The era in the store's answers is now read. At a higher one the topics are listed anew, records are known by era and offset, a state or record that went back changes nothing, keys are confirmed again two seconds after the first listing that shows the state in force, and fences are era and offset. store.restored and a counter show it.

--- a/include/celeryroute/detail/feed/desiredstatefeed.h
+++ b/include/celeryroute/detail/feed/desiredstatefeed.h
@@ -38,6 +38,10 @@
     /// @brief Applies new settings and a new revocation bound from @p now on.
     void useSettings(const TopicFollowerSettings &settings, Duration keyRevocation, TimePoint now);
 
+    /// @brief The store came back from a copy. The state stays in force; until what was lost has been written again,
+    /// the store does not confirm the keys.
+    void beginEra(TimePoint now);
+
     /// @brief See TopicFollower for these three functions.
     FeedStep next(TimePoint now);
     std::vector<DesiredStateEvent> answered(FeedAnswer answer, TimePoint callBegan, TimePoint now);
@@ -50,11 +54,15 @@
 
 private:
     void process(const FeedRecord &record, std::vector<DesiredStateEvent> &events);
+    /// @brief Whether the store has come back with an older state than the one in force.
+    bool wentBack() const;
 
     TopicFollower m_follower;
     KeyFreshness m_freshness;
     Reader m_reader;
     ServingStatePtr m_state;
+    std::uint64_t m_shownVersion = 0; ///< Version of the newest record read; lower than that in force after a restore.
+    std::optional<TimePoint> m_confirmsFrom; ///< After a restore, the time from which on reads confirm the keys.
     bool m_readable = false; ///< Whether the newest record could be parsed.
 };
 
--- a/include/celeryroute/detail/feed/targetsfeed.h
+++ b/include/celeryroute/detail/feed/targetsfeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celeryroute/detail/feed/endedlifetimes.h>
 #include <celeryroute/detail/feed/topicfollower.h>
 #include <celeryroute/detail/serving/targetrecord.h>
 
@@ -47,6 +48,10 @@
     /// @brief See TopicFollower.
     void useBatchDelay(Duration delay);
 
+    /// @brief The store came back from a copy. Records that went back change nothing before they are written again: a
+    /// draining target stays draining, and a removed one stays removed.
+    void beginEra(TimePoint now);
+
     /// @brief See TopicFollower. A wait ends at nextExpiry() at the latest.
     FeedStep next(TimePoint now);
     std::vector<TargetEvent> answered(FeedAnswer answer, TimePoint callBegan, TimePoint now);
@@ -67,7 +72,7 @@
 
 private:
     void process(const FeedRecord &record, TimePoint now, std::vector<TargetEvent> &events);
-    void remove(const std::string &id, std::uint64_t offset, std::vector<TargetEvent> &events);
+    void remove(const std::string &id, std::uint64_t offset, TimePoint now, std::vector<TargetEvent> &events);
     bool mayBeRestored(const TargetRecord &target, TimePoint now) const;
 
     TopicFollower m_follower;
@@ -76,7 +81,9 @@
     Duration m_minOutage; ///< Shortest outage in which records may expire.
     /// Known targets without a record, and the offset at which the record was deleted.
     std::map<std::string, std::uint64_t> m_missing;
+    EndedLifetimes m_removed; ///< Lifetimes whose records were removed.
     std::optional<TimePoint> m_lastAnswer; ///< When the store last answered a call.
+    bool m_isRestored = false; ///< The store came back from a copy and has not served a call since.
     bool m_failed = false; ///< A call failed since the store last answered one.
     std::optional<TimePoint> m_graceEnd; ///< End of the grace period after the last outage.
 };
--- a/include/celeryroute/detail/feed/topicfollower.h
+++ b/include/celeryroute/detail/feed/topicfollower.h
@@ -29,6 +29,13 @@
     /// the driver must drop its answer when next() returns another call.
     void useSettings(const TopicFollowerSettings &settings, TimePoint now);
 
+    /// @brief The store came back from a copy: offsets seen before mean nothing any more, and the topic is listed
+    /// again. What is known stays known until then. A pending call is abandoned, as by useSettings().
+    void beginEra(TimePoint now);
+    /// @brief Whether a record at @p offset was in the first listing after the store came back, so that it may be older
+    /// than the record that was known before.
+    bool mayBeRestored(std::uint64_t offset) const;
+
     /// @brief Changes the delay from an answer with records to the next read. A pending call goes on.
     void useBatchDelay(Duration delay);
 
@@ -47,11 +54,14 @@
     std::optional<TimePoint> confirmedAt() const;
     /// @brief When the topic was first completely read after the last outage; nothing before any outage.
     std::optional<TimePoint> recoveredAt() const;
+    /// @brief Whether the records of the topic are being listed.
+    bool isListing() const;
     /// @brief Whether the last call failed.
     bool isFailing() const;
 
 private:
     struct KnownKey {
+        std::uint64_t era = 0;
         std::uint64_t offset = 0;
         std::uint64_t listing = 0; ///< Number of the last listing that contained the key.
     };
@@ -73,6 +83,8 @@
     std::unordered_map<std::string, KnownKey> m_known;
     std::optional<FeedCall> m_pendingCall;
     std::optional<std::string> m_after; ///< Last key of the previous page; only set during a listing.
+    std::uint64_t m_era = 0; ///< How often the store came back from a copy.
+    std::uint64_t m_restoredEnd = 0; ///< End of the topic at the first listing after it came back.
     std::uint64_t m_listingNumber = 1; ///< Number of the current or last listing.
     std::optional<TimePoint> m_listingBegan;
     std::uint64_t m_listingEnd = 0; ///< End of the topic when the listing's first page was read.
--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/feed/exponentialbackoff.h>
 #include <celeryroute/detail/keeper/modelcontroller.h>
 #include <celeryroute/detail/node/asynchttpclient.h>
+#include <celeryroute/detail/node/eramonitor.h>
 #include <celeryroute/detail/node/feeddriver.h>
 #include <celeryroute/detail/node/metricsserver.h>
 #include <celeryroute/detail/node/nodecore.h>
@@ -56,6 +57,7 @@
     NodeCore &m_core;
     AsyncHttpClient m_store;
     AsyncHttpClient m_target;
+    EraMonitor m_era;
     DesiredStateFeed m_desired;
     FeedDriver m_desiredDriver;
     ModelController m_controller;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -6,6 +6,7 @@
 #include <celeryroute/detail/node/agentdirectory.h>
 #include <celeryroute/detail/node/demandsender.h>
 #include <celeryroute/detail/node/entryadmission.h>
+#include <celeryroute/detail/node/eramonitor.h>
 #include <celeryroute/detail/node/feeddriver.h>
 #include <celeryroute/detail/node/keyfreshnessmonitor.h>
 #include <celeryroute/detail/node/metricsserver.h>
@@ -69,6 +70,7 @@
     NodeCore &m_core;
     Endpoint m_peerEndpoint;
     AsyncHttpClient m_store;
+    EraMonitor m_era;
     DesiredStateFeed m_desired;
     TargetsFeed m_targets;
     KeyFreshnessMonitor m_keys;
--- a/include/celeryroute/detail/node/feeddriver.h
+++ b/include/celeryroute/detail/node/feeddriver.h
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/feed/feedstep.h>
 #include <celeryroute/detail/node/asynchttpclient.h>
+#include <celeryroute/detail/node/eramonitor.h>
 #include <celeryroute/detail/node/platformtranslation.h>
 #include <celeryroute/detail/node/storemonitor.h>
 #include <celeryroute/detail/telemetry/servingmetrics.h>
@@ -27,6 +28,7 @@
                AsyncHttpClient &store,
                const PlatformTranslation &translation,
                ServingMetrics &metrics,
+               EraMonitor &era,
                StoreMonitor watch,
                Follower follower);
     ~FeedDriver();
@@ -45,6 +47,7 @@
     AsyncHttpClient &m_store;
     const PlatformTranslation &m_translation;
     ServingMetrics &m_metrics;
+    EraMonitor &m_era;
     StoreMonitor m_watch;
     Follower m_follower;
     EventLoop::TimerId m_timer = 0;
--- a/include/celeryroute/detail/serving/headernames.h
+++ b/include/celeryroute/detail/serving/headernames.h
@@ -22,6 +22,7 @@
     std::string notRun = "X-Not-Run"; ///< Present if the target did not run the call.
     std::string leaving = "X-Leaving"; ///< Present in all answers of a target that is leaving.
     std::string load = "X-Load"; ///< Running calls, waiting calls and slots of the target.
+    std::string storeEra = "X-Store-Era"; ///< In answers of the store: rises when it comes back from a copy.
     std::string lastEventId = "Last-Event-Id";
     std::string authorization = "Authorization";
     std::string keyScheme = "Bearer";
--- a/include/celeryroute/detail/telemetry/servingmetrics.h
+++ b/include/celeryroute/detail/telemetry/servingmetrics.h
@@ -53,6 +53,11 @@
     {
         m_storeCalls.add(kind, outcome);
     }
+    /// @brief Counts that the store came back from a copy.
+    void countStoreRestore()
+    {
+        ++m_storeRestores;
+    }
     void countOrder(OrderKind kind, OrderAnswer outcome)
     {
         m_orders.add(kind, outcome);
@@ -98,6 +103,7 @@
     NamedCounters m_retries;
     std::uint64_t m_retriesWithheld = 0;
     EnumPairCounters<StoreCallKind, StoreCallOutcome> m_storeCalls;
+    std::uint64_t m_storeRestores = 0;
     EnumPairCounters<OrderKind, OrderAnswer> m_orders;
     EnumCounters<LoadSource> m_loads;
     std::uint64_t m_swaps = 0;
--- a/src/feed/desiredstatefeed.cpp
+++ b/src/feed/desiredstatefeed.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 const std::string StateKey = "config";
+/// Time for which the operators' writes that a restore has lost may be missing.
+constexpr Duration RewriteTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -26,6 +28,17 @@
     m_freshness.useRevocationBound(keyRevocation, now);
 }
 
+void DesiredStateFeed::beginEra(TimePoint now)
+{
+    m_follower.beginEra(now);
+    m_confirmsFrom = TimePoint::max();
+}
+
+bool DesiredStateFeed::wentBack() const
+{
+    return m_confirmsFrom && m_state && m_shownVersion < m_state->version;
+}
+
 FeedStep DesiredStateFeed::next(TimePoint now)
 {
     return m_follower.next(now);
@@ -39,9 +52,15 @@
             process(record, events);
         }
     }
-    // An unreadable state may have revoked a key, so it doesn't confirm the keys of the previous state.
-    if (m_readable && m_follower.confirmedAt()) {
-        m_freshness.confirm(*m_follower.confirmedAt());
+    // Answers may show the new era before the store serves again, so the time counts from the listing.
+    if (m_confirmsFrom == TimePoint::max() && !m_follower.isListing()) {
+        m_confirmsFrom = now + RewriteTime;
+    }
+    // An unreadable state may have revoked a key, so it doesn't confirm the keys of the previous state. The same holds
+    // for an older state after the store came back, and for reads before its lost records were written again.
+    const std::optional<TimePoint> confirmed = m_follower.confirmedAt();
+    if (m_readable && !wentBack() && confirmed && confirmed >= m_confirmsFrom) {
+        m_freshness.confirm(*confirmed);
     }
     return events;
 }
@@ -74,6 +93,7 @@
         events.emplace_back(StateUnreadable{record.offset});
         return;
     }
+    m_shownVersion = state->version;
     if (m_state && state->version <= m_state->version) {
         return;
     }
--- a/src/feed/targetsfeed.cpp
+++ b/src/feed/targetsfeed.cpp
@@ -27,6 +27,12 @@
     m_minOutage = heartbeat * MinMissedHeartbeats;
 }
 
+void TargetsFeed::beginEra(TimePoint now)
+{
+    m_follower.beginEra(now);
+    m_isRestored = true;
+}
+
 void TargetsFeed::useBatchDelay(Duration delay)
 {
     m_follower.useBatchDelay(delay);
@@ -64,7 +70,9 @@
 
 void TargetsFeed::storeAnswered(TimePoint now)
 {
-    if (m_failed && m_lastAnswer && now - *m_lastAnswer >= m_minOutage) {
+    const bool wasOutage = m_failed && m_lastAnswer && now - *m_lastAnswer >= m_minOutage;
+    const bool wasRestored = std::exchange(m_isRestored, false);
+    if (wasOutage || wasRestored) {
         m_graceEnd = now + RecoveryGrace;
     }
     m_failed = false;
@@ -93,7 +101,7 @@
     }
     const std::map<std::string, std::uint64_t> missing = std::exchange(m_missing, {});
     for (const auto &[id, offset] : missing) {
-        remove(id, offset, events);
+        remove(id, offset, now, events);
     }
     return events;
 }
@@ -115,26 +123,36 @@
         if (known != m_targets.end() && mayBeRestored(known->second, now)) {
             m_missing.emplace(record.key, record.offset);
         } else {
-            remove(record.key, record.offset, events);
+            remove(record.key, record.offset, now, events);
         }
         return;
     }
     m_missing.erase(record.key);
     std::optional<TargetRecord> target = m_reader(record.key, record.value);
     if (!target) {
-        remove(record.key, record.offset, events);
+        remove(record.key, record.offset, now, events);
+        return;
+    }
+    const bool mayHaveGoneBack = m_follower.mayBeRestored(record.offset);
+    if (mayHaveGoneBack && m_removed.contains(record.key, target->bornMs)) {
         return;
     }
     TargetRecord &known = m_targets[record.key];
+    if (mayHaveGoneBack && known.draining && known.bornMs == target->bornMs) {
+        return;
+    }
     if (known != *target) {
         known = *std::move(target);
         events.emplace_back(TargetChanged{known, record.offset});
     }
 }
 
-void TargetsFeed::remove(const std::string &id, std::uint64_t offset, std::vector<TargetEvent> &events)
+void TargetsFeed::remove(const std::string &id, std::uint64_t offset, TimePoint now, std::vector<TargetEvent> &events)
 {
-    if (m_targets.erase(id) > 0) {
+    const auto known = m_targets.find(id);
+    if (known != m_targets.end()) {
+        m_removed.add(id, known->second.bornMs, now);
+        m_targets.erase(known);
         events.emplace_back(TargetRemoved{id, offset});
     }
 }
--- a/src/feed/topicfollower.cpp
+++ b/src/feed/topicfollower.cpp
@@ -43,6 +43,21 @@
     m_skipHold = true;
 }
 
+void TopicFollower::beginEra(TimePoint now)
+{
+    ++m_era;
+    m_restoredEnd = 0;
+    m_pendingCall.reset();
+    m_notBefore = std::min(m_notBefore, now + m_settings.maxBackoff);
+    beginListing();
+    m_listingRestarted = false;
+}
+
+bool TopicFollower::mayBeRestored(std::uint64_t offset) const
+{
+    return m_era > 0 && offset < std::max(m_restoredEnd, m_listingBegan ? m_listingEnd : 0);
+}
+
 void TopicFollower::useBatchDelay(Duration delay)
 {
     m_settings.batchDelay = delay;
@@ -110,6 +125,11 @@
     return m_recovered;
 }
 
+bool TopicFollower::isListing() const
+{
+    return m_after.has_value();
+}
+
 bool TopicFollower::isFailing() const
 {
     return m_backoff.failures() > 0;
@@ -166,6 +186,7 @@
         return changes;
     }
     dropUnlisted(changes);
+    m_restoredEnd = m_era > 0 && m_restoredEnd == 0 ? m_listingEnd : m_restoredEnd;
     m_after.reset();
     m_offset = m_listingEnd;
     succeed(*m_listingBegan, now);
@@ -208,7 +229,7 @@
 bool TopicFollower::apply(FeedRecord &record, std::vector<FeedRecord> &changes)
 {
     const auto known = m_known.find(record.key);
-    if (known != m_known.end() && record.offset <= known->second.offset) {
+    if (known != m_known.end() && known->second.era == m_era && record.offset <= known->second.offset) {
         known->second.listing = m_listingNumber;
         return false;
     }
@@ -218,7 +239,7 @@
         }
         m_known.erase(known);
     } else {
-        m_known[record.key] = KnownKey{record.offset, m_listingNumber};
+        m_known[record.key] = KnownKey{m_era, record.offset, m_listingNumber};
     }
     changes.push_back(std::move(record));
     return true;
@@ -227,7 +248,8 @@
 void TopicFollower::dropUnlisted(std::vector<FeedRecord> &changes)
 {
     for (auto known = m_known.begin(); known != m_known.end();) {
-        if (known->second.listing != m_listingNumber && known->second.offset < m_listingEnd) {
+        const bool isOutdated = known->second.era != m_era || known->second.offset < m_listingEnd;
+        if (known->second.listing != m_listingNumber && isOutdated) {
             changes.push_back(FeedRecord{known->first, std::string(), m_listingEnd});
             known = m_known.erase(known);
         } else {
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -56,6 +56,13 @@
     : m_core(core)
     , m_store(core.loop, parseEndpoint(core.settings.storeAddress).value_or(Endpoint{}))
     , m_target(core.loop, parseEndpoint(core.settings.targetAddress).value_or(Endpoint{}))
+    , m_era(core.translation.headers.storeEra,
+            core.log,
+            core.metrics,
+            [this](TimePoint now) {
+                m_desired.beginEra(now);
+                m_core.loop.defer([this] { m_desiredDriver.advance(); });
+            })
     , m_desired(TopicFollowerSettings::forState(core.settings.bounds),
                 core.settings.bounds.keyRevocation,
                 core.translation.servingState,
@@ -64,6 +71,7 @@
                       m_store,
                       core.translation,
                       core.metrics,
+                      m_era,
                       StoreMonitor(core.log, FeedTopic::Desired, core.started),
                       {[this](TimePoint now) { return m_desired.next(now); },
                        [this](FeedAnswer answer, TimePoint began, TimePoint now) {
@@ -123,24 +131,24 @@
     advance();
 }
 
-// The fencing token is derived from the log offset of a newly appended record, so it is higher than the tokens
-// of all earlier agents.
+// The fencing token is derived from the store's era and the log offset of a newly appended record, so it is higher
+// than the tokens of all earlier agents. Offsets alone are given out again when the store comes back from a copy.
 void AgentNode::acquireFencingToken()
 {
     const FeedCall call = AppendRecord{FeedTopic::Fences, m_core.settings.name};
     m_store.call(m_core.translation.feedCall(call),
                  FenceTimeout,
                  [this, call](const MessageHead &head, const std::string &body) {
-                     const FeedAnswer answer = head.status == 0
-                         ? FeedAnswer(FeedUnavailable{0})
-                         : m_core.translation.feedAnswer(call, head.status, body);
+                     const bool usable = head.status != 0 && m_era.accept(head, m_core.loop.now());
+                     const FeedAnswer answer = usable ? m_core.translation.feedAnswer(call, head.status, body)
+                                                      : FeedAnswer(FeedUnavailable{0});
                      m_core.metrics.countStoreCall(StoreCallKind::Append,
                                                    std::holds_alternative<RecordAppended>(answer)
                                                        ? StoreCallOutcome::Answered
                                                        : StoreCallOutcome::Lost);
                      m_fenceMonitor.noteAnswer(answer, m_core.loop.now());
                      if (const auto *appended = std::get_if<RecordAppended>(&answer)) {
-                         const std::uint64_t fence = appended->offset + 1;
+                         const std::uint64_t fence = fencingToken(m_era.era(), appended->offset);
                          m_core.log.write(DecisionEvent::AgentFenced,
                                           m_core.loop.now(),
                                           {{fieldnames::Target, m_instance},
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -31,6 +31,17 @@
     : m_core(core)
     , m_peerEndpoint{parseIp(core.settings.ip).value_or(0), core.settings.firstPeerPort}
     , m_store(core.loop, endpointOf(core.settings.storeAddress))
+    , m_era(core.translation.headers.storeEra,
+            core.log,
+            core.metrics,
+            [this](TimePoint now) {
+                m_desired.beginEra(now);
+                m_targets.beginEra(now);
+                m_core.loop.defer([this] {
+                    m_desiredDriver.advance();
+                    m_targetsDriver.advance();
+                });
+            })
     , m_desired(TopicFollowerSettings::forKeys(core.settings.bounds),
                 core.settings.bounds.keyRevocation,
                 core.translation.servingState,
@@ -59,6 +70,7 @@
                       m_store,
                       core.translation,
                       core.metrics,
+                      m_era,
                       StoreMonitor(core.log, FeedTopic::Desired, core.started),
                       {[this](TimePoint now) { return m_desired.next(now); },
                        [this](FeedAnswer answer, TimePoint began, TimePoint now) {
@@ -73,6 +85,7 @@
                       m_store,
                       core.translation,
                       core.metrics,
+                      m_era,
                       StoreMonitor(core.log, FeedTopic::Targets, core.started),
                       {[this](TimePoint now) { return m_targets.next(now); },
                        [this](FeedAnswer answer, TimePoint began, TimePoint now) {
--- a/src/node/feeddriver.cpp
+++ b/src/node/feeddriver.cpp
@@ -38,12 +38,14 @@
                        AsyncHttpClient &store,
                        const PlatformTranslation &translation,
                        ServingMetrics &metrics,
+                       EraMonitor &era,
                        StoreMonitor watch,
                        Follower follower)
     : m_loop(loop)
     , m_store(store)
     , m_translation(translation)
     , m_metrics(metrics)
+    , m_era(era)
     , m_watch(watch)
     , m_follower(std::move(follower))
 {}
@@ -69,14 +71,15 @@
     m_store.call(m_translation.feedCall(call),
                  step.timeout,
                  [this, call, began, number](const MessageHead &head, const std::string &body) {
-                     const FeedAnswer answer = head.status == 0 ? FeedAnswer(FeedUnavailable{0})
-                                                                : m_translation.feedAnswer(call, head.status, body);
+                     const bool usable = head.status != 0 && m_era.accept(head, m_loop.now());
+                     const FeedAnswer answer = usable ? m_translation.feedAnswer(call, head.status, body)
+                                                      : FeedAnswer(FeedUnavailable{0});
                      m_metrics.countStoreCall(std::visit(StoreCallKindOf{}, call), outcomeOf(answer));
                      if (number != m_call) {
                          return; // Superseded by a newer call.
                      }
                      m_watch.noteAnswer(answer, m_loop.now());
-                     if (head.status == 0) {
+                     if (!usable) {
                          m_follower.timedOut(m_loop.now());
                      } else {
                          m_follower.answered(answer, began, m_loop.now());
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -155,6 +155,10 @@
 {
     text.beginFamily("celeryroute_store_calls_total", MetricType::Counter, "Calls to the platform's store.");
     m_storeCalls.expose(text, "call", "outcome");
+    text.beginFamily("celeryroute_store_restores_total",
+                     MetricType::Counter,
+                     "Times that the store came back from a copy.");
+    text.appendSample({}, m_storeRestores);
     text.beginFamily("celeryroute_orders_total", MetricType::Counter, "Orders to model engines.");
     m_orders.expose(text, "operation", "outcome");
     text.beginFamily("celeryroute_loads_total", MetricType::Counter, "Loads by where the weights come from.");
--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -148,6 +148,8 @@
         CHECK(world.runUntilLogged(entry->log, "state.rejected") && world.runUntilLogged(agent->log, "state.rejected"));
         world.publish();
         CHECK(world.runUntilReadiness(0, 200));
+        world.store.restore(0);
+        CHECK(world.runUntilLogged(entry->log, "store.restored") && world.runUntilReadiness(0, 200));
     }
     // Another entry reports five crashes in a row, and later an answer.
     void suspectAndClearPart(PeerSocket & peer)
--- a/tests/src/unit-telemetry.cpp
+++ b/tests/src/unit-telemetry.cpp
@@ -223,6 +223,7 @@
     metrics.countSend(CallKind::AtMostOnce);
     metrics.countRetry("not_run");
     metrics.countRetryWithheld();
+    metrics.countStoreRestore();
     metrics.countStoreCall(StoreCallKind::ReadFrom, StoreCallOutcome::Lost);
     metrics.countOrder(OrderKind::Unload, OrderAnswer::InDoubt);
     metrics.countLoad(LoadSource::Disk);
@@ -250,6 +251,7 @@
                              "celeryroute_retries_withheld_total 1",
                              "celeryroute_retry_allowance 12.5",
                              "celeryroute_store_calls_total{call=\"read_from\",outcome=\"lost\"} 1",
+                             "celeryroute_store_restores_total 1",
                              "celeryroute_orders_total{operation=\"unload\",outcome=\"in_doubt\"} 1",
                              "celeryroute_loads_total{source=\"disk\"} 1",
                              "celeryroute_swaps_total 1",
--- a/tests/support/fakestore.cpp
+++ b/tests/support/fakestore.cpp
@@ -3,6 +3,9 @@
 #include <celeryroute/detail/net/eventloop.h>
 #include <celeryroute/platform/bytes.h>
 
+#include <algorithm>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace celeryroute {
@@ -54,29 +57,44 @@
     m_refused[part] = status;
 }
 
+void FakeStore::restore(std::size_t lost)
+{
+    constexpr int Unavailable = 503;
+    for (auto &[name, records] : m_topics) {
+        records.resize(records.size() - std::min(lost, records.size()));
+    }
+    ++m_era;
+    for (const HeldRead &read : std::exchange(m_held, {})) {
+        answer(read.request, Unavailable, {});
+    }
+}
+
+void FakeStore::answer(const ScriptedTarget::Request &request, int status, const std::string &body)
+{
+    m_server.answer(request, httpAnswer(status, body, "Store-Era: " + std::to_string(m_era) + "\r\n"));
+}
+
 void FakeStore::serve(const ScriptedTarget::Request &request)
 {
     const std::string &target = request.head.target;
     const std::string topic = queryValue(target, "topic");
     for (const auto &[part, status] : m_refused) {
         if (status != 0 && topic.find(part) != std::string::npos) {
-            m_server.answer(request, httpAnswer(status, {}));
+            answer(request, status, {});
             return;
         }
     }
     if (target.starts_with("/api/log-newest")) {
-        m_server.answer(request, httpAnswer(200, newest(topic)));
+        answer(request, 200, newest(topic));
     } else if (target.starts_with("/api/log-append")) {
         const std::size_t offset = m_topics[topic].size();
         append(topic, request.body.substr(std::min(LengthBytes, request.body.size())));
-        m_server.answer(
-            request,
-            httpAnswer(200, "{\"offset\":" + std::to_string(offset) + ",\"end\":" + std::to_string(offset + 1) + '}'));
+        answer(request, 200, "{\"offset\":" + std::to_string(offset) + ",\"end\":" + std::to_string(offset + 1) + '}');
     } else if (target.starts_with("/api/log-read")) {
         const std::size_t from = std::stoul(queryValue(target, "from"));
         const std::string wait = queryValue(target, "wait_ms");
         if (from < m_topics[topic].size() || wait.empty()) {
-            m_server.answer(request, httpAnswer(200, recordsFrom(topic, from)));
+            answer(request, 200, recordsFrom(topic, from));
             return;
         }
         m_held.push_back({topic, from, request});
@@ -86,11 +104,11 @@
             });
             if (held != m_held.end()) {
                 m_held.erase(held);
-                m_server.answer(request, httpAnswer(200, recordsFrom(topic, from)));
+                answer(request, 200, recordsFrom(topic, from));
             }
         });
     } else {
-        m_server.answer(request, httpAnswer(400, {}));
+        answer(request, 400, {});
     }
 }
 
@@ -101,7 +119,7 @@
     held.swap(m_held);
     for (const HeldRead &read : held) {
         if (read.topic == topic) {
-            m_server.answer(read.request, httpAnswer(200, recordsFrom(topic, read.from)));
+            answer(read.request, 200, recordsFrom(topic, read.from));
         } else {
             m_held.push_back(read);
         }
--- a/tests/support/fakestore.h
+++ b/tests/support/fakestore.h
@@ -19,6 +19,9 @@
     /// @brief Answers calls for topics with @p part in their name with @p status; 0 ends the fault.
     void refuse(const std::string &part, int status);
 
+    /// @brief Comes back from a copy that lacks the last @p lost records of each topic.
+    void restore(std::size_t lost);
+
     std::string address() const
     {
         return m_server.address();
@@ -38,12 +41,14 @@
     };
 
     void serve(const ScriptedTarget::Request &request);
+    void answer(const ScriptedTarget::Request &request, int status, const std::string &body);
     void append(const std::string &topic, std::string content);
     std::string newest(const std::string &topic) const;
     std::string recordsFrom(const std::string &topic, std::size_t offset) const;
 
     EventLoop &m_loop;
     ScriptedTarget m_server;
+    std::uint64_t m_era = 0;
     std::map<std::string, Topic> m_topics;
     std::map<std::string, int> m_refused;
     std::vector<HeldRead> m_held;
