Keep a hedged request at the second target when the silent one refuses it

A caller whose target was silent got 502 or 503 although a second target was at work on its request: when the silent one came back with a refusal or failure that had a body (503 with X-Not-Run, 500, 200 without signature), the first byte of that body ended the hedge. The call then had to choose a target again, which failed where the retry allowance was spent.

The hedge now ends only with the body of an answer that may be forwarded: a stream of events or a signed success. An answer that rejects the request (4xx of the target's own) still ends the call at once, now without regard to its body.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -100,6 +100,8 @@
     /// @brief Forwards a target's answer to the caller.
     /// @param reason why no retry followed, if the answer is a failure
     void forwardAnswer(TargetAnswer answer, std::string_view reason = {});
+    /// @brief Whether the head of @p answer is that of a stream of events or of a success.
+    bool mayBeForwarded(const TargetAnswer &answer) const;
     void recordSuccess(const TargetAnswer &answer);
     void noteFailure(int status, std::string_view reason);
     void beginStream(TargetAttempt &attempt);
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -60,12 +60,19 @@
     }
 }
 
+bool Call::mayBeForwarded(const TargetAnswer &answer) const
+{
+    const int status = answer.head.status;
+    const bool success = status >= HttpStatus::Ok && status < HttpStatus::MultipleChoices;
+    return answer.isEventStream || (success && answer.signedByTarget && !answer.notRun && !hasStreamed());
+}
+
 void Call::attemptBody(TargetAttempt &attempt)
 {
-    if (&attempt == m_current) {
+    TargetAnswer &answer = attempt.answer();
+    if (&attempt == m_current && mayBeForwarded(answer)) {
         endHedging();
     }
-    TargetAnswer &answer = attempt.answer();
     if (answer.isEventStream) {
         forwardEvents(attempt);
     }
@@ -147,7 +154,7 @@
     m_gateway.suspects().noteAnswered(m_requestDigest, m_gateway.loop().now());
     const int status = answer.head.status;
     const bool success = status >= HttpStatus::Ok && status < HttpStatus::MultipleChoices;
-    const bool isWhole = answer.isEventStream || (success && answer.signedByTarget && !hasStreamed());
+    const bool isWhole = mayBeForwarded(answer);
     if (isWhole && &attempt == m_hedge) {
         switchToHedge();
     }
@@ -168,7 +175,11 @@
     if (!success && (m_route->isRepeatable() || !impliesNotRun)) {
         m_errorAnswer = std::move(answer);
     }
-    attemptEnded(attempt, reasons::TargetFailed, targetFailed && mayRetry());
+    if (!targetFailed && &attempt == m_current) {
+        failCall(reasons::TargetFailed);
+    } else {
+        attemptEnded(attempt, reasons::TargetFailed, mayRetry());
+    }
 }
 
 void Call::finishStream(TargetAttempt &attempt)
--- a/tests/src/unit-silenttargets.cpp
+++ b/tests/src/unit-silenttargets.cpp
@@ -191,6 +191,52 @@
     }
 }
 
+// A refusal or failure of the silent target is no answer yet, so it doesn't end the other target's work.
+TEST(SilentTargets, silentTargetThatDoesNotAnswerWithSuccess_leavesTheCallToTheOneThatWasAsked)
+{
+    const std::string notRun = httpAnswer(503, "busy", "X-Request-Id: {id}\r\nX-Not-Run: 1\r\n");
+    const std::string unsignedAnswer = httpAnswer(200, "page", "X-Request-Id: {id}\r\n");
+    const std::string stream = StreamHead + chunk(event(1)) + LastChunk;
+    for (const std::string &late : {notRun, signedAnswer(500, "own"), unsignedAnswer}) {
+        for (const std::string path : {"/idempotent/a", "/resumable/a"}) {
+            SilentTargetWorld world(3);
+            for (ServingRoute &route : world.state.routes) {
+                route.timeout = 3s; // A target may be silent for a third of it.
+            }
+            world.apply();
+            world.admission.retryBudget = 1;
+            world.scripts = {[](const ScriptedTarget::Request &) {}};
+            RawCaller caller(world.loop, world.endpoint);
+            caller.send(GatewayWorld::request(path));
+            CHECK_TEXT(world.waitForArrivals(2), late.c_str());
+            world.answer(0, late);
+            settle(world.loop);
+            world.answer(1, path == "/resumable/a" ? stream : Ok);
+            CHECK_TEXT(caller.waitForEnd(), late.c_str());
+            CHECK_EQUAL_TEXT(200, statusOf(caller.received()), late.c_str());
+            CHECK_EQUAL_TEXT(2U, world.arrived.size(), late.c_str());
+        }
+    }
+}
+
+TEST(SilentTargets, silentTargetThatRejectsTheRequest_endsTheCall)
+{
+    SilentTargetWorld world(2);
+    for (ServingRoute &route : world.state.routes) {
+        route.timeout = 3s; // A target may be silent for a third of it.
+    }
+    world.apply();
+    world.scripts = {[](const ScriptedTarget::Request &) {}};
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/idempotent/a"));
+    CHECK(world.waitForArrivals(2));
+    world.answer(0, signedAnswer(404, "own"));
+    CHECK(turnUntil(world.loop, [&world] { return world.targetOf(1).wasReset(0); }));
+    CHECK(caller.waitForEnd());
+    CHECK_EQUAL(404, statusOf(caller.received()));
+    CHECK_EQUAL(0U, world.gateway.callsInProgress());
+}
+
 TEST(SilentTargets, callerLeaves_bothTargetsAreLeft)
 {
     SilentTargetWorld world(2);
