Ask a target that was left while silent again if no other is left

A stream was cut with no_successor when the second target, for which a silent one had been left, broke off after its head: the silent target was excluded for the rest of the call, though it may be sound and hold the only other copy.

Such targets are now only avoided: they are chosen again when no other target can take the request, within the same limits of attempts, retries and deadline. A hedge never goes back to them, so that two silent targets don't alternate.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -84,6 +84,8 @@
     bool usesEngine() const;
     std::uint32_t priority() const;
     std::optional<Duration> returnAfterPauses() const;
+    /// @brief Targets that are not chosen while there is another one.
+    std::vector<std::string> avoidedTargets() const;
     /// @param excluded targets that are not chosen
     EngineCall engineCall(std::vector<std::string> excluded) const;
     PlainServiceCall plainCall(std::vector<std::string> excluded) const;
@@ -190,6 +192,7 @@
     std::optional<std::uint64_t> m_crashingPart; ///< The part for which the request is refused.
     std::optional<TargetAnswer> m_errorAnswer; ///< A target's error answer, forwarded when no retry succeeds.
     std::vector<std::string> m_excluded; ///< Targets that are not chosen again.
+    std::vector<std::string> m_leftSilent; ///< Targets that are chosen again only if there is no other.
     std::string_view m_retryReason; ///< Why the last send failed.
     std::uint32_t m_possibleArrivals = 0; ///< Sends that may have reached a target.
     std::uint32_t m_possibleRuns = 0; ///< Ended attempts that may have been executed by their targets.
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -64,13 +64,14 @@
 
 void Call::choosePlainTarget()
 {
-    const PlainVerdict verdict = m_gateway.plainChooser().choose(plainCall(m_excluded), m_gateway.loop().now());
+    const PlainVerdict verdict = m_gateway.plainChooser().choose(plainCall(avoidedTargets()), m_gateway.loop().now());
     std::visit([this](const auto &chosen) { applyChoice(chosen); }, verdict);
 }
 
 void Call::chooseEngineTarget()
 {
-    const EngineDecision decision = m_gateway.engineChooser().choose(engineCall(m_excluded), m_gateway.loop().now());
+    const EngineDecision decision = m_gateway.engineChooser().choose(engineCall(avoidedTargets()),
+                                                                     m_gateway.loop().now());
     m_chooserAsked = true;
     if (decision.extraLoad) {
         m_gateway.requestSpareReplica(*decision.extraLoad);
@@ -130,8 +131,20 @@
     enqueue(itemKey(m_fields.model, m_fields.adapter), {}, verdict.expected);
 }
 
+std::vector<std::string> Call::avoidedTargets() const
+{
+    std::vector<std::string> avoided = m_excluded;
+    avoided.insert(avoided.end(), m_leftSilent.begin(), m_leftSilent.end());
+    return avoided;
+}
+
 void Call::applyChoice(const Refuse &verdict)
 {
+    if (!m_leftSilent.empty()) {
+        m_leftSilent.clear();
+        chooseTarget();
+        return;
+    }
     if (!m_attempts.empty()) {
         failCall(hasStreamed() || m_retryReason.empty() ? reasons::NoSuccessor : m_retryReason);
         return;
--- a/src/gateway/callhedging.cpp
+++ b/src/gateway/callhedging.cpp
@@ -68,7 +68,7 @@
         keepTarget(reasons::Suspect);
         return;
     }
-    std::vector<std::string> excluded = m_excluded;
+    std::vector<std::string> excluded = avoidedTargets();
     excluded.push_back(lastTarget());
     if (usesEngine()) {
         const EngineDecision decision = m_gateway.engineChooser().choose(engineCall(std::move(excluded)), now);
@@ -148,7 +148,7 @@
 {
     const std::string previous = lastTarget();
     m_possibleRuns += m_current->mayRun() ? 1 : 0;
-    exclude(*m_current);
+    m_leftSilent.push_back(previous);
     endAttempt(*m_current, CallEnd::Abandoned);
     m_current = std::exchange(m_hedge, nullptr);
     m_current->noteProgress(m_gateway.loop().now());
--- a/tests/src/unit-silenttargets.cpp
+++ b/tests/src/unit-silenttargets.cpp
@@ -237,6 +237,22 @@
     CHECK_EQUAL(0U, world.gateway.callsInProgress());
 }
 
+// The second target may be the broken one. Then the one that was silent is asked again if no other is left.
+TEST(SilentTargets, targetThatBreaksOffAfterItsHead_leavesTheStreamToTheSilentOne)
+{
+    SilentTargetWorld world(2);
+    world.scripts = {world.respondWith(StreamHead + chunk(event(1))),
+                     world.respondWith(SecondHead, AfterAnswer::Reset),
+                     world.respondWith(StreamHead + chunk(event(2)) + LastChunk)};
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/resumable/a"));
+    CHECK(caller.waitForEnd());
+    STRCMP_EQUAL((event(1) + event(2) + "<end>").c_str(), chunksOf(caller.received()).c_str());
+    CHECK_EQUAL(3U, world.arrived.size());
+    CHECK(&world.targetOf(0) == &world.targetOf(2));
+    STRCMP_EQUAL("1", world.arrived[2].field("Last-Event-Id").c_str());
+}
+
 TEST(SilentTargets, callerLeaves_bothTargetsAreLeft)
 {
     SilentTargetWorld world(2);
