Handle all events that are ready before the timers of a turn

Under load, or after a late turn, callers could lose requests and answers that had already arrived: a turn of the loop took 64 events and then ran the timers, so that with more descriptors ready a timer overtook the event that would have cancelled it. An idle connection was closed with a whole request in its buffer (the caller saw a reset), a call ended at its time limit beside its answer, and a connect or a store call was given up though it had succeeded.

The loop now asks for more events until none are left, at most 16 times a turn, before it runs the timers.

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::size_t EventsPerTurn = 64;
+constexpr std::size_t EventsPerWait = 64;
+constexpr int WaitsPerTurn = 16; ///< Bounds the time for which events delay the timers.
 constexpr int GenerationShift = 32;
 constexpr std::uint64_t FileMask = 0xffffffff;
 
@@ -121,15 +122,20 @@
 
 void EventLoop::turn(Duration most)
 {
-    std::array<epoll_event, EventsPerTurn> events{};
+    std::array<epoll_event, EventsPerWait> events{};
     const int wait = waitMs(most);
     const TimePoint before = bootTimeNow();
-    const int count = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), wait);
+    int count = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), wait);
     m_now = bootTimeNow();
     m_overslept = std::max(Duration::zero(), m_now - before - std::chrono::milliseconds(wait));
-    for (int i = 0; i < count; ++i) {
-        const epoll_event &event = events[static_cast<std::size_t>(i)];
-        dispatch(event.data.u64, event.events);
+    // All that is ready comes before the timers, since a timer may end what waits for one of the events.
+    for (int waits = 1; count > 0; ++waits) {
+        for (int i = 0; i < count; ++i) {
+            const epoll_event &event = events[static_cast<std::size_t>(i)];
+            dispatch(event.data.u64, event.events);
+        }
+        const bool mayBeMore = count == static_cast<int>(events.size()) && waits < WaitsPerTurn;
+        count = mayBeMore ? epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), 0) : 0;
     }
     runTimers();
     runDeferred();
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -6,7 +6,10 @@
 #include "gatewayworld.h"
 #include "scriptedtarget.h"
 
+#include <algorithm>
 #include <random>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -595,6 +598,20 @@
     CHECK(world.waitForRequests(1));
 }
 
+// In the first turn all connections are accepted; in the second one all requests are there and the time is over.
+TEST(CallerConnection, requestThatArrivedBeforeTheIdleTimeoutWasSeen_isTaken)
+{
+    world.limits.idleTimeout = 1ns;
+    constexpr std::size_t Callers = 100;
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t i = 0; i < Callers; ++i) {
+        callers.push_back(std::make_unique<RawCaller>(world.loop, world.endpoint));
+        callers.back()->send(Get);
+    }
+    CHECK(world.waitForRequests(Callers));
+    CHECK_EQUAL(0, world.ended);
+}
+
 TEST(CallerConnection, closingIdleConnections_leavesAnAnswerOnItsWayWhole)
 {
     RawCaller caller(world.loop, world.endpoint, 4096);
@@ -990,6 +1007,40 @@
     STRCMP_EQUAL("deferred timer ", order.c_str());
 }
 
+// A timer that is due ends what waits for an event, so it must not overtake events that are ready already.
+TEST(EventLoop, timerThatIsDue_runsAfterAllEventsThatAreReady)
+{
+    class Reader final : public FileHandler
+    {
+    public:
+        int events = 0;
+
+    private:
+        void fileReady(std::uint32_t) override
+        {
+            ++events;
+        }
+    };
+    constexpr std::size_t Files = 200;
+    std::vector<int> files(Files);
+    std::vector<Reader> readers(Files);
+    for (std::size_t i = 0; i < Files; ++i) {
+        files[i] = eventfd(1, EFD_CLOEXEC);
+        loop.watch(files[i], EPOLLIN, readers[i]);
+    }
+    bool ran = false;
+    loop.at(loop.now(), [&] {
+        ran = true;
+        CHECK(std::all_of(readers.begin(), readers.end(), [](const Reader &reader) { return reader.events > 0; }));
+    });
+    loop.turn(1s);
+    CHECK(ran);
+    for (const int file : files) {
+        loop.unwatch(file);
+        close(file);
+    }
+}
+
 TEST(EventLoop, timers_runOnceInTheirOrderUnlessCancelled)
 {
     EventLoop::TimerId third = 0;
