Answer requests that have arrived before a stopping entry closes idle connections

Beside a SIGTERM a caller could lose a whole request: an entry that had stopped accepting closed each idle connection every 50 ms, also one whose next request was already in its buffers. A pipelined request that had been read behind the request before was dropped too, when that one ended in the same turn of the loop.

closeIdle() now leaves a connection on which bytes have arrived; they are read in the next turn, the request is answered with Connection: close, and a caller's own close is handled as such.

--- a/include/celeryroute/detail/http1/callerconnection.h
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -98,7 +98,7 @@
     {
         return m_phase == Phase::Idle;
     }
-    /// @brief Closes an idle connection.
+    /// @brief Closes the connection, if it is idle and no request has arrived.
     void closeIdle();
 
 private:
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -293,8 +293,8 @@
 
 void CallerConnection::closeIdle()
 {
-    if (m_phase != Phase::Idle) {
-        return;
+    if (m_phase != Phase::Idle || !m_channel.input().empty() || m_channel.stirred()) {
+        return; // A request that has arrived is answered first.
     }
     if (m_channel.unsent() > 0) {
         linger(); // Its last answer is still on its way.
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -612,6 +612,30 @@
     CHECK_EQUAL(0, world.ended);
 }
 
+TEST(CallerConnection, closingIdleConnections_leavesRequestsThatHaveArrived)
+{
+    RawCaller pipelining(world.loop, world.endpoint);
+    RawCaller other(world.loop, world.endpoint);
+    pipelining.send(Get + Get);
+    other.send(Get);
+    CHECK(world.waitForRequests(2));
+    for (const CallerWorld::Taken &taken : std::vector(world.taken)) {
+        taken.connection->answer({200, {}, {}}, "first");
+    }
+    other.send(Get);
+    world.server.closeIdle();
+    CHECK(world.waitForRequests(4));
+    CHECK_EQUAL(0, world.ended);
+    CHECK(pipelining.waitFor("first"));
+    world.taken[2].connection->answer({200, {}, {}}, "second");
+    world.taken[3].connection->answer({200, {}, {}}, "second");
+    CHECK(pipelining.waitFor("second"));
+    CHECK(other.waitFor("second"));
+    world.server.closeIdle();
+    CHECK(pipelining.waitForEnd());
+    CHECK(other.waitForEnd());
+}
+
 TEST(CallerConnection, closingIdleConnections_leavesAnAnswerOnItsWayWhole)
 {
     RawCaller caller(world.loop, world.endpoint, 4096);
