Look at an idle channel once more before any request is sent on it

Callers of requests that may be repeated got 502 when their target had closed a kept channel, the entry's loop had not seen the close yet, and the retry allowance was spent: the request was written to the closed channel, ended without an answer and counted as one that may have run. Only requests that must not run twice looked at their channel first.

Now each request does, so that it goes out on a new channel and costs no retry. TargetRequest::exclusive had no other use and is removed. The price is one recv() for each reuse of a channel.

--- a/include/celeryroute/detail/http1/targetchannels.h
+++ b/include/celeryroute/detail/http1/targetchannels.h
@@ -35,7 +35,7 @@
     }
 
 private:
-    TargetConnection *takeIdle(const Endpoint &endpoint, const TargetRequest &request);
+    TargetConnection *takeIdle(const Endpoint &endpoint);
     TargetConnection &open(const Endpoint &endpoint);
     void becameIdle(TargetConnection &connection);
     void ended(TargetConnection &connection);
--- a/include/celeryroute/detail/http1/targetconnection.h
+++ b/include/celeryroute/detail/http1/targetconnection.h
@@ -55,8 +55,8 @@
         return m_channel && m_channel->sentAny();
     }
 
-    /// @brief Whether an idle connection may still be used for @p request at @p now.
-    bool usable(const TargetRequest &request, TimePoint now) const;
+    /// @brief Whether an idle connection may still be used at @p now.
+    bool usable(TimePoint now) const;
 
     /// @brief When an idle connection is no longer usable.
     TimePoint expiry() const
--- a/include/celeryroute/detail/http1/targetexchange.h
+++ b/include/celeryroute/detail/http1/targetexchange.h
@@ -13,7 +13,6 @@
     std::string body;
     std::string id; ///< Echoed by the target.
     bool withoutAnswerBody = false; ///< HEAD
-    bool exclusive = false; ///< Not to be lost on a kept channel that the target is closing.
     bool single = false; ///< On a new channel that is not kept.
     Duration connectTimeout = std::chrono::milliseconds(400);
 };
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -230,7 +230,6 @@
     request.body = m_request.body;
     request.id = m_fields.requestId;
     request.withoutAnswerBody = m_request.head.method == "HEAD";
-    request.exclusive = !m_route->isRepeatable();
     return request;
 }
 
--- a/src/http/httptransfer.cpp
+++ b/src/http/httptransfer.cpp
@@ -93,7 +93,6 @@
     request.head.append("\r\n");
     request.body = m_call.body;
     request.withoutAnswerBody = m_call.method == "HEAD";
-    request.exclusive = true;
     request.single = m_call.freshConnection;
     request.connectTimeout = m_call.connectTimeout;
     return request;
--- a/src/http1/targetchannels.cpp
+++ b/src/http1/targetchannels.cpp
@@ -24,7 +24,7 @@
 
 TargetConnection &TargetChannels::start(const Endpoint &endpoint, TargetRequest request, ExchangeUser &user)
 {
-    TargetConnection *connection = request.single ? nullptr : takeIdle(endpoint, request);
+    TargetConnection *connection = request.single ? nullptr : takeIdle(endpoint);
     if (connection == nullptr) {
         connection = &open(endpoint);
     }
@@ -32,13 +32,13 @@
     return *connection;
 }
 
-TargetConnection *TargetChannels::takeIdle(const Endpoint &endpoint, const TargetRequest &request)
+TargetConnection *TargetChannels::takeIdle(const Endpoint &endpoint)
 {
     const auto found = m_idle.find(endpoint);
     while (found != m_idle.end() && !found->second.empty()) {
         TargetConnection *connection = found->second.back();
         found->second.pop_back();
-        if (connection->usable(request, m_loop.now())) {
+        if (connection->usable(m_loop.now())) {
             return connection;
         }
         discard(connection);
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -101,12 +101,10 @@
     }
 }
 
-bool TargetConnection::usable(const TargetRequest &request, TimePoint now) const
+// The target may have closed the channel without the loop having seen it; a request sent there would be lost.
+bool TargetConnection::usable(TimePoint now) const
 {
-    if (m_dead || m_user != nullptr || now >= m_expiry) {
-        return false;
-    }
-    return !request.exclusive || !m_channel->stirred();
+    return !m_dead && m_user == nullptr && now < m_expiry && !m_channel->stirred();
 }
 
 void TargetConnection::channelConnected()
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -271,6 +271,29 @@
     }
 };
 
+// The request and the close arrive in one turn of the loop, and the request is handled first.
+TEST(Gateway, targetThatHasClosedItsIdleChannel_getsTheRequestOnANewOne)
+{
+    world.apply();
+    world.admission.retryBudget = 0;
+    for (const std::string path : {"/idempotent/a", "/once/a"}) {
+        world.scripts = {world.respondWith(Ok)};
+        const std::size_t before = world.arrived.size();
+        CHECK_EQUAL(200, statusOf(world.call(path)));
+        RawCaller caller(world.loop, world.endpoint);
+        settle(world.loop);
+        caller.send(GatewayWorld::request(path));
+        for (const auto &target : world.targets) {
+            for (std::size_t channel = 0; channel < target->channels(); ++channel) {
+                target->close(channel);
+            }
+        }
+        CHECK(caller.waitForEnd());
+        CHECK_EQUAL_TEXT(200, statusOf(caller.received()), path.c_str());
+        CHECK_EQUAL(before + 2, world.arrived.size());
+    }
+}
+
 TEST(Gateway, disallowedCalls_areRefusedAndNotSent)
 {
     const std::string withoutState = world.call("/once/a");
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -905,12 +905,10 @@
         start(second);
         CHECK(finish(second));
         CHECK(second.complete);
-        // A request that must not be lost looks at its channel once more.
+        // A request looks at its channel once more, as the loop may not have seen the close.
         target.close(target.channels() - 1);
-        TargetRequest exclusive = targetRequest("exclusive");
-        exclusive.exclusive = true;
         Exchange third;
-        channels.start(target.endpoint(), std::move(exclusive), third);
+        start(third);
         CHECK(finish(third));
         CHECK(third.complete);
         channels.closeIdle(target.endpoint());
