Keep a pause that a target asked for over its restarts and a late start time

A target that had answered 503 with Retry-After got further requests within that time.

Cause: a pause was bound to the start time that the entry knew of the target when it sent the request. If an agent reported the start time, or the registry a restart, between the request and its answer, the pause was dropped without a word, though the log said that it was taken. A restart under the same id ended a pause as well; the rule excuses a restart of the machine that sends, not of the target.

PausedTargets keeps pauses by the id of the target, apart from what is known of its lifetime and its record, so nothing but the end of the time ends them. TargetTable::pausedUntil takes the place of KnownTarget::pausedUntil; the one test that read the field asks the table for the same bounds.

--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -140,7 +140,7 @@
     /// @brief Sets the longest pause that a target may ask for.
     void useMaxTargetPause(Duration longest);
     /// @brief Records that @p target refused a call and asked for a pause of @p asked seconds.
-    void notePause(const std::string &target, std::int64_t bornMs, const std::string &asked);
+    void notePause(const std::string &target, const std::string &asked);
     /// @brief Records that @p target said in an answer that it is leaving, in the lifetime that began at @p bornMs.
     void noteLeaving(const std::string &target, std::int64_t bornMs);
     /// @brief Marks requests that got no answer from @p target, which has died, as suspects.
--- a/include/celeryroute/detail/placement/knowntarget.h
+++ b/include/celeryroute/detail/placement/knowntarget.h
@@ -49,7 +49,7 @@
     std::uint32_t lifetime = 0; ///< Unique over all targets and their lifetimes.
     std::int64_t bornMs = 0;
     bool registered = false; ///< Whether the registry has a record of the target.
-    std::optional<TimePoint> pausedUntil; ///< The target asked to get no calls until then.
+    bool paused = false; ///< The target asked to get no calls for a while.
     bool leaving = false; ///< The target said in an answer that it is leaving.
     std::optional<TargetView> view;
     TimePoint viewReceivedAt;
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/placement/healthchange.h>
 #include <celeryroute/detail/placement/knowntarget.h>
 #include <celeryroute/detail/placement/leavingtargets.h>
+#include <celeryroute/detail/placement/pausedtargets.h>
 #include <celeryroute/detail/placement/reportedload.h>
 #include <celeryroute/detail/placement/targetload.h>
 #include <celeryroute/detail/placement/targetpool.h>
@@ -12,7 +13,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -74,12 +74,15 @@
     /// @return whether that was not known yet
     bool noteLeaving(const std::string &id, std::int64_t bornMs, TimePoint now);
 
-    /// @brief Records that a target asked to get no calls until @p until. Of several pauses the longest counts.
-    void notePause(const std::string &id, std::int64_t bornMs, TimePoint until, TimePoint now);
+    /// @brief Records that a target asked to get no calls until @p until. Of several pauses the longest counts. A pause
+    /// outlasts restarts of the target and the removal of its record.
+    void notePause(const std::string &id, TimePoint until, TimePoint now);
     /// @brief Ends the pauses that are over.
     ChangedModels resumePaused(TimePoint now);
     /// @brief End of the first pause, if there is one.
     std::optional<TimePoint> nextResume() const;
+    /// @brief End of the pause of a target, if it pauses.
+    std::optional<TimePoint> pausedUntil(const std::string &id) const;
     /// @brief If targets of @p pool pause, the time until the first of them may get calls.
     std::optional<Duration> pauseLeft(const std::string &pool, TimePoint now) const;
 
@@ -133,7 +136,7 @@
     std::function<void(const HealthChange &)> m_onHealthChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
     LeavingTargets m_leaving;
-    std::set<std::string> m_paused; ///< Targets that pause.
+    PausedTargets m_pauses;
     std::unordered_map<std::string, std::unique_ptr<TargetPool>> m_pools;
     std::unordered_map<CallTicket, SentCall> m_calls;
 };
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -47,7 +47,7 @@
     }
     if (const std::string *pause = head.field("Retry-After");
         pause != nullptr && head.status == HttpStatus::ServiceUnavailable) {
-        m_gateway.notePause(destination.target, destination.bornMs, *pause);
+        m_gateway.notePause(destination.target, *pause);
     }
     if (const std::string *load = head.field(names.load)) {
         if (const auto read = readLoad(*load)) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,7 +61,7 @@
     m_maxTargetPause = longest;
 }
 
-void Gateway::notePause(const std::string &target, std::int64_t bornMs, const std::string &asked)
+void Gateway::notePause(const std::string &target, const std::string &asked)
 {
     const TimePoint now = m_dependencies.loop.now();
     const std::optional<Duration> pause = readPause(asked, m_maxTargetPause);
@@ -74,7 +74,7 @@
                               {"outcome", outcome},
                               {"for_ms", pause.value_or(Duration::zero())}});
     if (pause) {
-        m_dependencies.targetTable.notePause(target, bornMs, now + *pause, now);
+        m_dependencies.targetTable.notePause(target, now + *pause, now);
         scheduleResume();
     }
 }
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -23,7 +23,7 @@
 
 bool KnownTarget::acceptsCalls() const
 {
-    return registered && !record.draining && !leaving && !pausedUntil;
+    return registered && !record.draining && !leaving && !paused;
 }
 
 bool KnownTarget::isViewFresh(TimePoint now) const
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -299,55 +299,50 @@
     return true;
 }
 
-void TargetTable::notePause(const std::string &id, std::int64_t bornMs, TimePoint until, TimePoint now)
+void TargetTable::notePause(const std::string &id, TimePoint until, TimePoint now)
 {
-    const auto known = m_targets.find(id);
-    if (known == m_targets.end() || known->second->bornMs != bornMs || until <= now) {
+    if (until <= now) {
         return;
     }
-    KnownTarget &target = *known->second;
-    target.pausedUntil = std::max(target.pausedUntil.value_or(until), until);
-    m_paused.insert(id);
-    reindex(target, now);
+    m_pauses.add(id, until);
+    const auto known = m_targets.find(id);
+    if (known != m_targets.end()) {
+        known->second->paused = true;
+        reindex(*known->second, now);
+    }
 }
 
 ChangedModels TargetTable::resumePaused(TimePoint now)
 {
     ChangedModels changed;
-    std::vector<std::string> resumed;
-    for (const std::string &id : m_paused) {
-        KnownTarget &target = *m_targets.at(id);
-        if (*target.pausedUntil <= now) {
-            target.pausedUntil.reset();
-            append(changed, reindex(target, now));
-            resumed.push_back(id);
+    for (const std::string &id : m_pauses.takeEnded(now)) {
+        const auto known = m_targets.find(id);
+        if (known != m_targets.end()) {
+            known->second->paused = false;
+            append(changed, reindex(*known->second, now));
         }
     }
-    for (const std::string &id : resumed) {
-        m_paused.erase(id);
-        eraseIfUnused(id);
-    }
     sortUnique(changed);
     return changed;
 }
 
 std::optional<TimePoint> TargetTable::nextResume() const
 {
-    std::optional<TimePoint> next;
-    for (const std::string &id : m_paused) {
-        const TimePoint until = *m_targets.at(id)->pausedUntil;
-        next = std::min(next.value_or(until), until);
-    }
-    return next;
+    return m_pauses.nextEnd();
+}
+
+std::optional<TimePoint> TargetTable::pausedUntil(const std::string &id) const
+{
+    return m_pauses.endOf(id);
 }
 
 std::optional<Duration> TargetTable::pauseLeft(const std::string &pool, TimePoint now) const
 {
     std::optional<Duration> least;
-    for (const std::string &id : m_paused) {
-        const KnownTarget &target = *m_targets.at(id);
-        if (target.registered && target.record.pool == pool) {
-            const Duration left = std::max(Duration::zero(), *target.pausedUntil - now);
+    for (const auto &[id, until] : m_pauses.ends()) {
+        const KnownTarget *paused = target(id);
+        if (paused != nullptr && paused->registered && paused->record.pool == pool) {
+            const Duration left = std::max(Duration::zero(), until - now);
             least = std::min(least.value_or(left), left);
         }
     }
@@ -667,8 +662,8 @@
     target.lifetime = ++m_lifetimes;
     target.bornMs = bornMs;
     target.leaving = m_leaving.contains(target.record.id, bornMs);
-    target.pausedUntil.reset();
-    m_paused.erase(target.record.id);
+    // A pause is asked for by id, so it outlasts a restart.
+    target.paused = m_pauses.endOf(target.record.id).has_value();
     target.view.reset();
     target.health = fresh.health;
     notifyHealthChange(target, ejected, "new_lifetime", now);
@@ -705,8 +700,7 @@
 void TargetTable::eraseIfUnused(const std::string &id)
 {
     const auto target = m_targets.find(id);
-    if (target != m_targets.end() && !target->second->registered && target->second->own.calls == 0
-        && !target->second->pausedUntil) {
+    if (target != m_targets.end() && !target->second->registered && target->second->own.calls == 0) {
         m_targets.erase(target);
     }
 }
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -680,10 +680,11 @@
                          fresh.respondWith(Ok)};
         const TimePoint began = fresh.loop.now();
         CHECK_EQUAL_TEXT(200, statusOf(fresh.call("/once/a")), row.asked);
-        const KnownTarget *target = fresh.table.target(fresh.arrived.front().field(fresh.names.instance));
-        CHECK_EQUAL_TEXT(row.pause.has_value(), target->pausedUntil.has_value(), row.asked);
+        const std::optional<TimePoint> until = fresh.table.pausedUntil(
+            fresh.arrived.front().field(fresh.names.instance));
+        CHECK_EQUAL_TEXT(row.pause.has_value(), until.has_value(), row.asked);
         if (row.pause) {
-            const Duration pause = *target->pausedUntil - began;
+            const Duration pause = *until - began;
             CHECK_TEXT(pause >= *row.pause && pause <= *row.pause + (fresh.loop.now() - began), row.asked);
         }
     }
--- /dev/null
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -0,0 +1,115 @@
+#include "gatewayworld.h"
+#include "targetanswers.h"
+
+#include <functional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace celeryroute;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t Born = 1'000;
+const std::string Pause = httpAnswer(503, {}, "X-Request-Id: {id}\r\nX-Not-Run: 1\r\nRetry-After: 20\r\n");
+
+/// A world with two targets, of which the first to be asked is `asked`.
+class TwoTargetsWorld : public GatewayWorld
+{
+public:
+    explicit TwoTargetsWorld(std::int64_t bornMs)
+        : GatewayWorld(2)
+    {
+        apply();
+        for (const std::string id : {"t0", "t1"}) {
+            setBorn(id, bornMs);
+        }
+    }
+
+    void setBorn(const std::string &id, std::int64_t bornMs)
+    {
+        TargetRecord record = table.target(id)->record;
+        record.bornMs = bornMs;
+        table.setRecord(record, loop.now());
+    }
+
+    /// @brief Sends a call, does @p meanwhile while it is at its target, and lets the target answer it with @p answer.
+    void callAndAnswer(const std::string &answer, const std::function<void()> &meanwhile)
+    {
+        RawCaller caller(loop, endpoint);
+        caller.send(request("/once/a"));
+        CHECK(waitForArrivals(1));
+        asked = arrived.front().field(names.instance);
+        meanwhile();
+        scripts = {respondWith(Ok)};
+        this->answer(0, answer);
+        CHECK(caller.waitForEnd());
+        CHECK_EQUAL(200, statusOf(caller.received()));
+    }
+
+    /// @brief Whether `asked` gets calls while it is the only target.
+    bool askedGetsCalls()
+    {
+        const std::size_t before = arrived.size();
+        table.removeRecord(asked == "t0" ? "t1" : "t0", loop.now());
+        const bool refused = statusOf(call("/once/a")) == 503;
+        CHECK_EQUAL(refused, arrived.size() == before);
+        return !refused;
+    }
+
+    std::string asked;
+};
+
+} // namespace
+
+TEST_GROUP(PausesAndLeaving){};
+
+// The pause was dropped without a word, and the target got further calls.
+TEST(PausesAndLeaving, startTimeLearntBeforeTheAnswer_keepsThePause)
+{
+    TwoTargetsWorld world(0);
+    world.callAndAnswer(Pause, [&world] {
+        TargetView view;
+        view.bornMs = Born;
+        world.table.setView(world.asked, view, world.loop.now());
+    });
+    CHECK_FALSE(world.askedGetsCalls());
+}
+
+TEST(PausesAndLeaving, targetRestartedUnderItsId_keepsThePause)
+{
+    TwoTargetsWorld world(Born);
+    world.callAndAnswer(Pause, [] {});
+    world.setBorn(world.asked, Born + 1);
+    CHECK_FALSE(world.askedGetsCalls());
+}
+
+TEST(PausesAndLeaving, restartLearntBeforeTheAnswer_keepsThePause)
+{
+    TwoTargetsWorld world(Born);
+    world.callAndAnswer(Pause, [&world] { world.setBorn(world.asked, Born + 1); });
+    CHECK_FALSE(world.askedGetsCalls());
+}
+
+TEST(PausesAndLeaving, recordRemovedAndBack_keepsThePause)
+{
+    TwoTargetsWorld world(Born);
+    world.callAndAnswer(Pause, [] {});
+    const TargetRecord record = world.table.target(world.asked)->record;
+    world.table.removeRecord(world.asked, world.loop.now());
+    world.table.setRecord(record, world.loop.now());
+    CHECK_FALSE(world.askedGetsCalls());
+}
+
+TEST(PausesAndLeaving, recordRemovedBeforeTheAnswerAndBack_keepsThePause)
+{
+    TwoTargetsWorld world(Born);
+    TargetRecord record;
+    world.callAndAnswer(Pause, [&world, &record] {
+        world.setBorn(world.asked, Born + 1);
+        record = world.table.target(world.asked)->record;
+        world.table.removeRecord(world.asked, world.loop.now());
+    });
+    world.table.setRecord(record, world.loop.now());
+    CHECK_FALSE(world.askedGetsCalls());
+}
