Keep the leaving of a target whose start time becomes known later

A target that had said in an answer that it leaves got further requests.

Cause: the leaving was noted for the start time that the entry knew when it sent the request. Where the agent reported the start time afterwards, before or after the answer, the belief and the target no longer had the same one: the target was not struck, or came back with its record.

Evidence: startTimeLearntBeforeTheAnswer_keepsTheLeaving and startTimeLearntAfterTheAnswer_keepsTheLeavingAlsoWhileTheRecordIsLost failed before this change and pass now; restartLearntBeforeTheAnswer_doesNotTakeTheNewLifetimeForLeaving passed before and passes.

An answer is matched with the lifetime to which its call was sent by the number that the table gives lifetimes, and a start time that is learnt is noted for the leaving too.

--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -141,8 +141,8 @@
     void useMaxTargetPause(Duration longest);
     /// @brief Records that @p target refused a call and asked for a pause of @p asked seconds.
     void notePause(const std::string &target, const std::string &asked);
-    /// @brief Records that @p target said in an answer that it is leaving, in the lifetime that began at @p bornMs.
-    void noteLeaving(const std::string &target, std::int64_t bornMs);
+    /// @brief Records that @p target said in its answer to a call that it is leaving.
+    void noteLeaving(const std::string &target, CallTicket ticket);
     /// @brief Marks requests that got no answer from @p target, which has died, as suspects.
     void targetDied(const std::string &target);
     /// @brief The first of the prompt parts @p parts that crashes targets, if there is one.
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -69,10 +69,10 @@
     /// @brief Takes over the load that a target reported in an answer, unless a report of its agent is fresh.
     void noteLoad(const std::string &id, const ReportedLoad &load, TimePoint now);
 
-    /// @brief Records that a target said in an answer that it is leaving. It gets no further calls in that lifetime,
-    /// whatever the registry says.
-    /// @return whether that was not known yet
-    bool noteLeaving(const std::string &id, std::int64_t bornMs, TimePoint now);
+    /// @brief Records that a target said in its answer to a call that it is leaving. It gets no further calls in that
+    /// lifetime, whatever the registry says.
+    /// @return the start of that lifetime, if its leaving was not known yet
+    std::optional<std::int64_t> noteLeaving(CallTicket ticket, TimePoint now);
 
     /// @brief Records that a target asked to get no calls until @p until. Of several pauses the longest counts. A pause
     /// outlasts restarts of the target and the removal of its record.
@@ -114,6 +114,8 @@
     KnownTarget &findOrCreate(const std::string &id);
     TargetPool &findOrCreatePool(const std::string &name);
     void beginLifetime(KnownTarget &target, std::int64_t bornMs, TimePoint now);
+    /// @brief Takes over the start time of a lifetime of which it was not known.
+    void learnBorn(KnownTarget &target, std::int64_t bornMs, TimePoint now);
     void unindex(KnownTarget &target);
     ChangedModels reindex(KnownTarget &target, TimePoint now);
     CallTicket addCall(KnownTarget &target, SentCall call);
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -42,8 +42,8 @@
     answer.isEventStream = m_route->kind == CallKind::Stream && head.status == HttpStatus::Ok && answer.signedByTarget
         && (type == nullptr || type->find("text/event-stream") != std::string::npos);
     // Status 421 may come from another instance that has the address now.
-    if (head.field(names.leaving) != nullptr && head.status != HttpStatus::Misdirected) {
-        m_gateway.noteLeaving(destination.target, destination.bornMs);
+    if (head.field(names.leaving) != nullptr && head.status != HttpStatus::Misdirected && attempt.ticket()) {
+        m_gateway.noteLeaving(destination.target, *attempt.ticket());
     }
     if (const std::string *pause = head.field("Retry-After");
         pause != nullptr && head.status == HttpStatus::ServiceUnavailable) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -92,16 +92,16 @@
     }
 }
 
-void Gateway::noteLeaving(const std::string &target, std::int64_t bornMs)
+void Gateway::noteLeaving(const std::string &target, CallTicket ticket)
 {
     const TimePoint now = m_dependencies.loop.now();
-    if (m_dependencies.targetTable.noteLeaving(target, bornMs, now)) {
+    if (const std::optional<std::int64_t> bornMs = m_dependencies.targetTable.noteLeaving(ticket, now)) {
         const KnownTarget *known = m_dependencies.targetTable.target(target);
         m_dependencies.log.write(DecisionEvent::TargetLeaving,
                                  now,
                                  {{fieldnames::Target, target},
                                   {"pool", known == nullptr ? std::string_view() : known->record.pool},
-                                  {"born_ms", bornMs}});
+                                  {"born_ms", *bornMs}});
     }
 }
 
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -135,6 +135,7 @@
     std::string target;
     std::string pool;
     std::uint32_t lifetime = 0;
+    std::int64_t bornMs = 0; ///< Start of the lifetime, if it was known when the call was sent.
     std::string item; ///< Empty for a plain service.
     std::uint64_t cacheTokens = 0; ///< Tokens of prompt and expected output.
     std::uint64_t uncached = 0; ///< Prompt tokens that the target must prefill.
@@ -233,7 +234,7 @@
         beginLifetime(target, view.bornMs, now);
         target.record.models.clear();
     } else if (view.bornMs != 0) {
-        target.bornMs = view.bornMs;
+        learnBorn(target, view.bornMs, now);
     }
     ChangedModels changed = affectedModels(target);
     const bool isUnchanged = target.view && target.isViewFresh(now) && *target.view == view;
@@ -286,17 +287,25 @@
     return setView(id, view, now, message);
 }
 
-bool TargetTable::noteLeaving(const std::string &id, std::int64_t bornMs, TimePoint now)
+std::optional<std::int64_t> TargetTable::noteLeaving(CallTicket ticket, TimePoint now)
 {
-    if (!m_leaving.add(id, bornMs, now)) {
-        return false;
+    const auto call = m_calls.find(ticket);
+    if (call == m_calls.end()) {
+        return std::nullopt;
     }
+    const std::string &id = call->second.target;
     const auto known = m_targets.find(id);
-    if (known != m_targets.end() && known->second->bornMs == bornMs) {
+    const bool isSameLifetime = known != m_targets.end() && known->second->lifetime == call->second.lifetime;
+    // The start time may have become known after the call was sent.
+    const std::int64_t bornMs = isSameLifetime ? known->second->bornMs : call->second.bornMs;
+    if (!m_leaving.add(id, bornMs, now)) {
+        return std::nullopt;
+    }
+    if (isSameLifetime) {
         known->second->leaving = true;
         reindex(*known->second, now);
     }
-    return true;
+    return bornMs;
 }
 
 void TargetTable::notePause(const std::string &id, TimePoint until, TimePoint now)
@@ -418,6 +427,7 @@
     call.target = target.record.id;
     call.pool = target.record.pool;
     call.lifetime = target.lifetime;
+    call.bornMs = target.bornMs;
     OwnLoad &own = target.own;
     ++own.calls;
     ++own.waiting;
@@ -674,6 +684,14 @@
     target.atCapacityUntil = fresh.atCapacityUntil;
 }
 
+void TargetTable::learnBorn(KnownTarget &target, std::int64_t bornMs, TimePoint now)
+{
+    target.bornMs = bornMs;
+    if (target.leaving) {
+        m_leaving.add(target.record.id, bornMs, now);
+    }
+}
+
 void TargetTable::unindex(KnownTarget &target)
 {
     TargetPool &pool = findOrCreatePool(target.record.pool);
--- a/tests/src/unit-pausesandleaving.cpp
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t Born = 1'000;
 const std::string Pause = httpAnswer(503, {}, "X-Request-Id: {id}\r\nX-Not-Run: 1\r\nRetry-After: 20\r\n");
 
+const std::string Leaving = signedAnswer(200, "ok", "X-Leaving: 1\r\n");
+
 /// A world with two targets, of which the first to be asked is `asked`.
 class TwoTargetsWorld : public GatewayWorld
 {
@@ -33,6 +35,21 @@
         table.setRecord(record, loop.now());
     }
 
+    void learnBorn(const std::string &id, std::int64_t bornMs)
+    {
+        TargetView view;
+        view.bornMs = bornMs;
+        table.setView(id, view, loop.now());
+    }
+
+    void loseRecordAndSetBorn(const std::string &id, std::int64_t bornMs)
+    {
+        TargetRecord record = table.target(id)->record;
+        record.bornMs = bornMs;
+        table.removeRecord(id, loop.now());
+        table.setRecord(record, loop.now());
+    }
+
     /// @brief Sends a call, does @p meanwhile while it is at its target, and lets the target answer it with @p answer.
     void callAndAnswer(const std::string &answer, const std::function<void()> &meanwhile)
     {
@@ -68,11 +85,7 @@
 TEST(PausesAndLeaving, startTimeLearntBeforeTheAnswer_keepsThePause)
 {
     TwoTargetsWorld world(0);
-    world.callAndAnswer(Pause, [&world] {
-        TargetView view;
-        view.bornMs = Born;
-        world.table.setView(world.asked, view, world.loop.now());
-    });
+    world.callAndAnswer(Pause, [&world] { world.learnBorn(world.asked, Born); });
     CHECK_FALSE(world.askedGetsCalls());
 }
 
@@ -95,9 +108,7 @@
 {
     TwoTargetsWorld world(Born);
     world.callAndAnswer(Pause, [] {});
-    const TargetRecord record = world.table.target(world.asked)->record;
-    world.table.removeRecord(world.asked, world.loop.now());
-    world.table.setRecord(record, world.loop.now());
+    world.loseRecordAndSetBorn(world.asked, Born);
     CHECK_FALSE(world.askedGetsCalls());
 }
 
@@ -113,3 +124,27 @@
     world.table.setRecord(record, world.loop.now());
     CHECK_FALSE(world.askedGetsCalls());
 }
+
+// The leaving was noted for a lifetime that no longer had that start time, and the target got further calls.
+TEST(PausesAndLeaving, startTimeLearntBeforeTheAnswer_keepsTheLeaving)
+{
+    TwoTargetsWorld world(0);
+    world.callAndAnswer(Leaving, [&world] { world.learnBorn(world.asked, Born); });
+    CHECK_FALSE(world.askedGetsCalls());
+}
+
+TEST(PausesAndLeaving, startTimeLearntAfterTheAnswer_keepsTheLeavingAlsoWhileTheRecordIsLost)
+{
+    TwoTargetsWorld world(0);
+    world.callAndAnswer(Leaving, [] {});
+    world.learnBorn(world.asked, Born);
+    world.loseRecordAndSetBorn(world.asked, Born);
+    CHECK_FALSE(world.askedGetsCalls());
+}
+
+TEST(PausesAndLeaving, restartLearntBeforeTheAnswer_doesNotTakeTheNewLifetimeForLeaving)
+{
+    TwoTargetsWorld world(Born);
+    world.callAndAnswer(Leaving, [&world] { world.setBorn(world.asked, Born + 1); });
+    CHECK_TRUE(world.askedGetsCalls());
+}
