End a target's leaving by a later lifetime only

A target that had said in an answer that it leaves could get further requests after a record of the registry that was out of date, or after a late answer of its previous lifetime.

Cause: the entry kept one start time by target and compared for equality. A late answer of an earlier lifetime overwrote the later one, and a record with an earlier start time, or without one, looked like another lifetime.

Evidence: earlierLifetimeAnswersLast_keepsTheLeavingOfTheLaterOne and outdatedRecordOfAnEarlierLifetime_keepsTheLeaving failed before this change and pass now.

--- a/include/celeryroute/detail/placement/leavingtargets.h
+++ b/include/celeryroute/detail/placement/leavingtargets.h
@@ -14,6 +14,7 @@
 public:
     /// @return whether this lifetime of @p target was not known to leave
     bool add(const std::string &target, std::int64_t bornMs, TimePoint now);
+    /// @brief Whether this lifetime of @p target leaves, or precedes one that does.
     bool contains(const std::string &target, std::int64_t bornMs) const;
 
 private:
@@ -21,7 +22,7 @@
         std::int64_t bornMs = 0;
         TimePoint since;
     };
-    std::unordered_map<std::string, Lifetime> m_lifetimes; ///< By target; the last one that left.
+    std::unordered_map<std::string, Lifetime> m_lifetimes; ///< By target; the latest one that left.
 };
 
 } // namespace celeryroute
--- a/src/placement/leavingtargets.cpp
+++ b/src/placement/leavingtargets.cpp
@@ -28,7 +28,7 @@
 bool LeavingTargets::contains(const std::string &target, std::int64_t bornMs) const
 {
     const auto found = m_lifetimes.find(target);
-    return found != m_lifetimes.end() && found->second.bornMs == bornMs;
+    return found != m_lifetimes.end() && bornMs <= found->second.bornMs;
 }
 
 } // namespace celeryroute
--- a/tests/src/unit-pausesandleaving.cpp
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -148,3 +148,33 @@
     world.callAndAnswer(Leaving, [&world] { world.setBorn(world.asked, Born + 1); });
     CHECK_TRUE(world.askedGetsCalls());
 }
+
+// A late answer of the previous lifetime made the entry forget that the present one leaves.
+TEST(PausesAndLeaving, earlierLifetimeAnswersLast_keepsTheLeavingOfTheLaterOne)
+{
+    TwoTargetsWorld world(Born);
+    RawCaller late(world.loop, world.endpoint);
+    late.send(GatewayWorld::request("/once/a"));
+    CHECK(world.waitForArrivals(1));
+    world.asked = world.arrived.front().field(world.names.instance);
+    world.setBorn(world.asked, Born + 1);
+    world.scripts = {world.respondWith(Leaving)};
+    while (world.arrived.back().field(world.names.instance) != world.asked || world.arrived.size() < 2) {
+        CHECK_EQUAL(200, statusOf(world.call("/once/a")));
+    }
+    world.answer(0, Leaving);
+    CHECK(late.waitForEnd());
+    world.scripts = {world.respondWith(Ok)};
+    world.loseRecordAndSetBorn(world.asked, Born + 1);
+    CHECK_FALSE(world.askedGetsCalls());
+}
+
+TEST(PausesAndLeaving, outdatedRecordOfAnEarlierLifetime_keepsTheLeaving)
+{
+    for (const std::int64_t outdated : {Born - 1, std::int64_t{0}}) {
+        TwoTargetsWorld world(Born);
+        world.callAndAnswer(Leaving, [] {});
+        world.loseRecordAndSetBorn(world.asked, outdated);
+        CHECK_FALSE(world.askedGetsCalls());
+    }
+}
