Heed a pause or a leaving said in an answer to another request

A target whose 503 with Retry-After, or whose answer that says that it leaves, came under the id of another request, or on a kept connection without an id, got further requests.

Cause: such an answer is dropped whole, since its bytes must not reach the caller. What a target says of itself does not depend on whose answer carries it.

Evidence: strayAnswerBeforeTheOwnOne_keepsThePauseAndTheLeaving failed before this change and passes now. unit-http1, unit-gateway and unit-silenttargets pass.

The connection hands the head of a stray answer to the attempt; status, body and reported load stay unused.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -63,6 +63,7 @@
     };
 
     void attemptHead(TargetAttempt &attempt, MessageHead head) override;
+    void attemptStrayHead(const TargetAttempt &attempt, const MessageHead &head) override;
     void attemptBody(TargetAttempt &attempt) override;
     void attemptComplete(TargetAttempt &attempt) override;
     void attemptFailed(TargetAttempt &attempt, ExchangeFailure failure) override;
@@ -108,6 +109,8 @@
     void noteFailure(int status, std::string_view reason);
     void beginStream(TargetAttempt &attempt);
     void forwardEvents(TargetAttempt &attempt);
+    /// @brief Takes over whether the target leaves or asks for a pause.
+    void noteAvailability(const TargetAttempt &attempt, const MessageHead &head);
     void noteWeightsVersion(const TargetAnswer &answer);
     void finishStream(TargetAttempt &attempt);
     void logResumed(const std::string &fromTarget);
--- a/include/celeryroute/detail/gateway/targetattempt.h
+++ b/include/celeryroute/detail/gateway/targetattempt.h
@@ -38,6 +38,8 @@
     AttemptUser &operator=(const AttemptUser &) = delete;
 
     virtual void attemptHead(TargetAttempt &attempt, MessageHead head) = 0;
+    /// @brief The target sent an answer that belongs to another request.
+    virtual void attemptStrayHead(const TargetAttempt &attempt, const MessageHead &head) = 0;
     /// @brief More of the body was added to the answer of @p attempt.
     virtual void attemptBody(TargetAttempt &attempt) = 0;
     virtual void attemptComplete(TargetAttempt &attempt) = 0;
@@ -98,6 +100,7 @@
 
 private:
     void exchangeHead(MessageHead head) override;
+    void exchangeStrayHead(const MessageHead &head) override;
     void exchangeBody(std::string &body) override;
     void exchangeComplete() override;
     void exchangeFailed(ExchangeFailure failure) override;
--- a/include/celeryroute/detail/http1/targetexchange.h
+++ b/include/celeryroute/detail/http1/targetexchange.h
@@ -36,6 +36,8 @@
     ExchangeUser &operator=(const ExchangeUser &) = delete;
 
     virtual void exchangeHead(MessageHead head) = 0;
+    /// @brief The head of an answer that belongs to another request; its body is dropped.
+    virtual void exchangeStrayHead(const MessageHead &) {}
     /// @brief @p body holds new bytes; what is left in it is offered again with the next ones.
     virtual void exchangeBody(std::string &body) = 0;
     virtual void exchangeComplete() = 0;
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -41,14 +41,7 @@
     const std::string *type = head.field("Content-Type");
     answer.isEventStream = m_route->kind == CallKind::Stream && head.status == HttpStatus::Ok && answer.signedByTarget
         && (type == nullptr || type->find("text/event-stream") != std::string::npos);
-    // Status 421 may come from another instance that has the address now.
-    if (head.field(names.leaving) != nullptr && head.status != HttpStatus::Misdirected && attempt.ticket()) {
-        m_gateway.noteLeaving(destination.target, *attempt.ticket());
-    }
-    if (const std::string *pause = head.field("Retry-After");
-        pause != nullptr && head.status == HttpStatus::ServiceUnavailable) {
-        m_gateway.notePause(destination.target, *pause);
-    }
+    noteAvailability(attempt, head);
     if (const std::string *load = head.field(names.load)) {
         if (const auto read = readLoad(*load)) {
             m_gateway.targetTable().noteLoad(destination.target, *read, m_gateway.loop().now());
@@ -67,6 +60,25 @@
     return answer.isEventStream || (success && answer.signedByTarget && !answer.notRun && !hasStreamed());
 }
 
+void Call::attemptStrayHead(const TargetAttempt &attempt, const MessageHead &head)
+{
+    noteAvailability(attempt, head);
+}
+
+void Call::noteAvailability(const TargetAttempt &attempt, const MessageHead &head)
+{
+    const std::string &target = attempt.destination().target;
+    // Status 421 may come from another instance that has the address now.
+    if (head.field(m_gateway.names().leaving) != nullptr && head.status != HttpStatus::Misdirected
+        && attempt.ticket()) {
+        m_gateway.noteLeaving(target, *attempt.ticket());
+    }
+    if (const std::string *pause = head.field("Retry-After");
+        pause != nullptr && head.status == HttpStatus::ServiceUnavailable) {
+        m_gateway.notePause(target, *pause);
+    }
+}
+
 void Call::attemptBody(TargetAttempt &attempt)
 {
     TargetAnswer &answer = attempt.answer();
--- a/src/gateway/targetattempt.cpp
+++ b/src/gateway/targetattempt.cpp
@@ -59,6 +59,11 @@
     m_user.attemptHead(*this, std::move(head));
 }
 
+void TargetAttempt::exchangeStrayHead(const MessageHead &head)
+{
+    m_user.attemptStrayHead(*this, head);
+}
+
 void TargetAttempt::exchangeBody(std::string &body)
 {
     noteProgress(m_loop.now());
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -170,7 +170,9 @@
     m_headTaken = true;
     m_foreign = isForeign(head);
     m_reusable = m_reusable && head.keepAlive && head.framing != BodyFraming::UntilClose;
-    if (!m_foreign) {
+    if (m_foreign) {
+        m_user->exchangeStrayHead(head);
+    } else {
         noteKeepAlive(head);
         m_user->exchangeHead(std::move(head));
     }
--- a/tests/src/unit-pausesandleaving.cpp
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -178,3 +178,16 @@
         CHECK_FALSE(world.askedGetsCalls());
     }
 }
+
+// An answer that belongs to another request was dropped with what the target said in it of itself.
+TEST(PausesAndLeaving, strayAnswerBeforeTheOwnOne_keepsThePauseAndTheLeaving)
+{
+    const std::string strays[] = {httpAnswer(503, {}, "X-Request-Id: other\r\nX-Not-Run: 1\r\nRetry-After: 20\r\n"),
+                                  httpAnswer(200, "late", "X-Request-Id: other\r\nX-Leaving: 1\r\n")};
+    for (const std::string &stray : strays) {
+        TwoTargetsWorld world(Born);
+        world.callAndAnswer(stray + Ok, [] {});
+        CHECK_EQUAL(1U, world.arrived.size());
+        CHECK_FALSE(world.askedGetsCalls());
+    }
+}
