Use a target without a start time in the registry again after it has left and restarted

A target whose registry record tells no start time got no calls any more after it had left and restarted under its id.

While the start time is unknown the target is rightly struck, but a start time that its agent reported later was taken for that of the lifetime that left, also when it is a later one.

Evidence: recordWithoutStartTime_isStruckUntilALaterLifetimeIsLearnt failed before this change and passes now.

A start time that is learnt is taken over for the leaving only if the leaving was heard in a lifetime without one. Else it is compared like any other.

--- a/include/celeryroute/detail/placement/leavingtargets.h
+++ b/include/celeryroute/detail/placement/leavingtargets.h
@@ -14,6 +14,8 @@
 public:
     /// @return whether this lifetime of @p target was not known to leave
     bool add(const std::string &target, std::int64_t bornMs, TimePoint now);
+    /// @brief Takes over the start of the lifetime of @p target that left, if it was not known.
+    void learnBorn(const std::string &target, std::int64_t bornMs);
     /// @brief Whether this lifetime of @p target leaves, or precedes one that does.
     bool contains(const std::string &target, std::int64_t bornMs) const;
 
--- a/src/placement/leavingtargets.cpp
+++ b/src/placement/leavingtargets.cpp
@@ -25,6 +25,14 @@
     return true;
 }
 
+void LeavingTargets::learnBorn(const std::string &target, std::int64_t bornMs)
+{
+    const auto found = m_lifetimes.find(target);
+    if (found != m_lifetimes.end() && found->second.bornMs == 0) {
+        found->second.bornMs = bornMs;
+    }
+}
+
 bool LeavingTargets::contains(const std::string &target, std::int64_t bornMs) const
 {
     const auto found = m_lifetimes.find(target);
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -686,9 +686,15 @@
 
 void TargetTable::learnBorn(KnownTarget &target, std::int64_t bornMs, TimePoint now)
 {
+    if (target.bornMs != 0) {
+        return;
+    }
     target.bornMs = bornMs;
-    if (target.leaving) {
-        m_leaving.add(target.record.id, bornMs, now);
+    m_leaving.learnBorn(target.record.id, bornMs);
+    const bool leaving = m_leaving.contains(target.record.id, bornMs);
+    if (target.leaving != leaving) {
+        target.leaving = leaving;
+        reindex(target, now);
     }
 }
 
--- a/tests/src/unit-pausesandleaving.cpp
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -191,3 +191,16 @@
         CHECK_FALSE(world.askedGetsCalls());
     }
 }
+
+// A target without a start time in the registry was never used again after it had left and restarted.
+TEST(PausesAndLeaving, recordWithoutStartTime_isStruckUntilALaterLifetimeIsLearnt)
+{
+    for (const std::int64_t learnt : {Born, Born + 1}) {
+        TwoTargetsWorld world(Born);
+        world.callAndAnswer(Leaving, [] {});
+        world.loseRecordAndSetBorn(world.asked, 0);
+        CHECK_FALSE(world.askedGetsCalls());
+        world.learnBorn(world.asked, learnt);
+        CHECK_EQUAL(learnt > Born, world.askedGetsCalls());
+    }
+}
