Strike a leaving target also after records of earlier lifetimes

A target that had said that it leaves got further requests when records that named its earlier lifetimes had come between a request and its answer, as they do after an outage of the store.

Such a record gives the target another number of its lifetime, though the start time is the same again afterwards, so the leaving was noted but the target not struck.

Evidence: outdatedRecordBeforeTheAnswer_keepsTheLeaving failed before this change and passes now.

The target is struck whenever its present lifetime is one that leaves, by the same comparison as when a lifetime begins.

--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -301,7 +301,7 @@
     if (!m_leaving.add(id, bornMs, now)) {
         return std::nullopt;
     }
-    if (isSameLifetime) {
+    if (known != m_targets.end() && m_leaving.contains(id, known->second->bornMs)) {
         known->second->leaving = true;
         reindex(*known->second, now);
     }
--- a/tests/src/unit-pausesandleaving.cpp
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -204,3 +204,14 @@
         CHECK_EQUAL(learnt > Born, world.askedGetsCalls());
     }
 }
+
+// Records that wait out an outage of the store name earlier lifetimes before the present one.
+TEST(PausesAndLeaving, outdatedRecordBeforeTheAnswer_keepsTheLeaving)
+{
+    TwoTargetsWorld world(Born);
+    world.callAndAnswer(Leaving, [&world] {
+        world.setBorn(world.asked, Born - 1);
+        world.setBorn(world.asked, Born);
+    });
+    CHECK_FALSE(world.askedGetsCalls());
+}
