Play seeded schedules of targets that ask for pauses, leave and restart

The tests of pauses and leaving knew one event at a time. A simulation in virtual time plays an entry and two to five targets of a plain service, or engines of which one or two hold the model: answers and requests that are lost or late, records that the registry loses, restarts under the same id, late and lost reports of agents, outages of the store, and a registry without start times. It counts more than two arrivals between half a second after a pause was asked for and its end, requests sent to a lifetime after the entry has heard that it leaves, and sound targets that are never used again.

None breaks a rule. They do when either wish isn't heeded, which a test of its own shows.

Not covered: a target that restarts and says that it leaves before the entry knows of the restart.

--- a/tests/src/unit-pausesandleaving.cpp
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -1,6 +1,8 @@
+#include "availabilitysimulation.h"
 #include "gatewayworld.h"
 #include "targetanswers.h"
 
+#include <cstdio>
 #include <functional>
 
 #include <CppUTest/TestHarness.h>
@@ -77,6 +79,32 @@
     std::string asked;
 };
 
+constexpr std::uint64_t Schedules = 300;
+
+/// @brief Plays all kinds of schedules, each with its own seed.
+simulation::AvailabilityReport play(std::uint64_t schedules, bool heedsPauses, bool heedsLeaving)
+{
+    simulation::AvailabilityReport sum;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        simulation::AvailabilityOptions options;
+        options.engines = seed % 2 == 0;
+        options.registryTellsBorn = seed % 3 != 0;
+        options.heedsPauses = heedsPauses;
+        options.heedsLeaving = heedsLeaving;
+        const simulation::AvailabilityReport report = simulation::AvailabilitySimulation(seed, options).run();
+        const int violations = report.arrivalsInPauses + report.arrivalsAtLeaving + report.neverUsedAgain;
+        if (heedsPauses && heedsLeaving && violations > 0) {
+            std::printf("seed %llu: %d arrivals in pauses, %d at leaving targets, %d targets never used again\n",
+                        static_cast<unsigned long long>(seed),
+                        report.arrivalsInPauses,
+                        report.arrivalsAtLeaving,
+                        report.neverUsedAgain);
+        }
+        sum += report;
+    }
+    return sum;
+}
+
 } // namespace
 
 TEST_GROUP(PausesAndLeaving){};
@@ -215,3 +243,32 @@
     });
     CHECK_FALSE(world.askedGetsCalls());
 }
+
+TEST_GROUP(PauseAndLeavingSchedules){};
+
+TEST(PauseAndLeavingSchedules, lossRestartsLostRecordsAndOutages_keepPausesAndLeaving)
+{
+    const simulation::AvailabilityReport sum = play(Schedules, true, true);
+    std::printf("%llu schedules: %d calls, %d sent, %d pauses, %d leavings, %d restarts, %d outages, %d lost records, "
+                "%d leavings of a lifetime not known yet\n",
+                static_cast<unsigned long long>(Schedules),
+                sum.calls,
+                sum.sent,
+                sum.pauses,
+                sum.leavings,
+                sum.restarts,
+                sum.outages,
+                sum.removals,
+                sum.unknownLifetimes);
+    CHECK_EQUAL(0, sum.arrivalsInPauses);
+    CHECK_EQUAL(0, sum.arrivalsAtLeaving);
+    CHECK_EQUAL(0, sum.neverUsedAgain);
+    CHECK(sum.pauses > 0 && sum.leavings > 0 && sum.restarts > 0 && sum.outages > 0 && sum.removals > 0);
+}
+
+TEST(PauseAndLeavingSchedules, wishesNotHeeded_breakTheRules)
+{
+    constexpr std::uint64_t Few = 30;
+    CHECK(play(Few, false, true).arrivalsInPauses > 0);
+    CHECK(play(Few, true, false).arrivalsAtLeaving > 0);
+}
