--- a/src/gateway/callfields.cpp
+++ b/src/gateway/callfields.cpp
@@ -1,6 +1,7 @@
 #include <celeryroute/detail/gateway/callfields.h>
 
 #include <celeryroute/detail/base/digest.h>
+#include <celeryroute/detail/base/text.h>
 
 #include <algorithm>
 #include <charconv>
@@ -12,15 +13,6 @@
 
 constexpr std::uint64_t LongestDeadlineMs = 86'400'000; ///< One day; larger values could overflow a TimePoint.
 
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 std::optional<std::uint64_t> readNumber(std::string_view text)
 {
     text = trimmed(text);
--- a/src/http1/messagehead.cpp
+++ b/src/http1/messagehead.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/http1/messagehead.h>
 
+#include <celeryroute/detail/base/text.h>
+
 #include <algorithm>
 #include <array>
 
@@ -28,17 +30,6 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + CaseDistance) : letter;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 } // namespace
 
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/node/nodesettings.h>
 
+#include <celeryroute/detail/base/text.h>
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -18,6 +20,7 @@
 constexpr double LongestSeconds = 86'400;
 constexpr double MillisecondsPerSecond = 1'000;
 constexpr double LargestNumber = 1e15;
+constexpr std::string_view Blanks = " \t\r";
 
 template <typename Number>
 bool parseNumber(std::string_view text, Number &number)
@@ -27,16 +30,6 @@
     return error == std::errc() && read == end;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view Blanks = " \t\r";
-    const std::size_t first = text.find_first_not_of(Blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
-}
-
 bool isIp(const std::string &text)
 {
     in_addr number{};
@@ -60,7 +53,7 @@
         std::size_t lineNumber = 0;
         for (std::size_t begin = 0; begin < text.size();) {
             const std::size_t end = std::min(text.find('\n', begin), text.size());
-            readLine(trimmed(std::string_view(text).substr(begin, end - begin)), ++lineNumber);
+            readLine(trimmed(std::string_view(text).substr(begin, end - begin), Blanks), ++lineNumber);
             begin = end + 1;
         }
     }
@@ -170,13 +163,13 @@
             return;
         }
         const std::size_t equals = line.find('=');
-        const std::string name(trimmed(line.substr(0, equals)));
+        const std::string name(trimmed(line.substr(0, equals), Blanks));
         if (equals == std::string_view::npos || name.empty()) {
             addMistake(ResultCode::SettingInvalid,
                        "line " + std::to_string(number) + ": expected name = value, not '" + std::string(line) + "'");
             return;
         }
-        const std::string value(trimmed(line.substr(equals + 1)));
+        const std::string value(trimmed(line.substr(equals + 1), Blanks));
         if (!value.empty() && !m_values.try_emplace(name, value).second) {
             addMistake(ResultCode::SettingConflict, name + " is given twice");
         }
--- a/src/placement/pauserequest.cpp
+++ b/src/placement/pauserequest.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/placement/pauserequest.h>
 
+#include <celeryroute/detail/base/text.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -11,13 +13,6 @@
 constexpr Duration WindowPerPriority = std::chrono::milliseconds(100);
 constexpr std::uint64_t SpreadSteps = 1024;
 
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    return first == std::string_view::npos ? std::string_view()
-                                           : text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 } // namespace
 
 std::optional<Duration> readPause(std::string_view text, Duration longest)
