Tell a pause of exactly the longest length from a bounded one

The log and the counter celeryroute_target_pauses_total called a pause of exactly max-target-pause-s bounded, though nothing was cut off.

Cause: readPause returned the bounded length only, so its caller compared with the bound.

Evidence: pausesThatCannotBeMeant_areBoundedOrIgnored has a new row for this length and checks the counted outcome of each row; it failed before this change ("30") and passes now.

--- a/include/celeryroute/detail/placement/pauserequest.h
+++ b/include/celeryroute/detail/placement/pauserequest.h
@@ -8,9 +8,16 @@
 
 namespace celeryroute {
 
+/// A pause that a target asked for.
+struct PauseRequest {
+    Duration length{};
+    bool bounded = false; ///< The target asked for more.
+    bool operator==(const PauseRequest &) const = default;
+};
+
 /// @brief Reads a pause in seconds, fractions allowed.
 /// @return the pause, at most @p longest; nothing if @p text is not a positive finite number
-std::optional<Duration> readPause(std::string_view text, Duration longest);
+std::optional<PauseRequest> readPause(std::string_view text, Duration longest);
 
 /// @brief When a caller should come back after all targets of its pool have asked for a pause.
 ///
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,17 +64,17 @@
 void Gateway::notePause(const std::string &target, const std::string &asked)
 {
     const TimePoint now = m_dependencies.loop.now();
-    const std::optional<Duration> pause = readPause(asked, m_maxTargetPause);
-    const std::string_view outcome = !pause ? "ignored" : *pause < m_maxTargetPause ? "taken" : "bounded";
+    const std::optional<PauseRequest> pause = readPause(asked, m_maxTargetPause);
+    const std::string_view outcome = !pause ? "ignored" : pause->bounded ? "bounded" : "taken";
     m_dependencies.metrics.countPause(outcome);
     m_dependencies.log.write(DecisionEvent::TargetPaused,
                              now,
                              {{fieldnames::Target, target},
                               {"asked", asked},
                               {"outcome", outcome},
-                              {"for_ms", pause.value_or(Duration::zero())}});
+                              {"for_ms", pause ? pause->length : Duration::zero()}});
     if (pause) {
-        m_dependencies.targetTable.notePause(target, now + *pause, now);
+        m_dependencies.targetTable.notePause(target, now + pause->length, now);
         scheduleResume();
     }
 }
--- a/src/placement/pauserequest.cpp
+++ b/src/placement/pauserequest.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-std::optional<Duration> readPause(std::string_view text, Duration longest)
+std::optional<PauseRequest> readPause(std::string_view text, Duration longest)
 {
     text = trimmed(text);
     double seconds = 0;
@@ -23,7 +23,8 @@
     if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(seconds) || seconds <= 0) {
         return std::nullopt;
     }
-    return fromSeconds(std::min(seconds, toSeconds(longest)));
+    const double most = toSeconds(longest);
+    return PauseRequest{fromSeconds(std::min(seconds, most)), seconds > most};
 }
 
 Duration returnAfterPause(Duration left, std::uint32_t priority, std::uint64_t digest)
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -657,11 +657,13 @@
     struct Row {
         const char *asked;
         std::optional<Duration> pause;
+        std::string outcome = pause ? "taken" : "ignored";
     };
     const Row rows[] = {{"2", 2s},
+                        {"30", 30s},
                         {" 0.25 ", 250ms},
-                        {"99999999", 30s},
-                        {"1e300", 30s},
+                        {"99999999", 30s, "bounded"},
+                        {"1e300", 30s, "bounded"},
                         {"0", std::nullopt},
                         {"-1", std::nullopt},
                         {"nan", std::nullopt},
@@ -683,6 +685,8 @@
         const std::optional<TimePoint> until = fresh.table.pausedUntil(
             fresh.arrived.front().field(fresh.names.instance));
         CHECK_EQUAL_TEXT(row.pause.has_value(), until.has_value(), row.asked);
+        const std::string counted = "celeryroute_target_pauses_total{outcome=\"" + row.outcome + "\"} 1\n";
+        CHECK_TEXT(fresh.metrics.exposition({}).find(counted) != std::string::npos, row.asked);
         if (row.pause) {
             const Duration pause = *until - began;
             CHECK_TEXT(pause >= *row.pause && pause <= *row.pause + (fresh.loop.now() - began), row.asked);
