Await the answer of a silent service to a call that must not be repeated

Callers of the standalone roles got 502 for calls that must not be repeated when their service computed for more than 5 s without sending a byte: the agent closed the connection, though such a call is never sent anywhere else and the service went on with it. The caller didn't learn the outcome.

The agent now awaits the answer until the call's deadline. Dead connections and a service that dies are still noticed by the silence limit of connections.

--- a/src/agent/targetrequest.cpp
+++ b/src/agent/targetrequest.cpp
@@ -42,6 +42,9 @@
         call.headers["idempotency-key"] = submit.idempotency_key().empty() ? ownKey : submit.idempotency_key();
         // A call that must not be repeated must not be sent over an idle connection that may be dead.
         call.freshConnection = !submit.repeatable();
+        if (!submit.repeatable()) {
+            call.idleTimeout = Duration::zero(); // It is sent to no other target, so a silent one is awaited.
+        }
         return call;
     }
     // The engine identifies calls by this id when it cancels or resumes them. The request id would be ambiguous,
