Bound what an entry buffers of all answers together

Seen by callers: an answer or an event without end was read up to 16 MiB and its call was then failed with 502, or its stream cut, though another target could have answered. 17 such answers at once were more than the memory of an entry of 260 MB, and what had been read stayed in memory until the call ended.

Cause: one fixed limit for each answer and none for their sum; the attempt whose answer was too long was never repeated; its reason, too_large, is the one of callers' requests.

Change: AnswerBuffers counts the bytes held of all answers. An answer may hold at most what is free of max-answers-mb (32), so the longest are cut off first and N endless ones settle at 1/(N+1) of the total each; every answer may hold 64 KiB whatever the others hold. max-answer-kb (16384) bounds one answer, max-event-kb (1024, before: 16384) one event. The settings are checked at the start: two of the largest answers must fit into the total, and the total into half of an entry's memory limit. A cut answer's bytes are dropped at once, and its call is repeated where any failed attempt would be; a stated Content-Length beyond the limit is cut off at its begin. A target that had said that it did not run the call has not run it.

Evidence: unit-endlessanswers on the code before: no repetition after "body with chunks; body until the close; body of a refusal", nor for the event without end. All 50 usual answers arrive whole. Existing tests: unit-nodesettings gets the new settings in its text, its list of numbers and its rows of mistakes; nothing was taken out.

--- a/include/celeryroute/detail/gateway/answerlimits.h
+++ b/include/celeryroute/detail/gateway/answerlimits.h
@@ -8,6 +8,9 @@
 namespace answerlimits {
 inline constexpr std::string_view Framing = "framing"; ///< Bytes of a head, a chunk line or a trailer.
 inline constexpr std::string_view FramingTime = "framing_time"; ///< Time to send one of these.
+inline constexpr std::string_view Answer = "answer"; ///< Bytes of an answer.
+inline constexpr std::string_view Event = "event"; ///< Bytes of an event.
+inline constexpr std::string_view Total = "total"; ///< Bytes of all answers.
 } // namespace answerlimits
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -121,6 +121,10 @@
     {
         return m_queue;
     }
+    AnswerBuffers &answerBuffers()
+    {
+        return m_answerBuffers;
+    }
     CrashSuspects &suspects()
     {
         return m_suspects;
@@ -187,6 +191,7 @@
     EngineChooser m_engineChooser;
     CallQueue m_queue;
     CrashSuspects m_suspects;
+    AnswerBuffers m_answerBuffers;
     std::shared_ptr<const RouteTable> m_table;
     CallerLimits m_limits;
     std::uint64_t m_nextCall = 1;
--- a/include/celeryroute/detail/gateway/targetattempt.h
+++ b/include/celeryroute/detail/gateway/targetattempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celeryroute/detail/gateway/answerbuffers.h>
 #include <celeryroute/detail/http1/targetchannels.h>
 #include <celeryroute/detail/http1/targetexchange.h>
 #include <celeryroute/detail/placement/targettable.h>
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace celeryroute {
 
@@ -61,11 +63,19 @@
 {
 public:
     /// @param ticket the entry of the call in the table of targets
-    TargetAttempt(EventLoop &loop, AttemptUser &user, AttemptDestination destination, CallTicket ticket);
+    TargetAttempt(EventLoop &loop,
+                  AnswerBuffers &buffers,
+                  AttemptUser &user,
+                  AttemptDestination destination,
+                  CallTicket ticket);
 
     void start(TargetChannels &channels, const Endpoint &endpoint, TargetRequest request);
     /// @brief Leaves the exchange, if it is in progress; the target sees its connection close.
     void abandon();
+    /// @brief The limit that the answer exceeds, if it does; one of answerlimits.
+    std::optional<std::string_view> exceededLimit() const;
+    /// @brief Drops what was received of the body.
+    void discardBody();
     void setReading(bool reading);
     void noteProgress(TimePoint now);
     /// @brief The ticket, if it was not taken before.
@@ -110,6 +120,8 @@
     AttemptDestination m_destination;
     std::optional<CallTicket> m_ticket;
     TargetConnection *m_connection = nullptr;
+    AnswerBuffers &m_buffers;
+    AnswerBuffers::Holding m_held;
     TargetAnswer m_answer;
     TimePoint m_lastProgress;
 };
--- a/include/celeryroute/detail/serving/servingbounds.h
+++ b/include/celeryroute/detail/serving/servingbounds.h
@@ -2,6 +2,8 @@
 
 #include <celeryroute/time.h>
 
+#include <cstdint>
+
 namespace celeryroute {
 
 /// Time bounds and rate limits of the installation, from the settings.
@@ -22,6 +24,9 @@
     double loadOverage = 1.1; ///< Factor on the rate of the weight store.
     Duration orderLease = std::chrono::seconds(3);
     bool targetsCheckFences = false; ///< Whether targets reject orders with an outdated fencing token.
+    std::uint32_t maxAnswerKb = 16'384; ///< Longest buffered answer of a target, in KiB.
+    std::uint32_t maxEventKb = 1'024; ///< Longest event of a stream, in KiB.
+    std::uint32_t maxAnswersMb = 32; ///< Buffered answers of all calls, in MiB.
     bool operator==(const ServingBounds &) const = default;
 };
 
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t MaxBufferedAnswer = std::size_t{16} * 1024 * 1024;
-
 std::optional<ReportedLoad> readLoad(const std::string &text)
 {
     ReportedLoad load;
@@ -88,11 +86,14 @@
     if (answer.isEventStream) {
         forwardEvents(attempt);
     }
-    if (attempt.isInProgress() && answer.body.size() > MaxBufferedAnswer) {
-        ++m_possibleRuns;
+    const std::optional<std::string_view> limit = attempt.isInProgress() ? attempt.exceededLimit() : std::nullopt;
+    if (limit) {
+        noteCutOff(attempt, *limit);
+        m_possibleRuns += answer.notRun ? 0 : 1;
         endAttempt(attempt, CallEnd::Failed);
+        attempt.discardBody();
         exclude(attempt);
-        attemptEnded(attempt, reasons::TooLarge, false);
+        attemptEnded(attempt, reasons::AnswerCutOff, answer.notRun || mayRetry());
     }
 }
 
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -286,7 +286,8 @@
     const auto number = static_cast<std::uint32_t>(m_attempts.size() + 1);
     const AttemptDestination destination{id, target.bornMs, target.record.softwareVersion, number, now};
     AttemptUser &user = *this;
-    m_attempts.push_back(std::make_unique<TargetAttempt>(m_gateway.loop(), user, destination, ticket));
+    m_attempts.push_back(
+        std::make_unique<TargetAttempt>(m_gateway.loop(), m_gateway.answerBuffers(), user, destination, ticket));
     ++m_possibleArrivals;
     const auto heard = target.heardMessage(now);
     const std::uint64_t read = isEngine ? m_gateway.targetTable().uncachedTokens(ticket) : 0;
--- a/src/gateway/targetattempt.cpp
+++ b/src/gateway/targetattempt.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/gateway/targetattempt.h>
 
+#include <celeryroute/detail/gateway/answerlimits.h>
+
 #include <utility>
 
 namespace celeryroute {
@@ -17,11 +19,17 @@
     return isEventStream && (insideEvent || unconfirmed);
 }
 
-TargetAttempt::TargetAttempt(EventLoop &loop, AttemptUser &user, AttemptDestination destination, CallTicket ticket)
+TargetAttempt::TargetAttempt(EventLoop &loop,
+                             AnswerBuffers &buffers,
+                             AttemptUser &user,
+                             AttemptDestination destination,
+                             CallTicket ticket)
     : m_loop(loop)
     , m_user(user)
     , m_destination(std::move(destination))
     , m_ticket(ticket)
+    , m_buffers(buffers)
+    , m_held(buffers)
     , m_lastProgress(m_destination.sentAt)
 {}
 
@@ -37,6 +45,26 @@
     }
 }
 
+std::optional<std::string_view> TargetAttempt::exceededLimit() const
+{
+    const AnswerBounds &bounds = m_buffers.bounds();
+    const bool lengthTooLarge = m_answer.head.framing == BodyFraming::Length
+        && m_answer.head.bodyLength > bounds.answerBytes;
+    if (m_answer.isEventStream && m_answer.body.size() > bounds.eventBytes) {
+        return answerlimits::Event;
+    }
+    if (!m_answer.isEventStream && (lengthTooLarge || m_answer.body.size() > bounds.answerBytes)) {
+        return answerlimits::Answer;
+    }
+    return m_answer.body.size() > m_buffers.share() ? std::optional(answerlimits::Total) : std::nullopt;
+}
+
+void TargetAttempt::discardBody()
+{
+    std::string().swap(m_answer.body);
+    m_held.setBytes(0);
+}
+
 void TargetAttempt::setReading(bool reading)
 {
     if (m_connection != nullptr) {
@@ -69,7 +97,9 @@
     noteProgress(m_loop.now());
     m_answer.body += body;
     body.clear();
+    m_held.setBytes(m_answer.body.size());
     m_user.attemptBody(*this);
+    m_held.setBytes(m_answer.body.size());
 }
 
 void TargetAttempt::exchangeComplete()
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -25,6 +25,12 @@
     return parseEndpoint(text).value_or(Endpoint{});
 }
 
+AnswerBounds answerBounds(const ServingBounds &bounds)
+{
+    constexpr std::size_t Kibibyte = 1024;
+    return {bounds.maxAnswerKb * Kibibyte, bounds.maxEventKb * Kibibyte, bounds.maxAnswersMb * Kibibyte * Kibibyte};
+}
+
 } // namespace
 
 EntryNode::EntryNode(NodeCore &core)
@@ -110,6 +116,7 @@
 {
     m_gateway.suspects().setHeartbeatInterval(m_core.settings.heartbeat);
     m_gateway.useMaxTargetPause(m_core.settings.bounds.maxTargetPause);
+    m_gateway.answerBuffers().useBounds(answerBounds(m_core.settings.bounds));
     BOOST_LEAF_CHECK(m_peers.open(m_peerEndpoint));
     BOOST_LEAF_CHECK(m_gateway.listen(endpointOf(m_core.settings.listenAddress)));
     BOOST_LEAF_CHECK(m_readiness.listen(endpointOf(m_core.settings.readinessAddress)));
@@ -326,6 +333,7 @@
     m_retries.useBounds(bounds);
     m_gateway.suspects().setHeartbeatInterval(settings.heartbeat);
     m_gateway.useMaxTargetPause(bounds.maxTargetPause);
+    m_gateway.answerBuffers().useBounds(answerBounds(bounds));
     m_desiredDriver.advance();
     m_targetsDriver.advance();
 }
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -213,9 +213,31 @@
     file.readSeconds("load-window-s", bounds.loadWindow);
     file.read("load-overage", bounds.loadOverage);
     file.readMilliseconds("order-lease-ms", bounds.orderLease);
+    file.readWhole("max-answer-kb", bounds.maxAnswerKb);
+    file.readWhole("max-event-kb", bounds.maxEventKb);
+    file.readWhole("max-answers-mb", bounds.maxAnswersMb);
     file.read("targets-check-fences", bounds.targetsCheckFences);
 }
 
+void checkAnswerBounds(SettingsFile &file, const NodeSettings &settings)
+{
+    constexpr std::uint64_t KbPerMb = 1'024;
+    constexpr std::uint32_t MemoryParts = 2; // A buffer that grows has room for twice its content.
+    const ServingBounds &bounds = settings.bounds;
+    if (bounds.maxAnswerKb == 0 || bounds.maxEventKb == 0) {
+        file.addMistake(ResultCode::SettingInvalid, "max-answer-kb and max-event-kb must be above 0");
+    }
+    // Two answers of the largest size must find room, since an answer may take what is left of the total.
+    if (std::max(bounds.maxAnswerKb, bounds.maxEventKb) * std::uint64_t{2} > bounds.maxAnswersMb * KbPerMb) {
+        file.addMistake(ResultCode::SettingConflict,
+                        "max-answers-mb must be at least twice max-answer-kb and max-event-kb");
+    }
+    if (settings.role == NodeRole::Entry && settings.memoryLimitMb > 0
+        && bounds.maxAnswersMb > settings.memoryLimitMb / MemoryParts) {
+        file.addMistake(ResultCode::SettingConflict, "max-answers-mb is above half of memory-limit-mb");
+    }
+}
+
 void readPeerPorts(SettingsFile &file, NodeSettings &settings)
 {
     file.need("peer-port-first");
@@ -287,6 +309,7 @@
     readPeerPorts(file, settings);
     readLimits(file, settings);
     readBounds(file, settings.bounds);
+    checkAnswerBounds(file, settings);
     return settings;
 }
 
--- a/src/node/nodesettingshelp.cpp
+++ b/src/node/nodesettingshelp.cpp
@@ -41,6 +41,9 @@
     {"load-window-s", "window of loads from the weight store"},
     {"load-overage", "factor on the weight store's rate"},
     {"order-lease-ms", "minimum time between orders of two holders"},
+    {"max-answer-kb", "longest answer of a target that is buffered, in KiB; default 16384"},
+    {"max-event-kb", "longest event of a target's stream, in KiB; default 1024"},
+    {"max-answers-mb", "buffered answers of all calls, in MiB; default 32"},
     {"targets-check-fences", "true if targets refuse orders with an older fencing token"},
 };
 
--- a/src/node/settingschange.cpp
+++ b/src/node/settingschange.cpp
@@ -67,6 +67,9 @@
     comparison.take("load-window-s", &ServingBounds::loadWindow);
     comparison.take("load-overage", &ServingBounds::loadOverage);
     comparison.take("order-lease-ms", &ServingBounds::orderLease);
+    comparison.take("max-answer-kb", &ServingBounds::maxAnswerKb);
+    comparison.take("max-event-kb", &ServingBounds::maxEventKb);
+    comparison.take("max-answers-mb", &ServingBounds::maxAnswersMb);
     comparison.take("targets-check-fences", &ServingBounds::targetsCheckFences);
 }
 
--- a/tests/src/unit-endlessanswers.cpp
+++ b/tests/src/unit-endlessanswers.cpp
@@ -4,6 +4,8 @@
 #include "scriptedtarget.h"
 #include "targetanswers.h"
 
+#include <algorithm>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -230,8 +232,13 @@
 
 TEST(EndlessCall, answerWithoutEnd_isRepeatedAtAnotherTarget)
 {
+    std::vector<EndlessAnswer> answers = answersWithoutBody();
+    answers.push_back({"body with chunks", Started + Chunked, chunk(repeat("a", 1000))});
+    answers.push_back({"body until the close", Started + "\r\n", "hello"});
+    answers.push_back(
+        {"body of a refusal", "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n\r\n", "hello"});
     std::string notRepeated;
-    for (const EndlessAnswer &answer : answersWithoutBody()) {
+    for (const EndlessAnswer &answer : answers) {
         GatewayWorld fresh{2};
         fresh.apply();
         fresh.scripts = {fresh.respondWith(answer.begin), fresh.respondWith(Ok)};
@@ -276,3 +283,118 @@
     CHECK_EQUAL(502, statusOf(caller.received()));
     CHECK_EQUAL(1U, world.arrived.size());
 }
+
+TEST(EndlessCall, eventWithoutEnd_isContinuedAtAnotherTarget)
+{
+    world.scripts = {world.respondWith(StreamHead + chunk(event(1))),
+                     world.respondWith(SecondHead + chunk(event(2)) + LastChunk)};
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/resumable/a"));
+    CHECK(caller.waitFor(event(1)));
+    CHECK(sendUntilClosed(world.loop, world.targetOf(0), world.arrived[0].channel, chunk("data: endless\n")));
+    CHECK(caller.waitForEnd());
+    STRCMP_EQUAL((event(1) + event(2) + "<end>").c_str(), chunksOf(caller.received()).c_str());
+    STRCMP_EQUAL("1", world.arrived.at(1).field("Last-Event-ID").c_str());
+}
+
+TEST(EndlessCall, answerThatStatesALengthBeyondTheLimit_isCutOffAtItsBegin)
+{
+    world.scripts = {world.respondWith(Started + "Content-Length: 99999999999\r\n\r\nbegin"), world.respondWith(Ok)};
+    CHECK_EQUAL(200, statusOf(world.call("/idempotent/a")));
+    CHECK_EQUAL(2U, world.arrived.size());
+}
+
+TEST(EndlessCall, answersOfTheLargestSize_reachTheirCallers)
+{
+    const AnswerBounds bounds;
+    const std::string largest(bounds.answerBytes, 'a');
+    world.scripts = {world.respondWith(signedAnswer(200, largest))};
+    CHECK_EQUAL(bounds.answerBytes, bodyOf(world.call("/idempotent/a")).size());
+    const std::string data(bounds.eventBytes - event(1, "").size(), 'a');
+    world.scripts = {world.respondWith(StreamHead + chunk(event(1, data)) + LastChunk)};
+    STRCMP_EQUAL((event(1, data) + "<end>").c_str(), chunksOf(world.call("/stream/a")).c_str());
+}
+
+TEST_GROUP(AnswerBuffers)
+{
+    AnswerBuffers buffers;
+    const std::size_t total = AnswerBounds().totalBytes;
+};
+
+TEST(AnswerBuffers, whatIsFree_boundsEachAnswer)
+{
+    CHECK_EQUAL(total, buffers.share());
+    AnswerBuffers::Holding first(buffers);
+    first.setBytes(total / 4);
+    {
+        AnswerBuffers::Holding second(buffers);
+        second.setBytes(total / 2);
+        CHECK_EQUAL(total / 4, buffers.share());
+        second.setBytes(total / 4);
+        CHECK_EQUAL(total / 2, buffers.share());
+    }
+    CHECK_EQUAL(total / 4, buffers.held());
+}
+
+TEST(AnswerBuffers, answerOfUsualLength_findsRoomWhenTheTotalIsFull)
+{
+    AnswerBuffers::Holding full(buffers);
+    for (const std::size_t bytes : {total, total + 1, total - 1}) {
+        full.setBytes(bytes);
+        CHECK_EQUAL(AnswerBuffers::GuaranteedBytes, buffers.share());
+    }
+}
+
+TEST_GROUP(ManyEndlessCalls){};
+
+TEST(ManyEndlessCalls, answersWithoutEnd_holdNoMoreThanTheTotalAndNoCallOfUsualLengthFails)
+{
+    constexpr std::size_t EndlessCalls = 200;
+    constexpr std::size_t UsualCalls = 50;
+    constexpr std::size_t MostBytesOfAnswer = std::size_t{1024} * 1024;
+    constexpr std::size_t Targets = 32;
+    GatewayWorld world(Targets);
+    const std::string half(AnswerBuffers::GuaranteedBytes / 2, 'a');
+    const std::string usual = signedAnswer(200, half + half);
+    const std::string endless = Started + "\r\n";
+    for (ServingRoute &route : world.state.routes) {
+        route.maxAttempts = 1;
+    }
+    world.apply();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    const auto startCalls = [&](std::size_t count, const std::string &begin) {
+        world.scripts = {world.respondWith(begin)};
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.push_back(std::make_unique<RawCaller>(world.loop, world.endpoint));
+            callers.back()->send(GatewayWorld::request("/idempotent/a"));
+        }
+        CHECK(world.waitForArrivals(callers.size()));
+    };
+    startCalls(UsualCalls, usual.substr(0, usual.size() - half.size()));
+    startCalls(EndlessCalls, endless);
+    const std::string block(BytesOfSend, 'a');
+    std::size_t most = 0;
+    for (std::size_t sent = 0; sent < MostBytesOfAnswer; sent += block.size()) {
+        for (std::size_t call = UsualCalls; call < callers.size(); ++call) {
+            if (!world.targetOf(call).left(world.arrived[call].channel)) {
+                world.targetOf(call).send(world.arrived[call].channel, block);
+            }
+        }
+        settle(world.loop);
+        most = std::max(most, world.gateway.answerBuffers().held());
+    }
+    const std::size_t bound = AnswerBounds().totalBytes + callers.size() * AnswerBuffers::GuaranteedBytes;
+    CHECK_COMPARE(most, <=, bound);
+    for (std::size_t call = UsualCalls; call < callers.size(); ++call) {
+        world.targetOf(call).reset(world.arrived[call].channel);
+        CHECK(callers[call]->waitForEnd());
+        CHECK_EQUAL(502, statusOf(callers[call]->received()));
+    }
+    for (std::size_t call = 0; call < UsualCalls; ++call) {
+        world.targetOf(call).send(world.arrived[call].channel, half);
+        CHECK(callers[call]->waitForEnd());
+        CHECK_EQUAL(200, statusOf(callers[call]->received()));
+    }
+    settle(world.loop);
+    CHECK_EQUAL(0U, world.gateway.answerBuffers().held());
+}
--- a/tests/src/unit-nodesettings.cpp
+++ b/tests/src/unit-nodesettings.cpp
@@ -34,6 +34,9 @@
 key-revocation-ms = 4000
 retry-ratio = 0.3
 quota-slack = 110000
+max-answer-kb = 16384
+max-event-kb = 1024
+max-answers-mb = 32
 targets-check-fences = true
 )";
 
@@ -96,6 +99,12 @@
     const Row rows[] = {
         {"name =", ResultCode::SettingMissing},
         {"listen-address =", ResultCode::SettingMissing},
+        {"max-answer-kb = 0", ResultCode::SettingInvalid},
+        {"max-event-kb = 0", ResultCode::SettingInvalid},
+        {"max-answer-kb = 16385", ResultCode::SettingConflict}, // Two of them are above the total.
+        {"max-event-kb = 16385", ResultCode::SettingConflict},
+        {"max-answers-mb = 31", ResultCode::SettingConflict},
+        {"max-answers-mb = 131", ResultCode::SettingConflict}, // Above half of the memory.
         {"role = agent", ResultCode::SettingMissing}, // An agent needs a target.
         {"role = other", ResultCode::SettingInvalid},
         {"ip = host", ResultCode::SettingInvalid},
@@ -208,7 +217,7 @@
                                    "drain-ms",           "stop-grace-s",   "address-reuse-s",   "retry-ratio",
                                    "retry-window-s",     "retry-slack",    "quota-window-s",    "quota-overage",
                                    "max-target-pause-s", "quota-slack",    "load-window-s",     "load-overage",
-                                   "order-lease-ms"};
+                                   "order-lease-ms",     "max-answer-kb",  "max-event-kb",      "max-answers-mb"};
     std::string text = "target-address = 1.2.3.4:5\nrole = agent\nip = 1.2.3.4\nfirst-start = true\n";
     for (const char *name : {"name", "domain", "pool"}) {
         text += std::string(name) + " = other\n";
