Refuse answers whose status is below 100

A target's answer with a status of 000 to 099 was passed over as an interim answer, though the parser read a body behind it; what followed in that body was then read as the head of the answer.

Cause: any three digits were a status, and every status below 200 was interim.

Change: a status below 100 is malformed (RFC 9110, section 15).

The two new rows of answers_endAsTheirFramingSays failed before the change at "HTTP/1.1 000 OK".

--- a/src/http1/messageparser.cpp
+++ b/src/http1/messageparser.cpp
@@ -12,6 +12,7 @@
 /// The least bytes of a chunked body. The parser fails an assertion when it meets them in smaller parts.
 constexpr std::size_t LeastChunkedBody = 5;
 constexpr int CurrentVersion = 11;
+constexpr int LeastStatus = 100;
 
 namespace http = boost::beast::http;
 using BeastError = boost::beast::error_code;
@@ -96,8 +97,11 @@
         collected.head.version = version;
     }
 
-    void on_response_impl(int status, BeastView reason, int version, BeastError &) override
+    void on_response_impl(int status, BeastView reason, int version, BeastError &error) override
     {
+        if (status < LeastStatus) {
+            error = http::error::bad_status;
+        }
         collected.head.status = status;
         collected.head.reason = toView(reason);
         collected.head.version = version;
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -206,6 +206,8 @@
         {"HTTP/1.1 100 Continue\r\n\r\n", false, ParseState::Complete, ParseState::Complete, ""},
         {"HTTP/1.1 200 \r\nContent-Length: 0\r\n\r\n", false, ParseState::Complete, ParseState::Complete, ""},
         {ok + "Content-Le", false, ParseState::Head, ParseState::Malformed, ""},
+        {"HTTP/1.1 000 OK\r\n\r\n", false, ParseState::Malformed, ParseState::Malformed, ""},
+        {"HTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\n", false, ParseState::Malformed, ParseState::Malformed, ""},
         {"HTTP/1.1 2000 OK\r\n\r\n", false, ParseState::Malformed, ParseState::Malformed, ""},
         {"HTTQ/1.1 200 OK\r\n\r\n", false, ParseState::Malformed, ParseState::Malformed, ""},
         {std::string("\0\xff\x01rubbish\r\n\r\n", 14), false, ParseState::Malformed, ParseState::Malformed, ""},
