Bound the answers that an entry or an agent reads from its store

An answer of the store, or of a target to its agent, with a body that did not end was collected until the call timed out, as fast as the network brought it; the process had no bound on it.

Cause: AsyncHttpClient appended what came. Its heads, chunk lines, trailers and interim answers are bounded by TargetConnection.

Change: a call whose answer is longer than 16 MiB ends as one without an answer and its connection is closed. Callers of the client treat it as they treat a lost answer (store.lost in the log, outcome lost in the metrics). The largest page that a read asks for is far below.

Evidence: answerWithoutEnd_endsItsCallWithoutAnAnswer failed before with "body with chunks; body until the close". An answer of exactly 16 MiB is taken.

--- a/include/celeryroute/detail/node/asynchttpclient.h
+++ b/include/celeryroute/detail/node/asynchttpclient.h
@@ -16,6 +16,9 @@
     /// Receives the head, with status 0 if no complete answer arrived, and the body.
     using Answered = std::function<void(const MessageHead &head, const std::string &body)>;
 
+    /// Longest body of an answer. A call whose answer is longer ends as one without an answer.
+    static constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+
     AsyncHttpClient(EventLoop &loop, const Endpoint &server);
     ~AsyncHttpClient();
     AsyncHttpClient(const AsyncHttpClient &) = delete;
--- a/src/node/asynchttpclient.cpp
+++ b/src/node/asynchttpclient.cpp
@@ -43,6 +43,10 @@
     {
         m_body += body;
         body.clear();
+        if (m_body.size() > MaxAnswerBytes) {
+            std::string().swap(m_body);
+            abort();
+        }
     }
     void exchangeComplete() override
     {
--- a/tests/src/unit-endlessanswers.cpp
+++ b/tests/src/unit-endlessanswers.cpp
@@ -1,4 +1,5 @@
 #include <celeryroute/detail/http1/targetchannels.h>
+#include <celeryroute/detail/node/asynchttpclient.h>
 
 #include "gatewayworld.h"
 #include "scriptedtarget.h"
@@ -398,3 +399,58 @@
     settle(world.loop);
     CHECK_EQUAL(0U, world.gateway.answerBuffers().held());
 }
+
+TEST_GROUP(EndlessStoreAnswer)
+{
+    EventLoop loop;
+    ScriptedTarget server{loop};
+    AsyncHttpClient client{loop, server.endpoint()};
+    std::vector<int> statuses;
+    std::size_t received = 0;
+
+    void call()
+    {
+        client.call({"GET", "/a", {}, {}},
+                    std::chrono::seconds(60),
+                    [this](const MessageHead &head, const std::string &body) {
+                        statuses.push_back(head.status);
+                        received += body.size();
+                    });
+    }
+};
+
+TEST(EndlessStoreAnswer, answerWithoutEnd_endsItsCallWithoutAnAnswer)
+{
+    std::vector<EndlessAnswer> answers = answersWithoutBody();
+    std::erase_if(answers, [](const EndlessAnswer &answer) { return answer.begin.starts_with(Foreign); });
+    std::erase_if(answers, [](const EndlessAnswer &answer) { return answer.repeated.starts_with(Foreign); });
+    answers.push_back({"body with chunks", Started + Chunked, chunk(repeat("a", 1000))});
+    answers.push_back({"body until the close", Started + "\r\n", "hello"});
+    std::string notEnded;
+    std::size_t calls = 0;
+    for (const EndlessAnswer &answer : answers) {
+        server.answerEveryRequest(answer.begin);
+        call();
+        ++calls;
+        CHECK(turnUntil(loop, [&] { return server.requests().size() == calls; }));
+        const std::size_t channel = server.requests().back().channel;
+        if (!sendUntilClosed(loop, server, channel, answer.repeated)) {
+            notEnded += std::string(answer.name) + "; ";
+        }
+        server.reset(channel);
+        CHECK(turnUntil(loop, [&] { return statuses.size() == calls; }));
+        CHECK_EQUAL_TEXT(0, statuses.back(), answer.name);
+    }
+    STRCMP_EQUAL("", notEnded.c_str());
+    CHECK_EQUAL(0U, received);
+    CHECK_EQUAL(0U, client.connections());
+}
+
+TEST(EndlessStoreAnswer, answerOfTheLargestSize_isTaken)
+{
+    server.answerEveryRequest(httpAnswer(200, std::string(AsyncHttpClient::MaxAnswerBytes, 'a')));
+    call();
+    CHECK(turnUntil(loop, [this] { return statuses.size() == 1; }));
+    CHECK_EQUAL(200, statuses.front());
+    CHECK_EQUAL(AsyncHttpClient::MaxAnswerBytes, received);
+}
