Continue a stream that its caller takes up only at its software version

Callers whose stream was cut send a further request that names, in `Resumes`, the one that brought the first event. Entries ignored that field.

Cause: the version that began a stream was known only within one answer.

Evidence: on the code without this change, the first three tests of unit-resumptions failed: a stream of v2 went on at v1, a request for a stream that no entry knows was sent beside two versions (200 instead of 503), and so was one whose version had left.

Change: `StreamOrigins` keeps the pool and version of each resumable stream, by a digest of customer and request id, for ten minutes and 65,536 streams. Entries tell each other their records in datagrams of at most 32, three times each, while two versions serve a pool or did within ten minutes (`PoolVersions`); while one version serves nothing is sent and an unknown stream goes on there. A request whose stream has no record beside two versions, or at an entry that may have missed a version, is refused with 503 and the new error 515, and not sent. Ways weighed: docs/design/resumption.md.

A datagram of 32 records and one pool's versions has 1,444 bytes.

unit-nodelog gets a request that is pinned, for the new event. It fails before and after this change, because request.hedged and request.kept are never written in it.

--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/gateway/admittance.h>
 #include <celeryroute/detail/gateway/callfields.h>
 #include <celeryroute/detail/gateway/eventsplitter.h>
+#include <celeryroute/detail/gateway/resumption.h>
 #include <celeryroute/detail/gateway/targetattempt.h>
 #include <celeryroute/detail/http1/callerconnection.h>
 #include <celeryroute/detail/net/eventloop.h>
@@ -74,6 +75,18 @@
     std::optional<AdmittanceRefusal> findCustomer(Admittance &admitted) const;
     bool chargeAllowance();
     void selectPool();
+    /// @brief Whether the caller takes up a stream of which it has received events.
+    bool takesUpStream() const;
+    /// @brief If the caller takes up a stream, decides which software version may continue it.
+    /// @return false if none may, and the request was refused
+    bool pinSoftwareVersion();
+    bool pin(const ContinueStream &resumption);
+    bool pin(const NoVersionServes &resumption);
+    bool pin(const BeginAnew &resumption);
+    void noteStreamOrigin();
+    /// @brief The only software version whose targets may get the call, if others serve too.
+    std::optional<std::string> requiredSoftwareVersion() const;
+    bool hasPinnedVersionLeft() const;
     double cost() const;
     bool refuseIfQuarantined();
     bool resolveRouteAndCustomer();
@@ -147,7 +160,7 @@
     void hedgeFailed(std::string_view reason);
     void deadlineReached();
     void refuse(int status, std::string_view reason, Duration retryAfter);
-    void answerDirectly(int status, std::optional<Duration> retryAfter);
+    void answerDirectly(int status, std::optional<Duration> retryAfter, std::string_view reason = {});
     void refundUnlessRun();
     void answerCaller(const AnswerHead &head, std::string_view body);
     void finish();
@@ -204,6 +217,7 @@
     std::optional<TimePoint> m_firstEventAt; ///< Time at which the first event was forwarded to the caller.
     EventSplitter m_splitter;
     std::optional<std::string> m_softwareVersion; ///< Version that began the stream; unset before the first event.
+    std::optional<std::string> m_pinnedVersion; ///< Version that began the stream that the caller takes up.
     std::string m_weightsVersion; ///< Version of the weights that produced the stream so far.
     EventLoop::TimerId m_deadlineTimer = 0;
     EventLoop::TimerId m_stallTimer = 0;
--- a/include/celeryroute/detail/gateway/callfields.h
+++ b/include/celeryroute/detail/gateway/callfields.h
@@ -25,6 +25,7 @@
     std::uint64_t lengthHint = 0;
     std::vector<std::pair<std::string, std::uint64_t>> promptParts; ///< Id and tokens, in order.
     std::string lastEventId;
+    std::string resumes; ///< Id of the request that brought the first event of the stream that this one takes up.
     bool operator==(const CallFields &) const = default;
 };
 
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/gateway/call.h>
 #include <celeryroute/detail/gateway/crashsuspects.h>
 #include <celeryroute/detail/gateway/routetable.h>
+#include <celeryroute/detail/gateway/streamorigins.h>
 #include <celeryroute/detail/http1/callerserver.h>
 #include <celeryroute/detail/http1/targetchannels.h>
 #include <celeryroute/detail/placement/callqueue.h>
@@ -129,6 +130,19 @@
     {
         return m_suspects;
     }
+    StreamOrigins &streamOrigins()
+    {
+        return m_streamOrigins;
+    }
+    /// @brief Sets how to tell whether no other software version can have served without this entry's knowledge.
+    void useVersionsComplete(std::function<bool()> versionsComplete)
+    {
+        m_versionsComplete = std::move(versionsComplete);
+    }
+    bool areVersionsComplete() const
+    {
+        return !m_versionsComplete || m_versionsComplete();
+    }
     /// @brief Routing table of the current desired state; null before the first state was applied.
     const std::shared_ptr<const RouteTable> &table() const
     {
@@ -192,6 +206,8 @@
     CallQueue m_queue;
     CrashSuspects m_suspects;
     AnswerBuffers m_answerBuffers;
+    StreamOrigins m_streamOrigins;
+    std::function<bool()> m_versionsComplete;
     std::shared_ptr<const RouteTable> m_table;
     CallerLimits m_limits;
     std::uint64_t m_nextCall = 1;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -55,6 +55,11 @@
     void scheduleGossip();
     void sendGossip();
     void sendReport(const std::string &address, const EntryReport &report, const CrashReport &crashes);
+    void handleStreams(const wire::Envelope &envelope);
+    void scheduleStreams();
+    /// @brief Tells the other entries which software versions began streams.
+    void sendStreams();
+    bool areVersionsComplete() const;
     void logAllowances();
     void checkPeers();
 
@@ -89,6 +94,8 @@
     ReadinessServer m_readiness;
     MetricsServer m_metrics;
     std::set<std::string> m_entries; ///< IP addresses of the other entries.
+    EventLoop::TimerId m_streamsTimer = 0;
+    TimePoint m_streamsAt;
     EventLoop::TimerId m_gossipTimer = 0;
     TimePoint m_gossipAt;
     std::optional<HeardMessage> m_lastGossip; ///< Newest gossip message.
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -5,6 +5,7 @@
 #include <celeryroute/detail/placement/knowntarget.h>
 #include <celeryroute/detail/placement/leavingtargets.h>
 #include <celeryroute/detail/placement/pausedtargets.h>
+#include <celeryroute/detail/placement/poolversions.h>
 #include <celeryroute/detail/placement/reportedload.h>
 #include <celeryroute/detail/placement/targetload.h>
 #include <celeryroute/detail/placement/targetpool.h>
@@ -56,6 +57,20 @@
     ChangedModels removeRecord(const std::string &id, TimePoint now);
     /// @brief Notes that all records equal those of the registry at @p readBegan.
     void confirmRecords(TimePoint readBegan);
+    /// @brief When the newest read of the registry began that has been answered.
+    std::optional<TimePoint> recordsConfirmed() const
+    {
+        return m_recordsConfirmed;
+    }
+    /// @brief Software versions of the registered targets, now and before.
+    const PoolVersions &versions() const
+    {
+        return m_versions;
+    }
+    PoolVersions &versions()
+    {
+        return m_versions;
+    }
     /// @brief Takes over the report of an agent; a report of an earlier lifetime is ignored.
     ChangedModels setView(const std::string &id,
                           const TargetView &view,
@@ -139,6 +154,7 @@
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
     LeavingTargets m_leaving;
     PausedTargets m_pauses;
+    PoolVersions m_versions;
     std::unordered_map<std::string, std::unique_ptr<TargetPool>> m_pools;
     std::unordered_map<CallTicket, SentCall> m_calls;
 };
--- a/include/celeryroute/detail/serving/headernames.h
+++ b/include/celeryroute/detail/serving/headernames.h
@@ -24,6 +24,8 @@
     std::string load = "X-Load"; ///< Running calls, waiting calls and slots of the target.
     std::string storeEra = "X-Store-Era"; ///< In answers of the store: rises when it comes back from a copy.
     std::string lastEventId = "Last-Event-Id";
+    /// Id of the caller's request that brought the first event of a stream that it takes up.
+    std::string resumes = "X-Resumes";
     std::string authorization = "Authorization";
     std::string keyScheme = "Bearer";
     /// Comma-separated further fields that only entries may set. They are removed from callers' requests.
--- a/include/celeryroute/detail/telemetry/reasonnames.h
+++ b/include/celeryroute/detail/telemetry/reasonnames.h
@@ -27,6 +27,8 @@
 inline constexpr std::string_view Timeout = "timeout";
 inline constexpr std::string_view Suspect = "suspect";
 inline constexpr std::string_view SuspectPart = "suspect_part";
+inline constexpr std::string_view StreamUnknown = "stream_unknown";
+inline constexpr std::string_view VersionLeft = "version_left";
 inline constexpr std::string_view RetryAllowance = "retry_allowance";
 inline constexpr std::string_view TargetRefused = "target_refused";
 inline constexpr std::string_view TargetFailed = "target_failed";
@@ -67,6 +69,8 @@
     ReasonDescription{reasons::Timeout, "the time limit of the caller or of the route was over", "sent_ms, total_ms"},
     ReasonDescription{reasons::Suspect, "targets died while they ran this request", "request.suspected"},
     ReasonDescription{reasons::SuspectPart, "targets died while they ran requests with one of its prompt parts", "part.suspected, request.suspected; part"},
+    ReasonDescription{reasons::StreamUnknown, "the caller takes up a stream, and several software versions may have begun it", "request.pinned, peer.lost"},
+    ReasonDescription{reasons::VersionLeft, "no target of the software version that began the stream may be used", "request.pinned, target.removed, target.draining"},
     ReasonDescription{reasons::RetryAllowance, "a retry was beyond the retry allowance", "celeryroute_retry_allowance"},
     ReasonDescription{reasons::TargetRefused, "the target said that it did not run the request", "request.repeated; target_age_ms"},
     ReasonDescription{reasons::TargetFailed, "the target ran the request and failed", "the target's own log"},
--- a/include/celeryroute/detail/telemetry/servingmetrics.h
+++ b/include/celeryroute/detail/telemetry/servingmetrics.h
@@ -44,6 +44,11 @@
     {
         m_cutOffs.add(limit);
     }
+    /// @brief Counts a stream that its caller took up, by how the version that began it was known.
+    void countResumption(std::string_view evidence)
+    {
+        m_resumptions.add(evidence);
+    }
     /// @brief Counts a pause that a target asked for; @p outcome says whether it was taken, bounded or ignored.
     void countPause(std::string_view outcome)
     {
@@ -105,6 +110,7 @@
     NamedCounters m_refusals;
     NamedCounters m_pauses;
     NamedCounters m_cutOffs;
+    NamedCounters m_resumptions;
     EnumCounters<CallKind> m_sends;
     NamedCounters m_retries;
     std::uint64_t m_retriesWithheld = 0;
--- a/include/celeryroute/resultcode.h
+++ b/include/celeryroute/resultcode.h
@@ -71,6 +71,7 @@
     ShareSuperseded = 512,
     RetryBudgetExhausted = 513,
     Cancelled = 514,
+    StreamNotResumable = 515,
 
     // 6xx: connections between processes and to the platform.
     PeerUnreachable = 601,
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -66,6 +66,9 @@
         return;
     }
     selectPool();
+    if (!pinSoftwareVersion()) {
+        return;
+    }
     m_deadlineTimer = m_gateway.loop().at(m_deadline, [this] {
         m_deadlineTimer = 0;
         deadlineReached();
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -153,6 +153,7 @@
     }
     m_firstEventAt = now;
     m_softwareVersion = attempt.destination().softwareVersion;
+    noteStreamOrigin();
     m_gateway.metrics().observeFirstByte(m_route->kind, now - m_request.received);
     m_caller->begin(callerAnswerHead(attempt.answer().head, m_gateway.names()));
 }
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -82,7 +82,7 @@
 
 PlainServiceCall Call::plainCall(std::vector<std::string> excluded) const
 {
-    return {m_pool, std::move(excluded), m_route->isRepeatable(), m_softwareVersion};
+    return {m_pool, std::move(excluded), m_route->isRepeatable(), requiredSoftwareVersion()};
 }
 
 EngineCall Call::engineCall(std::vector<std::string> excluded) const
@@ -100,7 +100,7 @@
     call.priority = priority();
     call.remaining = callerDeadline() - m_gateway.loop().now();
     call.targetLatency = m_route->targetLatency;
-    call.softwareVersion = m_softwareVersion;
+    call.softwareVersion = requiredSoftwareVersion();
     call.excluded = std::move(excluded);
     call.decidedBefore = m_chooserAsked;
     call.waited = m_gateway.loop().now() - m_request.received;
@@ -150,6 +150,10 @@
         failCall(hasStreamed() || m_retryReason.empty() ? reasons::NoSuccessor : m_retryReason);
         return;
     }
+    if (requiredSoftwareVersion() && (verdict.reason == RefuseReason::VersionUnavailable || !hasPinnedVersionLeft())) {
+        refuse(HttpStatus::ServiceUnavailable, reasons::VersionLeft, DefaultRetryAfter);
+        return;
+    }
     const std::optional<Duration> pause = returnAfterPauses();
     const bool allPause = verdict.reason == RefuseReason::NoTargets && pause;
     refuse(HttpStatus::ServiceUnavailable,
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -5,6 +5,7 @@
 #include <celeryroute/detail/net/clock.h>
 #include <celeryroute/detail/placement/itemkey.h>
 #include <celeryroute/detail/telemetry/reasonnames.h>
+#include <celeryroute/resultcode.h>
 
 #include <algorithm>
 
@@ -14,6 +15,13 @@
 
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(200);
 
+std::string beginAnewBody()
+{
+    const ResultCodeInfo &info = resultCodeInfo(ResultCode::StreamNotResumable);
+    return R"({"error": {"code": )" + std::to_string(static_cast<int>(info.code)) + R"(, "name": ")" + info.name
+        + R"(", "message": ")" + info.meaning + R"(", "run": ")" + toString(RunState::NotRun) + R"("}})";
+}
+
 } // namespace
 
 void Call::callerLeft()
@@ -80,7 +88,7 @@
     m_gateway.metrics().countRequest(m_route == nullptr ? CallKind::Idempotent : m_route->kind,
                                      RequestOutcome::Refused);
     const bool impliesNotRun = status == HttpStatus::ServiceUnavailable || status == HttpStatus::TooManyRequests;
-    answerDirectly(status, impliesNotRun ? std::optional(retryAfter) : std::nullopt);
+    answerDirectly(status, impliesNotRun ? std::optional(retryAfter) : std::nullopt, reason);
 }
 
 std::string Call::targetForLog() const
@@ -96,7 +104,7 @@
     return table == nullptr ? 0 : table->state().version;
 }
 
-void Call::answerDirectly(int status, std::optional<Duration> retryAfter)
+void Call::answerDirectly(int status, std::optional<Duration> retryAfter, std::string_view reason)
 {
     constexpr double MsPerSecond = 1000;
     constexpr double LeastRetryAfter = 0.05; // In seconds.
@@ -113,7 +121,12 @@
         head.fields.push_back({"Retry-After", std::move(text)});
     }
     refundUnlessRun();
-    answerCaller(head, {});
+    std::string body;
+    if (reason == reasons::StreamUnknown || reason == reasons::VersionLeft) {
+        head.fields.push_back({"Content-Type", "application/json"});
+        body = beginAnewBody();
+    }
+    answerCaller(head, body);
 }
 
 void Call::refundUnlessRun()
--- a/src/gateway/callfields.cpp
+++ b/src/gateway/callfields.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::uint64_t LongestDeadlineMs = 86'400'000; ///< One day; larger values could overflow a TimePoint.
+constexpr std::size_t LongestRequestId = 256; ///< Of a request that another one names.
 
 std::optional<std::uint64_t> readNumber(std::string_view text)
 {
@@ -108,6 +109,8 @@
             fields.lengthHint = readNumber(field.value).value_or(0);
         } else if (is(names.lastEventId)) {
             fields.lastEventId = field.value;
+        } else if (is(names.resumes) && field.value.size() <= LongestRequestId) {
+            fields.resumes = trimmed(field.value);
         }
     }
     return fields;
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -109,6 +109,7 @@
 EntryNode::~EntryNode()
 {
     m_core.loop.cancel(m_gossipTimer);
+    m_core.loop.cancel(m_streamsTimer);
     m_core.loop.cancel(m_expiryTimer);
 }
 
@@ -124,7 +125,9 @@
     m_desiredDriver.advance();
     m_targetsDriver.advance();
     m_gateway.useMessageNumbers([this] { return m_peers.nextSequence(); });
+    m_gateway.useVersionsComplete([this] { return areVersionsComplete(); });
     scheduleGossip();
+    scheduleStreams();
     // The next report on spent tokens may be due earlier because of the calls in this event loop iteration.
     m_core.loop.atTurnEnd([this] {
         if (m_allowances.reportDue() < m_gossipAt) {
@@ -178,6 +181,7 @@
     }
     if (!events.empty()) {
         m_gateway.targetsChanged(ChangedModels(changed.begin(), changed.end()));
+        scheduleStreams();
     }
     if (const auto confirmed = m_targets.follower().confirmedAt()) {
         m_targetTable.confirmRecords(*confirmed);
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -69,6 +69,8 @@
         handleAgentLoad(envelope);
     } else if (envelope.has_gossip()) {
         handleGossip(envelope);
+    } else if (envelope.has_streams()) {
+        handleStreams(envelope);
     }
 }
 
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -186,6 +186,14 @@
     if (target.registered && target.record.pool != record.pool) {
         unindex(target);
     }
+    const bool sameVersion = target.registered && target.record.pool == record.pool
+        && target.record.softwareVersion == record.softwareVersion;
+    if (target.registered && !sameVersion) {
+        m_versions.targetRemoved(target.record.pool, target.record.softwareVersion, now);
+    }
+    if (!sameVersion) {
+        m_versions.targetAdded(record.pool, record.softwareVersion, now);
+    }
     m_registered += target.registered ? 0 : 1;
     target.registered = true;
     target.record = record;
@@ -208,6 +216,7 @@
     ChangedModels changed = affectedModels(target);
     sortUnique(changed);
     target.registered = false;
+    m_versions.targetRemoved(target.record.pool, target.record.softwareVersion, now);
     --m_registered;
     reindex(target, now);
     eraseIfUnused(id);
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -146,6 +146,10 @@
                      MetricType::Counter,
                      "Answers of targets that exceeded a limit.");
     m_cutOffs.expose(text, "limit");
+    text.beginFamily("celeryroute_resumptions_total",
+                     MetricType::Counter,
+                     "Streams that callers took up, by how the software version that began them was known.");
+    m_resumptions.expose(text, "evidence");
     if (gauges.retryAllowance) {
         exposeGauge(text, "celeryroute_retry_allowance", "Further sends left.", GaugeValue(*gauges.retryAllowance));
     }
--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -121,6 +121,7 @@
         CHECK(world.runUntilLogged(entry->log, "target.added", 3));
         CHECK_EQUAL(200, call("/feed/a", "resumed"));
         CHECK_EQUAL(200, call("/feed/cut", "cut"));
+        CHECK_EQUAL(200, call("/feed/a", "taken-up", "Last-Event-Id: 1\r\nResumes: resumed\r\n"));
         RawCaller left(world.loop, world.callerEndpoint(0));
         left.send("GET /open/hold HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: left\r\n\r\n");
         CHECK(turnUntil(world.loop, [this] { return entry->log.text().find("\"left\"") != std::string::npos; }));
