Forget software versions that no remembered stream began at

A process that had seen 256 pairs of pool and software version could record no further one: from then on every stream that a caller took up was refused as unknown. No caller has seen it, since the records are new; found while reading.

Cause: the table of pairs only grew.

Evidence: unit-streamorigins manyRollsOverALongTime failed at the 257th version.

Change: when the table is full, pairs that no remembered stream uses are removed. Streams are remembered for ten minutes, so that only 256 versions within ten minutes fill it.

--- a/include/celeryroute/detail/gateway/streamorigins.h
+++ b/include/celeryroute/detail/gateway/streamorigins.h
@@ -61,6 +61,7 @@
     };
 
     std::optional<std::uint32_t> originIndex(const StreamOrigin &origin);
+    void removeUnusedOrigins();
     void add(std::uint64_t stream, const StreamOrigin &origin, TimePoint noted);
     void announce(std::uint64_t stream);
     void announceNewest();
--- a/src/gateway/streamorigins.cpp
+++ b/src/gateway/streamorigins.cpp
@@ -103,9 +103,13 @@
 
 std::optional<std::uint32_t> StreamOrigins::originIndex(const StreamOrigin &origin)
 {
-    const auto known = std::find(m_origins.begin(), m_origins.end(), origin);
+    auto known = std::find(m_origins.begin(), m_origins.end(), origin);
     if (known == m_origins.end() && m_origins.size() == MaxOrigins) {
-        return std::nullopt;
+        removeUnusedOrigins();
+        if (m_origins.size() == MaxOrigins) {
+            return std::nullopt;
+        }
+        known = m_origins.end();
     }
     const auto index = static_cast<std::uint32_t>(known - m_origins.begin());
     if (known == m_origins.end()) {
@@ -114,6 +118,22 @@
     return index;
 }
 
+void StreamOrigins::removeUnusedOrigins()
+{
+    std::vector<StreamOrigin> used;
+    std::map<std::uint32_t, std::uint32_t> indexes;
+    for (auto &[digest, stream] : m_streams) {
+        if (stream.origin) {
+            const auto [index, isNew] = indexes.try_emplace(*stream.origin, static_cast<std::uint32_t>(used.size()));
+            if (isNew) {
+                used.push_back(m_origins[*stream.origin]);
+            }
+            stream.origin = index->second;
+        }
+    }
+    m_origins = std::move(used);
+}
+
 void StreamOrigins::add(std::uint64_t stream, const StreamOrigin &origin, TimePoint noted)
 {
     const std::optional<std::uint32_t> index = originIndex(origin);
--- a/tests/src/unit-streamorigins.cpp
+++ b/tests/src/unit-streamorigins.cpp
@@ -114,6 +114,17 @@
     CHECK_EQUAL(StreamOrigins::StreamsPerReport, origins.takeReport(versions, now).streams.size());
 }
 
+TEST(StreamOrigins, manyRollsOverALongTime_newStreamsAreStillKnown)
+{
+    mix();
+    for (std::uint64_t i = 0; i < 2'000; ++i) {
+        now += 1min;
+        const StreamOrigin origin{"pool", "v" + std::to_string(i)};
+        origins.note(i, origin, now);
+        CHECK_TRUE(resume(i) == Resumption(ContinueStream{origin, "record"}));
+    }
+}
+
 TEST(StreamOrigins, versionsRepeatedAmongEntries_expireDespiteTheDelays)
 {
     PoolVersions other;
