Split the table of targets into files of one matter each

Calls in flight, leaving and pauses, and the rings of pools get files of their own; the functions on what a target holds move to targetholdings.cpp, and SentCall becomes a type of its own. Functions are moved unchanged.

No behaviour changed: unit-pausesandleaving, unit-gateway, unit-placement, unit-placementengines, unit-nodesettings, unit-http and unit-explain pass.

--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -7,6 +7,7 @@
 #include <celeryroute/detail/placement/pausedtargets.h>
 #include <celeryroute/detail/placement/poolversions.h>
 #include <celeryroute/detail/placement/reportedload.h>
+#include <celeryroute/detail/placement/sentcall.h>
 #include <celeryroute/detail/placement/targetload.h>
 #include <celeryroute/detail/placement/targetpool.h>
 #include <celeryroute/detail/serving/servingstate.h>
@@ -124,8 +125,6 @@
     std::size_t size() const;
 
 private:
-    struct SentCall;
-
     KnownTarget &findOrCreate(const std::string &id);
     TargetPool &findOrCreatePool(const std::string &name);
     void beginLifetime(KnownTarget &target, std::int64_t bornMs, TimePoint now);
--- /dev/null
+++ b/src/placement/targettableavailability.cpp
@@ -0,0 +1,94 @@
+#include <celeryroute/detail/placement/targettable.h>
+
+#include <celeryroute/detail/placement/targetholdings.h>
+
+#include <algorithm>
+
+namespace celeryroute {
+
+std::optional<std::int64_t> TargetTable::noteLeaving(CallTicket ticket, TimePoint now)
+{
+    const auto call = m_calls.find(ticket);
+    if (call == m_calls.end()) {
+        return std::nullopt;
+    }
+    const std::string &id = call->second.target;
+    const auto known = m_targets.find(id);
+    const bool isSameLifetime = known != m_targets.end() && known->second->lifetime == call->second.lifetime;
+    // The start time may have become known after the call was sent.
+    const std::int64_t bornMs = isSameLifetime ? known->second->bornMs : call->second.bornMs;
+    if (!m_leaving.add(id, bornMs, now)) {
+        return std::nullopt;
+    }
+    if (known != m_targets.end() && m_leaving.contains(id, known->second->bornMs)) {
+        known->second->leaving = true;
+        reindex(*known->second, now);
+    }
+    return bornMs;
+}
+
+void TargetTable::notePause(const std::string &id, TimePoint until, TimePoint now)
+{
+    if (until <= now) {
+        return;
+    }
+    m_pauses.add(id, until);
+    const auto known = m_targets.find(id);
+    if (known != m_targets.end()) {
+        known->second->paused = true;
+        reindex(*known->second, now);
+    }
+}
+
+ChangedModels TargetTable::resumePaused(TimePoint now)
+{
+    ChangedModels changed;
+    for (const std::string &id : m_pauses.takeEnded(now)) {
+        const auto known = m_targets.find(id);
+        if (known != m_targets.end()) {
+            known->second->paused = false;
+            append(changed, reindex(*known->second, now));
+        }
+    }
+    sortUnique(changed);
+    return changed;
+}
+
+std::optional<TimePoint> TargetTable::nextResume() const
+{
+    return m_pauses.nextEnd();
+}
+
+std::optional<TimePoint> TargetTable::pausedUntil(const std::string &id) const
+{
+    return m_pauses.endOf(id);
+}
+
+std::optional<Duration> TargetTable::pauseLeft(const std::string &pool, TimePoint now) const
+{
+    std::optional<Duration> least;
+    for (const auto &[id, until] : m_pauses.ends()) {
+        const KnownTarget *paused = target(id);
+        if (paused != nullptr && paused->registered && paused->record.pool == pool) {
+            const Duration left = std::max(Duration::zero(), until - now);
+            least = std::min(least.value_or(left), left);
+        }
+    }
+    return least;
+}
+
+void TargetTable::learnBorn(KnownTarget &target, std::int64_t bornMs, TimePoint now)
+{
+    if (target.bornMs != 0) {
+        return;
+    }
+    target.bornMs = bornMs;
+    m_leaving.learnBorn(target.record.id, bornMs);
+    const bool leaving = m_leaving.contains(target.record.id, bornMs);
+    if (target.leaving != leaving) {
+        target.leaving = leaving;
+        reindex(target, now);
+    }
+}
+
+} // namespace celeryroute
