Bound chunk extensions and dripping chunk lines of callers

A caller could send 16 KiB of extension with each byte of a chunked body, so the limits on head and body did not bound what an entry had to read for a request; and a chunk line or a trailer that came one byte now and then prolonged the idle time without end.

Cause: only one chunk line at a time was bounded, and every received byte of a body set the idle deadline anew.

Change: the extensions of a request may be as long as a head plus the body so far, beyond that the answer is 431; usual ones (a signature for each chunk) stay far below. The deadline moves only when bytes of the body were taken, so a chunk line or trailer must be complete within the idle time (408).

Evidence: requestWithoutEnd_isRejected failed before for 1-byte chunks with extensions (all other rows held already: request line, fields, chunk size, extension, trailers, body); chunkLineOrTrailerThatDrips_isRejected got no answer before. unit-http1, unit-http, unit-gateway and unit-answerends pass.

--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -102,7 +102,8 @@
         setDeadline(limits.requestTimeout.value_or(limits.headerTimeout));
     }
     const ParseState before = m_parser->state();
-    input.erase(0, m_parser->feed(input));
+    const std::size_t consumed = m_parser->feed(input);
+    input.erase(0, consumed);
     switch (m_parser->state()) {
     case ParseState::Head:
         break;
@@ -112,7 +113,8 @@
             reject(ContentTooLarge);
             break;
         }
-        if (!m_handler.callerLimits().requestTimeout) {
+        // A chunk line or a trailer that is not complete does not prolong the time.
+        if (consumed > 0 && !m_handler.callerLimits().requestTimeout) {
             setDeadline(m_handler.callerLimits().idleTimeout);
         }
         sendContinue();
--- a/src/http1/messageparser.cpp
+++ b/src/http1/messageparser.cpp
@@ -29,6 +29,7 @@
     std::string body;
     std::uint64_t bodyRead = 0;
     std::uint64_t bodyLimit = UINT64_MAX;
+    std::uint64_t extensionRead = 0; ///< Of chunks.
     std::size_t headRead = 0; ///< Without what the sender may leave out.
     std::size_t headLimit = 0;
     std::size_t hosts = 0;
@@ -61,6 +62,15 @@
         head.fields.push_back({std::string(toView(name)), std::string(text)});
     }
 
+    // In proportion to the body, or else many small chunks would bring far more bytes than the limits allow.
+    void takeExtension(BeastView extension, BeastError &error)
+    {
+        extensionRead += extension.size();
+        if (extensionRead > headLimit + bodyRead) {
+            error = http::error::header_limit;
+        }
+    }
+
     // The parser itself bounds only what it has not consumed yet.
     void countHead(std::size_t bytes, BeastError &error)
     {
@@ -129,9 +139,12 @@
         return collected.takeBody(body, error);
     }
 
-    void on_chunk_header_impl(std::uint64_t, BeastView, BeastError &) override
+    void on_chunk_header_impl(std::uint64_t, BeastView extension, BeastError &error) override
     {
         collected.chunkBegun = true;
+        if (IsRequest) {
+            collected.takeExtension(extension, error);
+        }
     }
 
     std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, BeastError &error) override
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -387,6 +387,67 @@
     CHECK(turnUntil(world.loop, [this] { return world.server.connections() == 0; }));
 }
 
+TEST(CallerConnection, requestWithoutEnd_isRejected)
+{
+    constexpr std::size_t Bytes = std::size_t{256} * 1024;
+    world.limits.headerBytes = 1000;
+    world.limits.bodyBytes = 100'000;
+    struct Row {
+        std::string begin;
+        std::string repeated;
+        int status;
+    };
+    const Row rows[] = {
+        {"GET /", "a", 431},
+        {"GET / HTTP/1.1\r\nX-Long: ", "a", 431},
+        {"GET / HTTP/1.1\r\n", "X-Many: a\r\n", 431},
+        {request(Chunked, "0"), "0", 431},
+        {request(Chunked, "1;a="), "b", 431},
+        {request(Chunked), "1;a=" + std::string(50, 'b') + "\r\na\r\n", 431},
+        {request(Chunked, "0\r\n"), "X-Many: a\r\n", 431},
+        {request(Chunked), "5\r\nhello\r\n", 413},
+    };
+    for (const Row &row : rows) {
+        RawCaller caller(world.loop, world.endpoint);
+        std::string text = row.begin;
+        while (text.size() < Bytes) {
+            text += row.repeated;
+        }
+        caller.send(text);
+        CHECK_TRUE_TEXT(caller.waitFor("HTTP/1.1 " + std::to_string(row.status) + ' '), row.begin.c_str());
+        CHECK_TRUE_TEXT(caller.waitForEnd(), row.begin.c_str());
+    }
+    CHECK_EQUAL(0U, world.taken.size());
+}
+
+TEST(CallerConnection, chunksWithUsualExtensions_areTaken)
+{
+    world.limits.headerBytes = 1000;
+    std::string body;
+    for (int i = 0; i < 100; ++i) {
+        body += "64;chunk-signature=" + std::string(64, 'f') + "\r\n" + std::string(100, 'a') + "\r\n";
+    }
+    answerTo(request(std::string(Chunked) + "Connection: close\r\n", body + "0\r\n\r\n"), "");
+    CHECK_EQUAL(10'000U, world.taken.back().request.body.size());
+}
+
+TEST(CallerConnection, chunkLineOrTrailerThatDrips_isRejected)
+{
+    constexpr int MostDrips = 200;
+    world.limits.headerTimeout = 10s;
+    world.limits.idleTimeout = 30ms;
+    for (const std::string &begin : {request(Chunked, "0"), request(Chunked, "5\r\nhello\r\n0\r\nX-Long: ")}) {
+        RawCaller caller(world.loop, world.endpoint);
+        caller.send(begin);
+        for (int drips = 0; drips < MostDrips && caller.received().empty(); ++drips) {
+            const TimePoint next = world.loop.now() + 1ms;
+            turnUntil(world.loop, [&] { return world.loop.now() > next; });
+            caller.send("0");
+        }
+        STRCMP_CONTAINS("HTTP/1.1 408 ", caller.received().c_str());
+    }
+}
+
 TEST(CallerConnection, pipelinedRequests_areTakenOneAtATimeAndAnsweredInOrder)
 {
     constexpr int Requests = 40;
