Search each byte of an event once for its end

While an event without end grew, the entry searched it from its begin with every read; a target that sent it in small parts cost the entry far more time than its network brought bytes.

Cause: EventSplitter::takeCompleteEvents knew nothing of the call before.

Change: TargetAnswer keeps how much of its body was searched.

--- a/include/celeryroute/detail/gateway/eventsplitter.h
+++ b/include/celeryroute/detail/gateway/eventsplitter.h
@@ -14,7 +14,8 @@
     explicit EventSplitter(std::string versionField);
 
     /// @brief Removes all complete events from the front of @p bytes and returns them.
-    std::string takeCompleteEvents(std::string &bytes);
+    /// @param searched number of bytes that an earlier call has left in @p bytes
+    std::string takeCompleteEvents(std::string &bytes, std::size_t searched = 0);
 
     /// @brief Number of events taken so far.
     std::uint64_t eventCount() const
--- a/include/celeryroute/detail/gateway/targetattempt.h
+++ b/include/celeryroute/detail/gateway/targetattempt.h
@@ -19,6 +19,7 @@
 struct TargetAnswer {
     MessageHead head;
     std::string body; ///< The whole body, or for a stream of events only the incomplete last event.
+    std::size_t searchedBytes = 0; ///< Bytes of `body` that were searched for the end of an event.
     bool notRun = false; ///< The target reported that it did not run the call.
     bool signedByTarget = false;
     bool isEventStream = false; ///< The body is a stream of events.
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -113,7 +113,8 @@
 {
     TargetAnswer &answer = attempt.answer();
     const std::uint64_t before = m_splitter.eventCount();
-    const std::string whole = m_splitter.takeCompleteEvents(answer.body);
+    const std::string whole = m_splitter.takeCompleteEvents(answer.body, answer.searchedBytes);
+    answer.searchedBytes = answer.body.size();
     if (whole.empty()) {
         return;
     }
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -4,22 +4,27 @@
 
 namespace celeryroute {
 
+namespace {
+
+/// @brief Whether the line feed at @p end ends a line without content.
+bool endsEmptyLine(std::string_view bytes, std::size_t end)
+{
+    const std::string_view before = bytes.substr(0, end);
+    return before.empty() || before.ends_with('\n') || before == "\r" || before.ends_with("\n\r");
+}
+
+} // namespace
+
 EventSplitter::EventSplitter(std::string versionField)
     : m_versionField(std::move(versionField))
 {}
 
-std::string EventSplitter::takeCompleteEvents(std::string &bytes)
+std::string EventSplitter::takeCompleteEvents(std::string &bytes, std::size_t searched)
 {
-    std::size_t lineBegin = 0;
     std::size_t whole = 0;
-    for (std::size_t end = bytes.find('\n'); end != std::string::npos; end = bytes.find('\n', lineBegin)) {
-        std::string_view line(bytes.data() + lineBegin, end - lineBegin);
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
-        lineBegin = end + 1;
-        if (line.empty()) {
-            whole = lineBegin;
+    for (std::size_t end = bytes.find('\n', searched); end != std::string::npos; end = bytes.find('\n', end + 1)) {
+        if (endsEmptyLine(bytes, end)) {
+            whole = end + 1;
         }
     }
     std::string taken = bytes.substr(0, whole);
--- a/tests/src/unit-answerends.cpp
+++ b/tests/src/unit-answerends.cpp
@@ -261,7 +261,8 @@
         outcome.body += parser.body();
         outcome.answer.body += parser.body();
         parser.body().clear();
-        splitter.takeCompleteEvents(outcome.answer.body);
+        splitter.takeCompleteEvents(outcome.answer.body, outcome.answer.searchedBytes);
+        outcome.answer.searchedBytes = outcome.answer.body.size();
     };
     const bool inOnePart = splits.below(2) == 0;
     for (std::size_t at = 0; at < input.sent.size();) {
@@ -336,6 +337,7 @@
             CHECK_TRUE_TEXT(expected.has_value(), name.c_str());
             CHECK_TRUE_TEXT(*expected == outcome.body, name.c_str());
             const bool wholeEvents = endsWithEvent(outcome.body);
+            CHECK_TRUE_TEXT(wholeEvents == outcome.answer.body.empty(), name.c_str());
             CHECK_TRUE_TEXT(wholeEvents || outcome.answer.brokeOffInOrder(), name.c_str());
         }
         if (input.isWhole && expected && !input.sent.starts_with("HTTP/1.0")) {
