--- a/include/celeryroute/detail/gateway/crashingparts.h
+++ b/include/celeryroute/detail/gateway/crashingparts.h
@@ -73,10 +73,28 @@
     std::optional<std::uint64_t> find(const std::vector<std::uint64_t> &parts, TimePoint now);
     /// @brief Changes since the last call, for the log.
     std::vector<PartChange> takeChanges();
-    /// @brief Answers that clear parts of recorded crashes, for the next message to all other entries. Each is sent
-    /// several times.
-    /// @param resend whether all of them are sent again, because an entry has joined
-    std::vector<PartAnswer> takeAnswers(bool resend, TimePoint now);
+    /// An answer that clears a part of recorded crashes, with its number.
+    struct NumberedAnswer {
+        std::uint64_t number = 0;
+        PartAnswer answer;
+        bool operator==(const NumberedAnswer &) const = default;
+    };
+    /// @brief Answers seen here that clear parts of recorded crashes, for the other entries.
+    std::vector<NumberedAnswer> answers(TimePoint now) const;
+    /// @brief Whether an answer to one of these parts may still be needed elsewhere.
+    bool hasAnswers() const
+    {
+        return !m_toldAnswers.empty();
+    }
+    /// @brief The next number of a mark or answer.
+    std::uint64_t takeNumber()
+    {
+        return ++m_lastNumber;
+    }
+    std::uint64_t lastNumber() const
+    {
+        return m_lastNumber;
+    }
 
 private:
     using Lifetime = std::pair<std::string, std::int64_t>; ///< Target and start.
@@ -96,7 +114,7 @@
     };
     struct ToldAnswer {
         TimePoint at;
-        std::uint32_t transmissions = 0;
+        std::uint64_t number = 0;
     };
 
     void expire(TimePoint now);
@@ -119,6 +137,7 @@
     std::vector<PartChange> m_changes;
     bool m_stale = false; ///< The crashing parts must be determined anew.
     TimePoint m_nextExpiry;
+    std::uint64_t m_lastNumber = 0;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/gateway/crashsuspects.h
+++ b/include/celeryroute/detail/gateway/crashsuspects.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <celeryroute/detail/gateway/crashingparts.h>
+#include <celeryroute/detail/gateway/crashmark.h>
+#include <celeryroute/detail/gateway/crashnews.h>
 #include <celeryroute/time.h>
 
 #include <cstdint>
@@ -12,25 +14,6 @@
 
 namespace celeryroute {
 
-/// Records that a request was running at a target when the target died. Exchanged between entries.
-struct CrashMark {
-    std::uint64_t request = 0; ///< Digest of customer, path and body.
-    std::string target;
-    std::int64_t bornMs = 0; ///< Start of the target's lifetime that ended, in Unix milliseconds.
-    bool pending = false; ///< The request was not answered, but the target is not known to have died yet.
-    std::vector<std::uint64_t> parts = {}; ///< Digests of the prompt parts that other requests may share.
-    Duration sentAge{}; ///< Time since the request was sent to the target.
-    Duration endedAge{}; ///< Time since the exchange ended.
-    bool operator==(const CrashMark &) const = default;
-};
-
-/// What an entry tells the other entries about crashes of targets.
-struct CrashReport {
-    std::vector<CrashMark> marks;
-    std::vector<PartAnswer> partAnswers;
-    bool operator==(const CrashReport &) const = default;
-};
-
 /// A send that ended without an answer.
 struct UnansweredSend {
     std::uint64_t request = 0;
@@ -81,9 +64,21 @@
     /// @brief Number of crashes of @p request since it was last answered.
     std::size_t crashes(std::uint64_t request) const;
 
-    /// @brief What the next message tells all other entries. Each mark and answer is sent several times.
-    /// @param joinCount how often an entry has joined; when it changes, all of them are sent again
-    CrashReport takeReport(std::uint64_t joinCount, TimePoint now);
+    /// @brief All marks and answers that other entries may need, the most useful ones first. Unanswered sends are only
+    /// told by the entry that sent them.
+    std::vector<CrashNews> news(TimePoint now);
+    /// @brief Whether news() has any.
+    bool hasNews() const
+    {
+        return !m_suspects.empty() || !m_unanswered.empty() || m_parts.hasAnswers();
+    }
+    /// @brief Number of the newest mark or answer so far.
+    std::uint64_t lastNumber() const
+    {
+        return m_parts.lastNumber();
+    }
+    /// @brief Number under which the crash of @p mark is known here, or 0.
+    std::uint64_t numberOf(const CrashMark &mark) const;
 
     /// @brief Prompt parts that crash targets, as the same crashes show.
     CrashingParts &parts()
@@ -95,12 +90,14 @@
     struct PendingSend {
         UnansweredSend send;
         TimePoint at;
-        std::uint32_t transmissions = 0;
+        std::uint64_t number = 0;
+        bool own = true; ///< Sent by this entry.
     };
     struct Crash {
         std::string target;
         std::int64_t bornMs = 0;
-        std::uint32_t transmissions = 0; ///< Messages that contained it.
+        std::uint64_t number = 0;
+        bool own = true; ///< Of a send of this entry.
         TimePoint sentAt;
         TimePoint endedAt;
         std::vector<std::uint64_t> parts;
@@ -109,11 +106,6 @@
             return target == other.target && bornMs == other.bornMs;
         }
     };
-    struct Candidate {
-        CrashMark mark;
-        std::size_t crashes;
-        std::uint32_t *transmissions;
-    };
     struct Suspect {
         std::vector<Crash> crashes; ///< Crashes since the request was last answered.
         std::vector<Crash> cleared; ///< Crashes before that answer.
@@ -121,10 +113,8 @@
     };
 
     bool add(std::uint64_t request, const Crash &crash, TimePoint now);
-    std::optional<Suspicion> mark(const UnansweredSend &send, TimePoint endedAt, TimePoint now);
-    void addPending(const UnansweredSend &send, std::uint32_t transmissions, TimePoint now);
-    std::vector<CrashMark> takeMarks(bool resend, TimePoint now);
-    std::vector<Candidate> candidates(bool resend, TimePoint now);
+    std::optional<Suspicion> mark(const UnansweredSend &send, bool own, TimePoint endedAt, TimePoint now);
+    void addPending(const UnansweredSend &send, bool own, TimePoint now);
     void expire(TimePoint now);
     void evictSuspect();
 
@@ -133,8 +123,6 @@
     std::unordered_map<std::string, TimePoint> m_deaths; ///< When the last death of each target was detected.
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
     CrashingParts m_parts;
-    std::uint64_t m_lastJoinCount = 0;
-    bool m_marksPending = false; ///< Some marks have not been sent often enough yet.
     TimePoint m_nextExpiry;
 };
 
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/feed/desiredstatefeed.h>
 #include <celeryroute/detail/feed/targetsfeed.h>
+#include <celeryroute/detail/gateway/crashexchange.h>
 #include <celeryroute/detail/gateway/gateway.h>
 #include <celeryroute/detail/node/agentdirectory.h>
 #include <celeryroute/detail/node/demandsender.h>
@@ -54,7 +55,9 @@
     void addEntry(const std::string &address);
     void scheduleGossip();
     void sendGossip();
-    void sendReport(const std::string &address, const EntryReport &report, const CrashReport &crashes);
+    void receiveCrashes(const wire::Envelope &envelope);
+    void sendReport(const std::string &address, const EntryReport &report);
+    void sendCrashes();
     void handleStreams(const wire::Envelope &envelope);
     void scheduleStreams();
     /// @brief Tells the other entries which software versions began streams.
@@ -84,6 +87,7 @@
     EntryAdmission m_admission;
     TargetTable m_targetTable;
     Gateway m_gateway;
+    CrashExchange m_crashes;
     DemandSender m_demand;
     PeerSocket m_peers;
     PeerRoster m_agentPeers;
--- a/include/celeryroute/detail/node/gossipmessages.h
+++ b/include/celeryroute/detail/node/gossipmessages.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <celeryroute/detail/allowance/entryreport.h>
-#include <celeryroute/detail/gateway/crashsuspects.h>
+#include <celeryroute/detail/gateway/crashreceipt.h>
+#include <celeryroute/detail/gateway/crashreport.h>
 #include <celeryroute/detail/keeper/entrydemand.h>
 #include <celeryroute/detail/keeper/targetstatus.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,12 @@
 /// @brief Returns the crash report in @p gossip.
 CrashReport readCrashes(const wire::EntryGossip &gossip);
 
+/// @brief Writes @p receipt into @p gossip.
+void writeReceipt(const CrashReceipt &receipt, wire::EntryGossip &gossip);
+
+/// @brief Returns the receipt in @p gossip, if it contains one.
+std::optional<CrashReceipt> readReceipt(const wire::EntryGossip &gossip);
+
 /// @brief Returns the report in an envelope that carries gossip.
 EntryReport readReport(const wire::Envelope &envelope);
 
--- a/src/gateway/crashingparts.cpp
+++ b/src/gateway/crashingparts.cpp
@@ -13,8 +13,6 @@
 constexpr std::size_t MaxCrashes = 512;
 constexpr Duration CrashRetention = std::chrono::minutes(10); ///< After the crash, or the last request with its cause.
 constexpr Duration ExpiryInterval = std::chrono::milliseconds(200);
-constexpr std::uint32_t AnswerTransmissions = 8; ///< Transmissions of each answer, because datagrams may be lost.
-constexpr std::size_t AnswersPerMessage = 32;
 
 /// Largest number of @p crashes of which each began when the one before had ended.
 template <typename Interval>
@@ -80,7 +78,7 @@
     for (const std::uint64_t part : parts) {
         m_answered.note(part, now);
         if (m_uncleared.erase(part) > 0) {
-            m_toldAnswers[part] = {now, 0};
+            m_toldAnswers[part] = {now, takeNumber()};
             m_stale = true;
         }
     }
@@ -135,15 +133,12 @@
     return std::exchange(m_changes, {});
 }
 
-std::vector<PartAnswer> CrashingParts::takeAnswers(bool resend, TimePoint now)
+std::vector<CrashingParts::NumberedAnswer> CrashingParts::answers(TimePoint now) const
 {
-    std::vector<PartAnswer> answers;
-    for (auto &[part, told] : m_toldAnswers) {
-        told.transmissions = resend ? 0 : told.transmissions;
-        if (told.transmissions < AnswerTransmissions && answers.size() < AnswersPerMessage) {
-            ++told.transmissions;
-            answers.push_back({part, now - told.at});
-        }
+    std::vector<NumberedAnswer> answers;
+    answers.reserve(m_toldAnswers.size());
+    for (const auto &[part, told] : m_toldAnswers) {
+        answers.push_back({told.number, {part, now - told.at}});
     }
     return answers;
 }
--- a/src/gateway/crashsuspects.cpp
+++ b/src/gateway/crashsuspects.cpp
@@ -20,10 +20,6 @@
 constexpr std::size_t MaxUnanswered = 512;
 constexpr std::size_t MaxSuspects = 1024;
 constexpr std::ptrdiff_t MaxCleared = 8; ///< Limit per request of the remembered crashes that an answer cleared it of.
-constexpr std::size_t MarksPerMessage = 32;
-constexpr std::uint32_t MarkTransmissions = 20; ///< Transmissions of each mark, because datagrams may be lost.
-constexpr std::uint32_t RelayTransmissions = 3; ///< Transmissions of a mark that was received from another entry.
-constexpr std::uint32_t JoinTransmissions = 8; ///< Least transmissions of each mark after another entry joins.
 
 } // namespace
 
@@ -47,22 +43,22 @@
     const bool dead = death != m_deaths.end() && death->second >= send.sentAt;
     m_parts.add({send.request, send.target, send.bornMs, send.sentAt, now, send.parts, !dead}, now);
     if (dead) {
-        return mark(send, now, now);
+        return mark(send, true, now, now);
     }
-    addPending(send, 0, now);
+    addPending(send, true, now);
     return std::nullopt;
 }
 
 std::optional<CrashSuspects::Suspicion>
-CrashSuspects::mark(const UnansweredSend &send, TimePoint endedAt, TimePoint now)
+CrashSuspects::mark(const UnansweredSend &send, bool own, TimePoint endedAt, TimePoint now)
 {
-    if (!add(send.request, {send.target, send.bornMs, 0, send.sentAt, endedAt, send.parts}, now)) {
+    if (!add(send.request, {send.target, send.bornMs, 0, own, send.sentAt, endedAt, send.parts}, now)) {
         return std::nullopt;
     }
     return Suspicion{send.id, send.request, crashes(send.request), send.parts};
 }
 
-void CrashSuspects::addPending(const UnansweredSend &send, std::uint32_t transmissions, TimePoint now)
+void CrashSuspects::addPending(const UnansweredSend &send, bool own, TimePoint now)
 {
     const bool known = std::any_of(m_unanswered.begin(), m_unanswered.end(), [&send](const PendingSend &pending) {
         return pending.send.request == send.request && pending.send.target == send.target
@@ -71,8 +67,7 @@
     if (known) {
         return;
     }
-    m_unanswered.push_back({send, now, transmissions});
-    m_marksPending = true;
+    m_unanswered.push_back({send, now, m_parts.takeNumber(), own});
     if (m_unanswered.size() > MaxUnanswered) {
         m_unanswered.pop_front();
     }
@@ -104,7 +99,7 @@
         if (pending.send.target != target) {
             continue;
         }
-        if (std::optional<Suspicion> suspicion = mark(pending.send, pending.at, now)) {
+        if (std::optional<Suspicion> suspicion = mark(pending.send, pending.own, pending.at, now)) {
             marked.push_back(*std::move(suspicion));
         }
     }
@@ -119,12 +114,10 @@
     const TimePoint endedAt = now - mark.endedAge;
     m_parts.add({mark.request, mark.target, mark.bornMs, sentAt, endedAt, mark.parts, mark.pending}, now);
     if (mark.pending) {
-        addPending({mark.request, mark.target, mark.bornMs, sentAt, {}, mark.parts}, MarkTransmissions, now);
+        addPending({mark.request, mark.target, mark.bornMs, sentAt, {}, mark.parts}, false, now);
         return false;
     }
-    return add(mark.request,
-               {mark.target, mark.bornMs, MarkTransmissions - RelayTransmissions, sentAt, endedAt, mark.parts},
-               now);
+    return add(mark.request, {mark.target, mark.bornMs, 0, false, sentAt, endedAt, mark.parts}, now);
 }
 
 bool CrashSuspects::add(std::uint64_t request, const Crash &crash, TimePoint now)
@@ -137,8 +130,8 @@
         return false;
     }
     suspect.crashes.push_back(crash);
+    suspect.crashes.back().number = m_parts.takeNumber();
     suspect.updated = now;
-    m_marksPending = true;
     if (isNew && m_suspects.size() > MaxSuspects) {
         evictSuspect();
     }
@@ -165,59 +158,47 @@
     return certain + pendingCount >= CrashesToQuarantine;
 }
 
-CrashReport CrashSuspects::takeReport(std::uint64_t joinCount, TimePoint now)
+std::uint64_t CrashSuspects::numberOf(const CrashMark &mark) const
 {
-    const bool resend = std::exchange(m_lastJoinCount, joinCount) != joinCount;
-    return {takeMarks(resend, now), m_parts.takeAnswers(resend, now)};
-}
-
-std::vector<CrashMark> CrashSuspects::takeMarks(bool resend, TimePoint now)
-{
-    if (!m_marksPending && !resend) {
-        return {};
-    }
-    std::vector<Candidate> all = candidates(resend, now);
-    m_marksPending = !all.empty();
-    // Marks with the fewest transmissions are sent first, so that none is starved. Ties go to requests with more
-    // crashes.
-    std::sort(all.begin(), all.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tie(*left.transmissions, right.crashes, left.mark.request, left.mark.target)
-            < std::tie(*right.transmissions, left.crashes, right.mark.request, right.mark.target);
+    const auto suspect = m_suspects.find(mark.request);
+    if (mark.pending || suspect == m_suspects.end()) {
+        return 0;
+    }
+    const std::vector<Crash> &crashes = suspect->second.crashes;
+    const auto crash = std::find_if(crashes.begin(), crashes.end(), [&mark](const Crash &other) {
+        return other.target == mark.target && other.bornMs == mark.bornMs;
     });
-    all.resize(std::min(all.size(), MarksPerMessage));
-    std::vector<CrashMark> marks;
-    for (const Candidate &candidate : all) {
-        ++*candidate.transmissions;
-        marks.push_back(candidate.mark);
-        marks.back().parts = m_parts.uncleared(candidate.mark.parts, now - candidate.mark.endedAge);
-    }
-    return marks;
+    return crash == crashes.end() ? 0 : crash->number;
 }
 
-std::vector<CrashSuspects::Candidate> CrashSuspects::candidates(bool resend, TimePoint now)
+// Of equally useful news the newest come first, since their requests are the likeliest to be repeated soon.
+std::vector<CrashNews> CrashSuspects::news(TimePoint now)
 {
-    std::vector<Candidate> all;
-    for (auto &[request, suspect] : m_suspects) {
-        for (Crash &crash : suspect.crashes) {
-            crash.transmissions = resend ? std::min(crash.transmissions, MarkTransmissions - JoinTransmissions)
-                                         : crash.transmissions;
-            if (crash.transmissions < MarkTransmissions) {
-                all.push_back(
-                    {{request, crash.target, crash.bornMs, false, crash.parts, now - crash.sentAt, now - crash.endedAt},
-                     suspect.crashes.size(),
-                     &crash.transmissions});
-            }
+    expire(now);
+    std::vector<CrashNews> all;
+    for (const auto &[request, suspect] : m_suspects) {
+        for (const Crash &crash : suspect.crashes) {
+            const Duration endedAge = now - crash.endedAt;
+            CrashMark mark{request, crash.target, crash.bornMs, false, {}, now - crash.sentAt, endedAge};
+            mark.parts = m_parts.uncleared(crash.parts, crash.endedAt);
+            all.push_back({crash.number, std::move(mark), suspect.crashes.size(), crash.own});
         }
     }
-    for (PendingSend &pending : m_unanswered) {
-        if (pending.transmissions < MarkTransmissions) {
-            const UnansweredSend &send = pending.send;
-            all.push_back(
-                {{send.request, send.target, send.bornMs, true, send.parts, now - send.sentAt, now - pending.at},
-                 0,
-                 &pending.transmissions});
+    for (const PendingSend &pending : m_unanswered) {
+        if (!pending.own) {
+            continue;
         }
+        const UnansweredSend &send = pending.send;
+        CrashMark mark{send.request, send.target, send.bornMs, true, {}, now - send.sentAt, now - pending.at};
+        mark.parts = m_parts.uncleared(send.parts, pending.at);
+        all.push_back({pending.number, std::move(mark), crashes(send.request) + 1, true});
     }
+    for (const CrashingParts::NumberedAnswer &answer : m_parts.answers(now)) {
+        all.push_back({answer.number, answer.answer, 1, true});
+    }
+    std::sort(all.begin(), all.end(), [](const CrashNews &left, const CrashNews &right) {
+        return std::tie(left.crashes, left.number) > std::tie(right.crashes, right.number);
+    });
     return all;
 }
 
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -64,6 +64,7 @@
     , m_gateway({core.loop, core.translation.headers, m_targetTable, m_admission, core.log, core.metrics},
                 core.seed,
                 [this](const std::string &target, bool urgent) { m_demand.changed(target, urgent); })
+    , m_crashes(core.settings.ip, core.incarnation)
     , m_demand(core.loop, [this](const std::string &target) { return sendDemand(target); })
     , m_peers(core.loop,
               core.settings.ip,
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -116,29 +116,40 @@
     for (const wire::EntryGossip::Member &member : envelope.gossip().members()) {
         addEntry(member.address());
     }
-    const CrashReport crashes = readCrashes(envelope.gossip());
-    for (const CrashMark &mark : crashes.marks) {
-        if (m_gateway.suspects().merge(mark, now)) {
-            m_core.log.write(DecisionEvent::RequestSuspected,
-                             now,
-                             {{fieldnames::Target, mark.target},
-                              {"digest", mark.request},
-                              {"crashes", m_gateway.suspects().crashes(mark.request)},
-                              {"parts", joinDigests(mark.parts)},
-                              {fieldnames::HeardIncarnation, envelope.incarnation()},
-                              {fieldnames::HeardMessage, envelope.sequence()}});
-        }
+    receiveCrashes(envelope);
+    if (envelope.gossip().report() > 0) {
+        m_allowances.receive(readReport(envelope), now);
     }
-    for (const PartAnswer &answer : crashes.partAnswers) {
-        m_gateway.suspects().parts().merge(answer, now);
+    // A peer of an older build would take a message with crashes alone for its first report.
+    if (m_allowances.members().acknowledged(envelope.sender()) > 0) {
+        m_crashes.noteHeard(envelope.sender(), envelope.incarnation(), now);
     }
-    m_allowances.receive(readReport(envelope), now);
     const std::size_t entries = m_allowances.members().memberCount();
     m_targetTable.setEntries(static_cast<std::uint32_t>(entries));
     m_targets.useBatchDelay(TopicFollowerSettings::forTargets(m_core.settings.bounds, entries).batchDelay);
     scheduleGossip();
 }
 
+void EntryNode::receiveCrashes(const wire::Envelope &envelope)
+{
+    const TimePoint now = m_core.loop.now();
+    if (const std::optional<CrashReceipt> receipt = readReceipt(envelope.gossip())) {
+        m_crashes.noteReceipt(envelope.sender(), *receipt);
+    }
+    const CrashReport report = readCrashes(envelope.gossip());
+    for (const CrashMark &mark :
+         m_crashes.receive(envelope.sender(), envelope.incarnation(), report, m_gateway.suspects(), now)) {
+        m_core.log.write(DecisionEvent::RequestSuspected,
+                         now,
+                         {{fieldnames::Target, mark.target},
+                          {"digest", mark.request},
+                          {"crashes", m_gateway.suspects().crashes(mark.request)},
+                          {"parts", joinDigests(mark.parts)},
+                          {fieldnames::HeardIncarnation, envelope.incarnation()},
+                          {fieldnames::HeardMessage, envelope.sequence()}});
+    }
+}
+
 void EntryNode::addEntry(const std::string &address)
 {
     if (address != m_core.settings.ip && parseIp(address) && m_entries.insert(address).second) {
@@ -192,23 +203,32 @@
     logAllowances();
     if (m_allowances.reportDue() <= m_core.loop.now()) {
         const OutgoingReport outgoing = m_allowances.makeReport(m_core.loop.now());
-        const CrashReport crashes = outgoing.receivers.empty()
-            ? m_gateway.suspects().takeReport(m_allowances.members().connectCount(), m_core.loop.now())
-            : CrashReport();
         const std::vector<std::string> all(m_entries.begin(), m_entries.end());
         for (const std::string &address : outgoing.receivers.empty() ? all : outgoing.receivers) {
-            sendReport(address, m_allowances.reportFor(address, outgoing), crashes);
+            sendReport(address, m_allowances.reportFor(address, outgoing));
         }
     }
+    sendCrashes();
     scheduleGossip();
 }
 
-void EntryNode::sendReport(const std::string &address, const EntryReport &report, const CrashReport &crashes)
+void EntryNode::sendReport(const std::string &address, const EntryReport &report)
 {
     wire::Envelope envelope;
     writeReport(report, *envelope.mutable_gossip());
-    writeCrashes(crashes, *envelope.mutable_gossip());
+    if (const std::optional<CrashReceipt> receipt = m_crashes.receiptFor(address, m_core.loop.now())) {
+        writeReceipt(*receipt, *envelope.mutable_gossip());
+    }
     m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
 }
 
+void EntryNode::sendCrashes()
+{
+    for (const CrashExchange::Outgoing &crashes : m_crashes.makeReports(m_gateway.suspects(), m_core.loop.now())) {
+        wire::Envelope envelope;
+        writeCrashes(crashes.report, *envelope.mutable_gossip());
+        m_peers.send({parseIp(crashes.receiver).value_or(0), m_core.settings.firstPeerPort}, envelope);
+    }
+}
+
 } // namespace celeryroute
--- a/src/node/gossipmessages.cpp
+++ b/src/node/gossipmessages.cpp
@@ -46,6 +46,7 @@
 
 void writeCrashes(const CrashReport &report, wire::EntryGossip &gossip)
 {
+    gossip.set_crash_report(report.number);
     for (const CrashMark &mark : report.marks) {
         wire::EntryGossip::Crash &out = *gossip.add_crashes();
         out.set_request(mark.request);
@@ -66,6 +67,7 @@
 CrashReport readCrashes(const wire::EntryGossip &gossip)
 {
     CrashReport report;
+    report.number = gossip.crash_report();
     for (const wire::EntryGossip::Crash &crash : gossip.crashes()) {
         report.marks.push_back({crash.request(),
                                 crash.target(),
@@ -81,6 +83,23 @@
     return report;
 }
 
+void writeReceipt(const CrashReceipt &receipt, wire::EntryGossip &gossip)
+{
+    wire::EntryGossip::CrashReceipt &out = *gossip.mutable_crash_receipt();
+    out.set_incarnation(receipt.incarnation);
+    out.set_newest(receipt.newest);
+    out.set_earlier(receipt.earlier);
+}
+
+std::optional<CrashReceipt> readReceipt(const wire::EntryGossip &gossip)
+{
+    if (!gossip.has_crash_receipt()) {
+        return std::nullopt;
+    }
+    const wire::EntryGossip::CrashReceipt &receipt = gossip.crash_receipt();
+    return CrashReceipt{receipt.incarnation(), receipt.newest(), receipt.earlier()};
+}
+
 EntryReport readReport(const wire::Envelope &envelope)
 {
     const wire::EntryGossip &gossip = envelope.gossip();
--- a/tests/src/unit-crashingparts.cpp
+++ b/tests/src/unit-crashingparts.cpp
@@ -88,24 +88,21 @@
     CHECK_TRUE(other.find({Subject}, now).has_value());
     parts.noteAnswered({Subject}, now);
     CHECK_FALSE(isCrashing(Subject));
-    const std::vector<PartAnswer> answers = parts.takeAnswers(false, now + 50ms);
-    const std::vector<PartAnswer> expected = {{Subject, 50ms}};
+    const std::vector<CrashingParts::NumberedAnswer> answers = parts.answers(now + 50ms);
+    const std::vector<CrashingParts::NumberedAnswer> expected = {{1, {Subject, 50ms}}};
     CHECK(answers == expected);
-    other.merge(answers.front(), now + 60ms);
+    other.merge(answers.front().answer, now + 60ms);
     CHECK_FALSE(other.find({Subject}, now + 60ms).has_value());
 }
 
-TEST(CrashingParts, answers_areToldSeveralTimesAndAgainWhenAnEntryJoins)
+TEST(CrashingParts, answers_areToldOnlyIfTheyClearAPartOfACrash)
 {
     crash("a", {Subject});
     parts.noteAnswered({System}, now); // Without a crash there is nothing to clear.
+    CHECK_FALSE(parts.hasAnswers());
     parts.noteAnswered({Subject}, now);
-    std::size_t told = 0;
-    while (!parts.takeAnswers(false, now).empty()) {
-        ++told;
-    }
-    CHECK_EQUAL(8U, told);
-    CHECK_EQUAL(1U, parts.takeAnswers(true, now).size());
+    const std::vector<CrashingParts::NumberedAnswer> expected = {{parts.lastNumber(), {Subject, 0ms}}};
+    CHECK(parts.answers(now) == expected);
 }
 
 TEST(CrashingParts, sendsEndedByOneCause_countAsOneCrash)
--- a/tests/src/unit-crashsuspects.cpp
+++ b/tests/src/unit-crashsuspects.cpp
@@ -27,17 +27,12 @@
         now += 1s;
         suspects.targetDied(target, now);
     }
-    std::vector<CrashMark> takeMarks()
-    {
-        return suspects.takeReport(0, now).marks;
-    }
-    std::size_t countSentMarks()
+    std::size_t countMarks()
     {
         std::set<std::pair<std::uint64_t, std::string>> all;
-        for (std::vector<CrashMark> marks = takeMarks(); !marks.empty(); marks = takeMarks()) {
-            for (const CrashMark &mark : marks) {
-                all.emplace(mark.request, mark.target);
-            }
+        for (const CrashNews &news : suspects.news(now)) {
+            const auto &mark = std::get<CrashMark>(news.body);
+            all.emplace(mark.request, mark.target);
         }
         return all.size();
     }
@@ -108,7 +103,7 @@
     CHECK_FALSE(suspects.isQuarantined(Guilty, now));
     suspects.merge({Guilty, "c", 1}, now);
     CHECK_TRUE(suspects.isQuarantined(Guilty, now));
-    UNSIGNED_LONGS_EQUAL(3, countSentMarks());
+    UNSIGNED_LONGS_EQUAL(3, countMarks());
 }
 
 TEST(CrashSuspects, answeredRequest_isNotMarkedAgainForSameCrashes)
@@ -121,7 +116,7 @@
         suspects.merge({Guilty, target, 1}, now);
     }
     CHECK_FALSE(suspects.isQuarantined(Guilty, now));
-    CHECK_TRUE(takeMarks().empty());
+    UNSIGNED_LONGS_EQUAL(0, countMarks());
 }
 
 TEST(CrashSuspects, oldCrashes_expireUnlessRequestIsRepeated)
@@ -148,11 +143,11 @@
     CHECK_FALSE(suspects.isQuarantined(Guilty, now));
     suspects.merge({Guilty, "c", 1, true}, now + 1s);
     CHECK_TRUE(suspects.isQuarantined(Guilty, now + 1s));
-    UNSIGNED_LONGS_EQUAL(2, countSentMarks()); // Marks received from other entries are not sent on while pending.
+    UNSIGNED_LONGS_EQUAL(2, countMarks()); // Marks received from other entries are not sent on while pending.
     suspects.targetDied("c", now + 4s);
     CHECK_TRUE(suspects.isQuarantined(Guilty, now + 4s));
     CHECK_FALSE(suspects.isQuarantined(Guilty, now + 5s));
-    UNSIGNED_LONGS_EQUAL(1, countSentMarks());
+    UNSIGNED_LONGS_EQUAL(1, countMarks());
 }
 
 TEST(CrashSuspects, fullTable_keepsRequestWithMostCrashes)
@@ -164,7 +159,7 @@
     }
     crash("c", {Guilty});
     CHECK_TRUE(suspects.isQuarantined(Guilty, now));
-    CHECK_TRUE(countSentMarks() <= 1026);
+    CHECK_TRUE(countMarks() <= 1026);
 }
 
 // The caller repeats the request at random entries, and each send crashes its target. The death is detected
