--- a/include/celeryroute/detail/node/peerroster.h
+++ b/include/celeryroute/detail/node/peerroster.h
@@ -21,6 +21,7 @@
         std::uint64_t sequence = 0;
         TimePoint lastHeardAt;
         bool lost = false;
+        std::uint64_t datagram = 0; ///< Highest number of its messages to this process.
     };
     /// Reports that a peer was lost after too long a silence, or that it was heard for the first time or again.
     struct Change {
@@ -37,6 +38,9 @@
 
     /// @brief Records a message. Returns false and ignores it if it is not newer than the newest one of @p sender.
     bool recordMessage(const std::string &sender, std::uint64_t incarnation, std::uint64_t sequence, TimePoint now);
+    /// @brief Records the number of a message of @p sender to this process.
+    /// @return how many messages before it have not come, or come late
+    std::uint64_t recordDatagram(const std::string &sender, std::uint64_t incarnation, std::uint64_t number);
     /// @brief Removes the peers that have been silent for longer than the retention time, and reports those as lost
     /// that were not lost before.
     void removeSilent(TimePoint now);
--- a/include/celeryroute/detail/node/peersocket.h
+++ b/include/celeryroute/detail/node/peersocket.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -27,11 +28,13 @@
 
     Result<void> open(const Endpoint &endpoint);
 
-    /// @brief Fills in sender, incarnation and the next sequence number of @p envelope, and sends it.
-    void send(const Endpoint &to, wire::Envelope &envelope);
+    /// @brief Fills in sender, incarnation and the next numbers of @p envelope, and sends it.
+    /// @return the size of the message
+    std::size_t send(const Endpoint &to, wire::Envelope &envelope);
 
     /// @brief Sends @p envelope to the processes with the IP addresses @p addresses.
-    void sendToAll(const std::vector<std::string> &addresses, std::uint16_t port, wire::Envelope &envelope);
+    /// @return the size of all messages
+    std::size_t sendToAll(const std::vector<std::string> &addresses, std::uint16_t port, wire::Envelope &envelope);
 
     std::uint64_t incarnation() const
     {
@@ -51,6 +54,7 @@
     std::string m_sender;
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence = 0;
+    std::map<Endpoint, std::uint64_t> m_sent; ///< Messages by receiver.
     Received m_received;
     int m_socket = -1;
     std::string m_buffer;
--- a/include/celeryroute/detail/telemetry/metriclabels.h
+++ b/include/celeryroute/detail/telemetry/metriclabels.h
@@ -44,6 +44,20 @@
     Read,
 };
 
+/// Kind of a message to another process.
+enum class PeerMessageKind {
+    Report, ///< Of an entry to another entry: spending, members and receipts.
+    Crashes, ///< Of an entry to another entry.
+    Demand, ///< Of an entry to an agent.
+    AgentState, ///< Of an agent to an entry.
+    AgentLoad,
+};
+
+enum class PeerRole {
+    Entry,
+    Agent,
+};
+
 // Label values in the order of the enumerators.
 constexpr std::array<std::string_view, 3> labelValues(CallKind)
 {
@@ -78,6 +92,15 @@
     return {"cached", "read"};
 }
 
+constexpr std::array<std::string_view, 5> labelValues(PeerMessageKind)
+{
+    return {"report", "crashes", "demand", "agent_state", "agent_load"};
+}
+constexpr std::array<std::string_view, 2> labelValues(PeerRole)
+{
+    return {"entry", "agent"};
+}
+
 /// @brief The label value for @p enumerator.
 template <typename Enum>
 constexpr std::string_view labelValue(Enum enumerator)
--- a/include/celeryroute/detail/telemetry/servingmetrics.h
+++ b/include/celeryroute/detail/telemetry/servingmetrics.h
@@ -87,6 +87,17 @@
         m_promptTokens.add(PromptSource::Cached, cached);
         m_promptTokens.add(PromptSource::Read, read);
     }
+    /// @brief Counts @p datagrams messages to other processes, of @p bytes bytes together.
+    void countPeerMessages(PeerMessageKind kind, std::uint64_t datagrams, std::uint64_t bytes)
+    {
+        m_peerDatagrams.add(kind, datagrams);
+        m_peerBytes.add(kind, bytes);
+    }
+    /// @brief Counts messages of other processes that have not come, or come late.
+    void countMissingDatagrams(PeerRole role, std::uint64_t count)
+    {
+        m_missingDatagrams.add(role, count);
+    }
     void observeFirstByte(CallKind kind, Duration duration)
     {
         m_firstByte[static_cast<std::size_t>(kind)].observe(duration);
@@ -105,6 +116,7 @@
     void exposeRequests(ExpositionText &text) const;
     void exposeSends(ExpositionText &text, const ServingGauges &gauges) const;
     void exposeOrders(ExpositionText &text) const;
+    void exposePeers(ExpositionText &text) const;
 
     EnumPairCounters<CallKind, RequestOutcome> m_requests;
     NamedCounters m_refusals;
@@ -120,6 +132,9 @@
     EnumCounters<LoadSource> m_loads;
     std::uint64_t m_swaps = 0;
     EnumCounters<PromptSource> m_promptTokens;
+    EnumCounters<PeerMessageKind> m_peerDatagrams;
+    EnumCounters<PeerMessageKind> m_peerBytes;
+    EnumCounters<PeerRole> m_missingDatagrams;
     KindHistograms m_firstByte;
     KindHistograms m_total;
 };
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -175,6 +175,9 @@
         m_successor = envelope.usage().successor();
         m_controller.setInstance(m_instance, m_successor);
     }
+    m_core.metrics.countMissingDatagrams(
+        PeerRole::Entry,
+        m_entries.recordDatagram(envelope.sender(), envelope.incarnation(), envelope.datagram()));
     m_lastDemand = HeardMessage{envelope.incarnation(), envelope.sequence()};
     m_controller.noteUsage(envelope.sender(), readDemand(envelope.usage()), now);
     advance();
@@ -380,7 +383,8 @@
     for (const std::string &address : m_entries.nextSenders(MaxListedEntries)) {
         state.add_entries(address);
     }
-    m_peers.sendToAll(entries, m_core.settings.firstPeerPort, envelope);
+    const std::size_t bytes = m_peers.sendToAll(entries, m_core.settings.firstPeerPort, envelope);
+    m_core.metrics.countPeerMessages(PeerMessageKind::AgentState, entries.size(), bytes);
 }
 
 void AgentNode::sendLoad()
@@ -391,7 +395,8 @@
     wire::Envelope envelope;
     writeLoad(m_controller.status(m_core.loop.now()), *envelope.mutable_load());
     envelope.mutable_load()->set_state(stateNumber());
-    m_peers.sendToAll(m_entries.addresses(), m_core.settings.firstPeerPort, envelope);
+    const std::size_t bytes = m_peers.sendToAll(m_entries.addresses(), m_core.settings.firstPeerPort, envelope);
+    m_core.metrics.countPeerMessages(PeerMessageKind::AgentLoad, m_entries.peers().size(), bytes);
 }
 
 // A later agent of the same target has a higher incarnation, so its states have higher numbers.
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -57,7 +57,7 @@
         want.set_age_ms(
             static_cast<std::uint32_t>(std::max<std::int64_t>(0, toMilliseconds(m_core.loop.now() - wanted.since))));
     }
-    m_peers.send(agent->endpoint, envelope);
+    m_core.metrics.countPeerMessages(PeerMessageKind::Demand, 1, m_peers.send(agent->endpoint, envelope));
     return usage.wants_size() > 0;
 }
 
@@ -72,6 +72,10 @@
     } else if (envelope.has_streams()) {
         handleStreams(envelope);
     }
+    PeerRoster &peers = envelope.has_gossip() ? m_entryPeers : m_agentPeers;
+    m_core.metrics.countMissingDatagrams(
+        envelope.has_gossip() ? PeerRole::Entry : PeerRole::Agent,
+        peers.recordDatagram(envelope.sender(), envelope.incarnation(), envelope.datagram()));
 }
 
 void EntryNode::handleAgentState(const wire::Envelope &envelope)
@@ -219,7 +223,8 @@
     if (const std::optional<CrashReceipt> receipt = m_crashes.receiptFor(address, m_core.loop.now())) {
         writeReceipt(*receipt, *envelope.mutable_gossip());
     }
-    m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
+    const std::size_t bytes = m_peers.send({parseIp(address).value_or(0), m_core.settings.firstPeerPort}, envelope);
+    m_core.metrics.countPeerMessages(PeerMessageKind::Report, 1, bytes);
 }
 
 void EntryNode::sendCrashes()
@@ -227,7 +232,8 @@
     for (const CrashExchange::Outgoing &crashes : m_crashes.makeReports(m_gateway.suspects(), m_core.loop.now())) {
         wire::Envelope envelope;
         writeCrashes(crashes.report, *envelope.mutable_gossip());
-        m_peers.send({parseIp(crashes.receiver).value_or(0), m_core.settings.firstPeerPort}, envelope);
+        const Endpoint receiver{parseIp(crashes.receiver).value_or(0), m_core.settings.firstPeerPort};
+        m_core.metrics.countPeerMessages(PeerMessageKind::Crashes, 1, m_peers.send(receiver, envelope));
     }
 }
 
--- a/src/node/peerroster.cpp
+++ b/src/node/peerroster.cpp
@@ -29,7 +29,8 @@
     const bool newer = incarnation == peer.incarnation ? sequence > peer.sequence
                                                        : incarnation > peer.incarnation || silent;
     if (newer) {
-        const Peer before = std::exchange(peer, {incarnation, sequence, now});
+        const std::uint64_t datagram = incarnation == peer.incarnation ? peer.datagram : 0;
+        const Peer before = std::exchange(peer, {incarnation, sequence, now, false, datagram});
         if (m_changed && (added || before.lost)) {
             m_changed({sender, incarnation, false, added ? std::nullopt : std::optional(now - before.lastHeardAt)});
         }
@@ -37,6 +38,16 @@
     return newer;
 }
 
+std::uint64_t PeerRoster::recordDatagram(const std::string &sender, std::uint64_t incarnation, std::uint64_t number)
+{
+    const auto found = m_peers.find(sender);
+    if (found == m_peers.end() || found->second.incarnation != incarnation || number <= found->second.datagram) {
+        return 0;
+    }
+    const std::uint64_t before = std::exchange(found->second.datagram, number);
+    return before == 0 ? 0 : number - before - 1;
+}
+
 void PeerRoster::removeSilent(TimePoint now)
 {
     updateSilent(m_retention, now);
--- a/src/node/peersocket.cpp
+++ b/src/node/peersocket.cpp
@@ -41,11 +41,12 @@
     return {};
 }
 
-void PeerSocket::send(const Endpoint &to, wire::Envelope &envelope)
+std::size_t PeerSocket::send(const Endpoint &to, wire::Envelope &envelope)
 {
     envelope.set_sender(m_sender);
     envelope.set_incarnation(m_incarnation);
     envelope.set_sequence(++m_sequence);
+    envelope.set_datagram(++m_sent[to]);
     envelope.SerializeToString(&m_buffer);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -58,13 +59,17 @@
            MSG_DONTWAIT | MSG_NOSIGNAL,
            reinterpret_cast<const sockaddr *>(&address),
            sizeof(address));
+    return m_buffer.size();
 }
 
-void PeerSocket::sendToAll(const std::vector<std::string> &addresses, std::uint16_t port, wire::Envelope &envelope)
+std::size_t
+PeerSocket::sendToAll(const std::vector<std::string> &addresses, std::uint16_t port, wire::Envelope &envelope)
 {
+    std::size_t bytes = 0;
     for (const std::string &address : addresses) {
-        send({parseIp(address).value_or(0), port}, envelope);
+        bytes += send({parseIp(address).value_or(0), port}, envelope);
     }
+    return bytes;
 }
 
 void PeerSocket::fileReady(std::uint32_t)
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -105,6 +105,7 @@
     exposeRequests(text);
     exposeSends(text, gauges);
     exposeOrders(text);
+    exposePeers(text);
     exposeState(text, gauges);
     exposeAllowances(text, gauges.allowances);
     exposeLoad(text, gauges);
@@ -175,4 +176,16 @@
     text.appendSample({}, m_swaps);
 }
 
+void ServingMetrics::exposePeers(ExpositionText &text) const
+{
+    text.beginFamily("celeryroute_peer_datagrams_total", MetricType::Counter, "Messages to other processes.");
+    m_peerDatagrams.expose(text, "kind");
+    text.beginFamily("celeryroute_peer_bytes_total", MetricType::Counter, "Bytes of messages to other processes.");
+    m_peerBytes.expose(text, "kind");
+    text.beginFamily("celeryroute_peer_missing_datagrams_total",
+                     MetricType::Counter,
+                     "Messages of other processes that have not come, or come late.");
+    m_missingDatagrams.expose(text, "peer_role");
+}
+
 } // namespace celeryroute
--- a/tests/src/unit-node.cpp
+++ b/tests/src/unit-node.cpp
@@ -207,6 +207,24 @@
     CHECK(sentTo({"a"})); // Heartbeat.
 }
 
+TEST(PeerRoster, datagramsThatHaveNotCome_areCountedOnceForEachIncarnation)
+{
+    PeerRoster roster(4s);
+    const TimePoint now{10s};
+    CHECK_EQUAL(0U, roster.recordDatagram("a", 5, 7)); // Not a peer.
+    CHECK(roster.recordMessage("a", 5, 10, now));
+    CHECK_EQUAL(0U, roster.recordDatagram("a", 5, 7)); // This process may have restarted.
+    CHECK(roster.recordMessage("a", 5, 40, now));
+    CHECK_EQUAL(3U, roster.recordDatagram("a", 5, 11));
+    CHECK_EQUAL(0U, roster.recordDatagram("a", 5, 9));
+    CHECK_EQUAL(0U, roster.recordDatagram("a", 5, 0)); // Of an older build.
+    CHECK_EQUAL(0U, roster.recordDatagram("a", 5, 12));
+    CHECK(roster.recordMessage("a", 6, 1, now));
+    CHECK_EQUAL(0U, roster.recordDatagram("a", 5, 20));
+    CHECK_EQUAL(0U, roster.recordDatagram("a", 6, 1));
+    CHECK_EQUAL(1U, roster.recordDatagram("a", 6, 3));
+}
+
 TEST_GROUP(PeerSocket)
 {
     EventLoop loop;
@@ -251,6 +269,22 @@
     CHECK(heard == expected);
 }
 
+TEST(PeerSocket, messages_areNumberedForEachReceiver)
+{
+    CHECK_EQUAL(0, opened(sender, {*parseIp("127.0.0.4"), here.port}));
+    const Endpoint other{here.ip, static_cast<std::uint16_t>(here.port + 1)};
+    wire::Envelope envelope;
+    envelope.mutable_usage()->set_instance("i-1");
+    std::vector<std::uint64_t> numbers;
+    for (const Endpoint &receiver : {here, here, other, here}) {
+        CHECK_EQUAL(sender.send(receiver, envelope), envelope.ByteSizeLong());
+        numbers.push_back(envelope.datagram());
+    }
+    const std::vector<std::uint64_t> expected = {1, 2, 1, 3};
+    CHECK(numbers == expected);
+    CHECK_EQUAL(4U, envelope.sequence());
+}
+
 TEST_GROUP(NodeParts)
 {
     EventLoop loop;
--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -374,6 +374,7 @@
                              "celeryroute_requests_running",
                              "celeryroute_connections{peer=\"target\"}",
                              "celeryroute_targets_shunned",
+                             "celeryroute_peer_datagrams_total{kind=\"demand\"}",
                              "celeryroute_log_lines_total{outcome=\"written\"}",
                              "process_resident_memory_bytes",
                              "process_cpu_seconds_total"}) {
@@ -383,6 +384,8 @@
     for (const char *name : {"celeryroute_orders_total{operation=\"load\",outcome=\"accepted\"}",
                              "celeryroute_loads_total{source=\"disk\"}",
                              "celeryroute_loads_total{source=\"store\"}",
+                             "celeryroute_peer_datagrams_total{kind=\"agent_state\"}",
+                             "celeryroute_peer_bytes_total{kind=\"agent_load\"}",
                              "celeryroute_swaps_total"}) {
         CHECK_TEXT(moved(agentBefore, agentAfter, name), name);
     }
--- a/tests/src/unit-telemetry.cpp
+++ b/tests/src/unit-telemetry.cpp
@@ -228,6 +228,8 @@
     metrics.countOrder(OrderKind::Unload, OrderAnswer::InDoubt);
     metrics.countLoad(LoadSource::Disk);
     metrics.countSwap();
+    metrics.countPeerMessages(PeerMessageKind::Crashes, 2, 1500);
+    metrics.countMissingDatagrams(PeerRole::Agent, 3);
     metrics.countPromptTokens(6300, 2890);
     gauges.ready = true;
     gauges.stateVersion = 7;
@@ -268,6 +270,9 @@
                              "celeryroute_targets 9",
                              "celeryroute_targets_shunned 1",
                              "celeryroute_peers 12",
+                             "celeryroute_peer_datagrams_total{kind=\"crashes\"} 2",
+                             "celeryroute_peer_bytes_total{kind=\"crashes\"} 1500",
+                             "celeryroute_peer_missing_datagrams_total{peer_role=\"agent\"} 3",
                              "celeryroute_log_lines_total{outcome=\"dropped\"} 2",
                              "process_resident_memory_bytes 17000000",
                              "process_cpu_seconds_total 1.25"}) {
