--- a/include/celeryroute/detail/gateway/crashexchange.h
+++ b/include/celeryroute/detail/gateway/crashexchange.h
@@ -83,7 +83,7 @@
     bool isRelayFor(const std::string &peer) const;
     void refill(Peer &peer, TimePoint now) const;
     CrashReport fill(Peer &peer, const std::vector<CrashNews> &news, TimePoint now) const;
-    bool isDue(const Peer &peer, const CrashNews &news, TimePoint now) const;
+    bool mayTell(const Peer &peer, const CrashNews &news) const;
     void noteSent(Told &told, TimePoint now) const;
     void forgetOldNews(const std::vector<CrashNews> &news);
 
--- a/src/gateway/crashexchange.cpp
+++ b/src/gateway/crashexchange.cpp
@@ -81,7 +81,9 @@
         return;
     }
     Peer &receiver = found->second;
-    receiver.givesReceipts = true;
+    if (!std::exchange(receiver.givesReceipts, true)) {
+        receiver.dueAt = TimePoint::min();
+    }
     std::erase_if(receiver.unreceipted, [&](const SentReport &sent) {
         if (!receipt.contains(sent.number)) {
             return false;
@@ -169,11 +171,12 @@
     double room = peer.credit;
     peer.dueAt = TimePoint::max();
     for (const CrashNews &item : news) {
-        if (!isDue(peer, item, now)) {
-            const auto told = peer.told.find(item.number);
-            if (told != peer.told.end() && !told->second.known) {
-                peer.dueAt = std::min(peer.dueAt, std::max(told->second.resendAt, now));
-            }
+        if (!mayTell(peer, item)) {
+            continue;
+        }
+        const auto told = peer.told.find(item.number);
+        if (told != peer.told.end() && now < told->second.resendAt) {
+            peer.dueAt = std::min(peer.dueAt, told->second.resendAt);
             continue;
         }
         // A mark that is larger than any report is sent alone.
@@ -199,18 +202,15 @@
     return report;
 }
 
-bool CrashExchange::isDue(const Peer &peer, const CrashNews &news, TimePoint now) const
+bool CrashExchange::mayTell(const Peer &peer, const CrashNews &news) const
 {
     if (!news.own && !peer.isRelayed) {
         return false;
     }
-    const auto found = peer.told.find(news.number);
-    if (found == peer.told.end()) {
-        return true;
-    }
-    const Told &told = found->second;
-    return !told.known && now >= told.resendAt
-        && (peer.givesReceipts || told.transmissions < m_limits.transmissionsWithoutReceipts);
+    const auto told = peer.told.find(news.number);
+    return told == peer.told.end()
+        || (!told->second.known
+            && (peer.givesReceipts || told->second.transmissions < m_limits.transmissionsWithoutReceipts));
 }
 
 void CrashExchange::noteSent(Told &told, TimePoint now) const
