--- a/tests/src/unit-crashexchange.cpp
+++ b/tests/src/unit-crashexchange.cpp
@@ -168,6 +168,17 @@
     }
 }
 
+TEST(CrashExchange, lossyLinks_allEntriesLearnOfAllCrashes)
+{
+    for (const double lossRate : {0.05, 0.2, 0.4}) {
+        MassFailure failure({31, 50, 7}, 1);
+        failure.exchange.lossRate = lossRate;
+        failure.run();
+        UNSIGNED_LONGS_EQUAL(0, failure.unknownMarks());
+        UNSIGNED_LONGS_EQUAL(0, failure.exchange.droppedDatagrams);
+    }
+}
+
 TEST(CrashExchange, rollingRestartWithoutCrashes_entriesKeepEachOther)
 {
     MassFailure failure({31, 0}, 1);
