Take a repeated request id for the name of the stream that it takes up

A caller that repeats its request under the same id with Last-Event-Id, and names no earlier request, was told to begin anew beside two software versions, although the entry knew the stream.

Cause: only the field `Resumes` named a stream.

Evidence: unit-resumptions repeatedIdWithoutAName failed with 503.

Change: without that field, the id of the request itself names the stream. Two streams of two versions under one id are still unknown.

--- a/src/gateway/callresumption.cpp
+++ b/src/gateway/callresumption.cpp
@@ -31,8 +31,8 @@
     for (const PoolWeight &pool : m_route->pools) {
         pools.push_back(pool.pool);
     }
-    const auto stream = m_fields.resumes.empty() ? std::nullopt
-                                                 : std::optional(streamDigest(m_customerName, m_fields.resumes));
+    const std::string &name = m_fields.resumes.empty() ? m_fields.requestId : m_fields.resumes;
+    const auto stream = name.empty() ? std::nullopt : std::optional(streamDigest(m_customerName, name));
     const Resumption resumption = m_gateway.streamOrigins().resume(stream,
                                                                    pools,
                                                                    m_pool,
--- a/tests/src/unit-resumptions.cpp
+++ b/tests/src/unit-resumptions.cpp
@@ -185,6 +185,19 @@
     }
 }
 
+TEST(Resumptions, repeatedIdWithoutAName_takesUpTheStreamOfThatId)
+{
+    ResumptionWorld world({"v1", "v2", "v1", "v2"});
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "stream" + std::to_string(i);
+        world.stream(id);
+        const std::string version = world.lastVersion();
+        CHECK_EQUAL(200, statusOf(world.stream(id, "Last-Event-Id: 1\r\n")));
+        STRCMP_EQUAL(version.c_str(), world.lastVersion().c_str());
+    }
+    CHECK_EQUAL(503, statusOf(world.stream("other", "Last-Event-Id: 1\r\n")));
+}
+
 TEST(Resumptions, streamBegunBeforeASecondVersionCame_staysAtItsVersion)
 {
     ResumptionWorld world({"v1"});
