Write the event of answers that are cut off in the test of all events

unit-nodelog, everyEvent_isLoggedWithItsDocumentedFields, failed with "answer.cut_off is never written" since that event exists. A request whose answer has a header without end now writes it.

--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -67,6 +67,8 @@
             } else {
                 target.reset(request.channel);
             }
+        } else if (path == "/open/endless") {
+            target.answer(request, "HTTP/1.1 200 OK\r\nX-Long: " + std::string(std::size_t{128} * 1024, 'a'));
         } else if (path == "/open/pause") {
             target.answer(request,
                           httpAnswer(503, {}, "X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nRetry-After: 0.1\r\n"));
@@ -267,6 +269,7 @@
     CHECK(world.runUntilLogged(entry->log, "target.draining"));
     loseStore();
     loseEngineAndAgent();
+    CHECK_EQUAL(502, call("/open/endless", "endless"));
     CHECK_EQUAL(503, call("/open/pause", "pause"));
     CHECK(turnUntil(world.loop, [this] { return call("/open/leave", "leave") == 200; }));
     CHECK(world.runUntilLogged(entry->log, "target.leaving"));
