--- a/include/celeryroute/detail/feed/targetsfeed.h
+++ b/include/celeryroute/detail/feed/targetsfeed.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <celeryroute/detail/feed/endedlifetimes.h>
 #include <celeryroute/detail/feed/topicfollower.h>
+#include <celeryroute/detail/serving/endedlifetimes.h>
 #include <celeryroute/detail/serving/targetrecord.h>
 
 #include <functional>
--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -63,6 +63,9 @@
         Done,
     };
 
+    /// Tells callers when to come back, if nothing better is known.
+    static constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(200);
+
     void attemptHead(TargetAttempt &attempt, MessageHead head) override;
     void attemptStrayHead(const TargetAttempt &attempt, const MessageHead &head) override;
     void attemptBody(TargetAttempt &attempt) override;
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -3,13 +3,13 @@
 #include <celeryroute/detail/placement/enginecall.h>
 #include <celeryroute/detail/placement/healthchange.h>
 #include <celeryroute/detail/placement/knowntarget.h>
-#include <celeryroute/detail/placement/leavingtargets.h>
 #include <celeryroute/detail/placement/pausedtargets.h>
 #include <celeryroute/detail/placement/poolversions.h>
 #include <celeryroute/detail/placement/reportedload.h>
 #include <celeryroute/detail/placement/sentcall.h>
 #include <celeryroute/detail/placement/targetload.h>
 #include <celeryroute/detail/placement/targetpool.h>
+#include <celeryroute/detail/serving/endedlifetimes.h>
 #include <celeryroute/detail/serving/servingstate.h>
 
 #include <functional>
@@ -151,7 +151,7 @@
     std::optional<TimePoint> m_recordsConfirmed;
     std::function<void(const HealthChange &)> m_onHealthChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
-    LeavingTargets m_leaving;
+    EndedLifetimes m_leaving; ///< Lifetimes of targets that said in an answer that they are leaving.
     PausedTargets m_pauses;
     PoolVersions m_versions;
     std::unordered_map<std::string, std::unique_ptr<TargetPool>> m_pools;
--- a/include/celeryroute/detail/placement/leavingtargets.h
+++ b/include/celeryroute/detail/serving/endedlifetimes.h
@@ -8,15 +8,15 @@
 
 namespace celeryroute {
 
-/// Lifetimes of targets that said in an answer that they are leaving, also while the registry does not show them.
-class LeavingTargets
+/// Lifetimes of targets that have ended or are about to, by start time. Bounded; the oldest ones are forgotten.
+class EndedLifetimes
 {
 public:
-    /// @return whether this lifetime of @p target was not known to leave
+    /// @return whether this lifetime of @p target was not known
     bool add(const std::string &target, std::int64_t bornMs, TimePoint now);
-    /// @brief Takes over the start of the lifetime of @p target that left, if it was not known.
+    /// @brief Takes over the start of the known lifetime of @p target, if it was 0.
     void learnBorn(const std::string &target, std::int64_t bornMs);
-    /// @brief Whether this lifetime of @p target leaves, or precedes one that does.
+    /// @brief Whether this lifetime of @p target is known, or precedes the known one.
     bool contains(const std::string &target, std::int64_t bornMs) const;
 
 private:
@@ -24,7 +24,7 @@
         std::int64_t bornMs = 0;
         TimePoint since;
     };
-    std::unordered_map<std::string, Lifetime> m_lifetimes; ///< By target; the latest one that left.
+    std::unordered_map<std::string, Lifetime> m_lifetimes; ///< By target; the latest one.
 };
 
 } // namespace celeryroute
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(200);
-
 std::string beginAnewBody()
 {
     const ResultCodeInfo &info = resultCodeInfo(ResultCode::StreamNotResumable);
--- a/src/placement/leavingtargets.cpp
+++ b/src/serving/endedlifetimes.cpp
@@ -1,4 +1,4 @@
-#include <celeryroute/detail/placement/leavingtargets.h>
+#include <celeryroute/detail/serving/endedlifetimes.h>
 
 #include <algorithm>
 
@@ -6,16 +6,16 @@
 
 namespace {
 
-constexpr std::size_t MaxLeaving = 4096;
+constexpr std::size_t MaxLifetimes = 4096;
 
 } // namespace
 
-bool LeavingTargets::add(const std::string &target, std::int64_t bornMs, TimePoint now)
+bool EndedLifetimes::add(const std::string &target, std::int64_t bornMs, TimePoint now)
 {
     if (contains(target, bornMs)) {
         return false;
     }
-    if (m_lifetimes.size() >= MaxLeaving && !m_lifetimes.contains(target)) {
+    if (m_lifetimes.size() >= MaxLifetimes && !m_lifetimes.contains(target)) {
         m_lifetimes.erase(
             std::min_element(m_lifetimes.begin(), m_lifetimes.end(), [](const auto &left, const auto &right) {
                 return left.second.since < right.second.since;
@@ -25,7 +25,7 @@
     return true;
 }
 
-void LeavingTargets::learnBorn(const std::string &target, std::int64_t bornMs)
+void EndedLifetimes::learnBorn(const std::string &target, std::int64_t bornMs)
 {
     const auto found = m_lifetimes.find(target);
     if (found != m_lifetimes.end() && found->second.bornMs == 0) {
@@ -33,7 +33,7 @@
     }
 }
 
-bool LeavingTargets::contains(const std::string &target, std::int64_t bornMs) const
+bool EndedLifetimes::contains(const std::string &target, std::int64_t bornMs) const
 {
     const auto found = m_lifetimes.find(target);
     return found != m_lifetimes.end() && bornMs <= found->second.bornMs;
