Key the lint cache independently of the checkout's folder

__FILE__ in the assertions of tests made the preprocessed text, and so the key, depend on the path of the checkout; a second checkout linted all tests anew.

--- a/scripts/check-lint.sh
+++ b/scripts/check-lint.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs clang-tidy over all C++ sources in BUILD (first argument). A file whose preprocessed
-# text and lint settings passed before is not read again. Further arguments name single files.
+# text and lint settings passed before is not read again, also in another checkout: __FILE__ is
+# shortened for that. Further arguments name single files.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export BUILD=${1:?build folder}
@@ -20,7 +21,7 @@
 PY
     )
     if [ -z "$command" ]; then return 0; fi
-    key=$({ cat .clang-tidy; clang-tidy --version; eval "$command -E -P" 2>/dev/null; cat "$1"; } | sha256sum | cut -d' ' -f1)
+    key=$({ cat .clang-tidy; clang-tidy --version; eval "$command -E -P -fmacro-prefix-map=$PWD/=" 2>/dev/null; cat "$1"; } | sha256sum | cut -d' ' -f1)
     if [ -e "$CACHE/$key" ]; then return 0; fi
     if output=$(clang-tidy --quiet -p "$BUILD" "$1" 2>/dev/null); then
         touch "$CACHE/$key"
