--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -169,6 +169,8 @@
     void noteUnanswered(const UnansweredSend &send);
     /// @brief Items that the agent of @p target should load: those that calls wait for, and a spare replica.
     std::vector<DemandedItem> demandAt(const std::string &target) const;
+    /// @brief Records that the answer to @p request has not left @p connection yet.
+    void noteUnsentAnswer(CallerConnection &connection, const std::string &request);
     /// @brief Removes @p call after this turn of the event loop.
     void finished(Call &call);
 
@@ -178,6 +180,7 @@
     void callerLeft(CallerConnection &connection) override;
     void callerDrained(CallerConnection &connection) override;
     void requestRejected(int status) override;
+    void answerDropped(CallerConnection &connection, std::size_t unsent) override;
     void connectionEnded(CallerConnection &connection) override;
     const CallerLimits &callerLimits() const override;
     bool stopping() const override
@@ -213,6 +216,7 @@
     std::uint64_t m_nextCall = 1;
     std::map<std::uint64_t, std::unique_ptr<Call>> m_calls;
     std::map<CallerConnection *, Call *> m_callsByCaller;
+    std::map<CallerConnection *, std::string> m_unsentAnswers; ///< Ids of the requests whose answers have not left yet.
     std::map<std::string, SpareReplica> m_spareReplicas; ///< Last requested spare replica by target.
     Duration m_maxTargetPause = ServingBounds().maxTargetPause;
     EventLoop::TimerId m_resumeTimer = 0;
--- a/include/celeryroute/detail/http1/callerconnection.h
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -56,6 +56,8 @@
     virtual void requestRejected(int status) = 0;
     /// @brief What such a caller is told.
     virtual WholeAnswer rejection(int status) const;
+    /// @brief The caller has taken nothing of its answer for the idle timeout; its last @p unsent bytes are dropped.
+    virtual void answerDropped(CallerConnection &connection, std::size_t unsent);
     /// @brief Nothing more happens on @p connection; it is to be destroyed after this turn.
     virtual void connectionEnded(CallerConnection &connection) = 0;
     virtual const CallerLimits &callerLimits() const = 0;
--- a/include/celeryroute/detail/telemetry/servingmetrics.h
+++ b/include/celeryroute/detail/telemetry/servingmetrics.h
@@ -44,6 +44,11 @@
     {
         m_cutOffs.add(limit);
     }
+    /// @brief Counts an answer whose caller took nothing of it for the idle limit.
+    void countAnswerDropped()
+    {
+        ++m_answersDropped;
+    }
     /// @brief Counts a stream that its caller took up, by how the version that began it was known.
     void countResumption(std::string_view evidence)
     {
@@ -122,6 +127,7 @@
     NamedCounters m_refusals;
     NamedCounters m_pauses;
     NamedCounters m_cutOffs;
+    std::uint64_t m_answersDropped = 0;
     NamedCounters m_resumptions;
     EnumCounters<CallKind> m_sends;
     NamedCounters m_retries;
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -150,6 +150,9 @@
     m_gateway.loop().cancel(m_deadlineTimer);
     m_deadlineTimer = 0;
     endAttempts();
+    if (m_caller != nullptr && m_caller->unsent() > 0) {
+        m_gateway.noteUnsentAnswer(*m_caller, m_fields.requestId);
+    }
     m_caller = nullptr;
     m_gateway.finished(*this);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -170,6 +170,7 @@
 void Gateway::callerRequest(CallerConnection &connection, CallerRequest request)
 {
     const std::uint64_t number = m_nextCall++;
+    m_unsentAnswers.erase(&connection);
     auto call = std::make_unique<Call>(*this, number, connection, std::move(request));
     Call *begun = call.get();
     m_calls.emplace(number, std::move(call));
@@ -203,8 +204,24 @@
     m_dependencies.metrics.countRequest(CallKind::Idempotent, RequestOutcome::Refused);
 }
 
+void Gateway::noteUnsentAnswer(CallerConnection &connection, const std::string &request)
+{
+    m_unsentAnswers[&connection] = request;
+}
+
+void Gateway::answerDropped(CallerConnection &connection, std::size_t unsent)
+{
+    const auto found = m_unsentAnswers.find(&connection);
+    m_dependencies.log.write(DecisionEvent::AnswerDropped,
+                             m_dependencies.loop.now(),
+                             found == m_unsentAnswers.end() ? std::string() : found->second,
+                             {{"unsent_bytes", unsent}, {"idle_limit_ms", m_limits.idleTimeout}});
+    m_dependencies.metrics.countAnswerDropped();
+}
+
 void Gateway::connectionEnded(CallerConnection &connection)
 {
+    m_unsentAnswers.erase(&connection);
     m_callsByCaller.erase(&connection);
     m_server.discard(connection);
 }
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -31,6 +31,8 @@
     return {{status, {}, {}}, {}};
 }
 
+void CallerHandler::answerDropped(CallerConnection &, std::size_t) {}
+
 CallerConnection::CallerConnection(EventLoop &loop, int socket, CallerHandler &handler, std::uint64_t number)
     : m_loop(loop)
     , m_handler(handler)
@@ -343,6 +345,9 @@
         reject(RequestTimeout);
         return;
     }
+    if (m_channel.unsent() > 0) {
+        m_handler.answerDropped(*this, m_channel.unsent());
+    }
     end();
     m_handler.connectionEnded(*this);
 }
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -147,6 +147,10 @@
                      MetricType::Counter,
                      "Answers of targets that exceeded a limit.");
     m_cutOffs.expose(text, "limit");
+    text.beginFamily("celeryroute_answers_dropped_total",
+                     MetricType::Counter,
+                     "Answers whose caller took nothing of them for the idle limit.");
+    text.appendSample({}, m_answersDropped);
     text.beginFamily("celeryroute_resumptions_total",
                      MetricType::Counter,
                      "Streams that callers took up, by how the software version that began them was known.");
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -11,6 +11,7 @@
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/resource.h>
+#include <thread>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -273,6 +274,7 @@
     int left = 0;
     int drained = 0;
     int ended = 0;
+    int dropped = 0;
     CallerServer server{loop, *this};
     Endpoint endpoint = freeEndpoint();
 
@@ -312,6 +314,10 @@
     {
         rejected.push_back(status);
     }
+    void answerDropped(CallerConnection &, std::size_t) override
+    {
+        ++dropped;
+    }
     void connectionEnded(CallerConnection &connection) override
     {
         ++ended;
@@ -675,6 +681,28 @@
     CHECK_EQUAL(0, world.ended);
 }
 
+TEST(CallerConnection, idleConnection_endsAtItsLimit)
+{
+    world.limits.idleTimeout = 20ms;
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(Get);
+    CHECK(world.waitForRequests(1));
+    world.latest().answer({200, {}, {}}, "first");
+    CHECK(caller.waitForEnd());
+    CHECK_EQUAL(1, world.ended);
+}
+
+TEST(CallerConnection, answerThatIsNotRead_isDroppedAtTheIdleTimeoutAndReported)
+{
+    RawCaller caller(world.loop, world.endpoint, 4096);
+    caller.send(Get);
+    CHECK(world.waitForRequests(1));
+    world.limits.idleTimeout = 2ms;
+    world.latest().answer({200, {}, {}}, std::string(LargeAnswer, 'a'));
+    CHECK(turnUntil(world.loop, [this] { return world.ended == 1; }));
+    CHECK_EQUAL(1, world.dropped);
+}
+
 TEST(CallerConnection, closingIdleConnections_leavesRequestsThatHaveArrived)
 {
     RawCaller pipelining(world.loop, world.endpoint);
--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -69,6 +69,9 @@
             }
         } else if (path == "/open/endless") {
             target.answer(request, "HTTP/1.1 200 OK\r\nX-Long: " + std::string(std::size_t{128} * 1024, 'a'));
+        } else if (path == "/open/large") {
+            const std::string body(std::size_t{8} * 1024 * 1024, 'a'); // More than the system's buffers take in.
+            target.answer(request, httpAnswer(200, body, "X-Request-Id: {id}\r\nX-Server-Signature: s\r\n"));
         } else if (path == "/open/pause") {
             target.answer(request,
                           httpAnswer(503, {}, "X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nRetry-After: 0.1\r\n"));
@@ -140,6 +143,17 @@
         CHECK_EQUAL(504, call("/feed/hold", "kept", "X-Deadline-Ms: 900\r\n"));
         lineOf(entry->log, "request.kept", "kept");
     }
+    void dropAnswer()
+    {
+        RawCaller caller(world.loop, world.callerEndpoint(0), 4096);
+        world.state["limits"] = {{"idle_timeout_ms", 50}};
+        const std::size_t applied = entry->log.linesOf("state.applied").size();
+        world.publish();
+        CHECK(world.runUntilLogged(entry->log, "state.applied", applied));
+        caller.send("GET /open/large HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: large\r\n\r\n");
+        CHECK(world.runUntilLogged(entry->log, "answer.dropped"));
+        lineOf(entry->log, "answer.dropped", "large");
+    }
     void loseStore()
     {
         world.store.refuse("keyed", 503);
@@ -274,6 +288,7 @@
     CHECK(turnUntil(world.loop, [this] { return call("/open/leave", "leave") == 200; }));
     CHECK(world.runUntilLogged(entry->log, "target.leaving"));
     keepSilentTarget();
+    dropAnswer();
     other.node->beginStop();
     CHECK(world.runUntilLogged(other.log, "process.stop"));
 
