--- a/include/celeryroute/detail/http1/callerserver.h
+++ b/include/celeryroute/detail/http1/callerserver.h
@@ -22,6 +22,7 @@
     Result<void> listen(const Endpoint &endpoint);
     /// @brief The port that it listens on.
     std::uint16_t port() const;
+    /// @brief Takes the connections that have come and ends to listen.
     void stopListening();
     /// @brief Closes what is accepted while @p most connections are open.
     void limitConnections(std::size_t most)
@@ -42,6 +43,8 @@
 
 private:
     void fileReady(std::uint32_t events) override;
+    void acceptWaiting();
+    void closeListener();
     void pause();
 
     EventLoop &m_loop;
--- a/src/http1/callerserver.cpp
+++ b/src/http1/callerserver.cpp
@@ -22,7 +22,7 @@
 
 CallerServer::~CallerServer()
 {
-    stopListening();
+    closeListener();
 }
 
 Result<void> CallerServer::listen(const Endpoint &endpoint)
@@ -37,7 +37,16 @@
     return boundPort(m_listener);
 }
 
+// A connection that waits to be accepted may have brought its request, and would be reset with the listener.
 void CallerServer::stopListening()
+{
+    if (m_listener >= 0) {
+        acceptWaiting();
+    }
+    closeListener();
+}
+
+void CallerServer::closeListener()
 {
     m_loop.cancel(m_pause);
     m_pause = 0;
@@ -72,6 +81,14 @@
 }
 
 void CallerServer::fileReady(std::uint32_t)
+{
+    acceptWaiting();
+    if (errno == EMFILE || errno == ENFILE) {
+        pause();
+    }
+}
+
+void CallerServer::acceptWaiting()
 {
     for (int file = acceptTcp(m_listener); file >= 0; file = acceptTcp(m_listener)) {
         if (m_connections.size() >= m_most) {
@@ -82,9 +99,6 @@
         CallerConnection *address = connection.get();
         m_connections.emplace(address, std::move(connection));
     }
-    if (errno == EMFILE || errno == ENFILE) {
-        pause();
-    }
 }
 
 // The listener stays readable while a connection waits that cannot be accepted.
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -85,7 +85,10 @@
 
 int acceptTcp(int listener)
 {
-    const int file = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    int file = -1;
+    do {
+        file = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    } while (file < 0 && (errno == EINTR || errno == ECONNABORTED));
     if (file >= 0) {
         setOption(file, IPPROTO_TCP, TCP_NODELAY, 1);
     }
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -703,6 +703,16 @@
     CHECK_EQUAL(1, world.dropped);
 }
 
+TEST(CallerConnection, connectionsThatWaitToBeAccepted_areTakenWhenListeningEnds)
+{
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(Get);
+    world.server.stopListening();
+    CHECK(world.waitForRequests(1));
+    world.latest().answer({200, {}, {}}, "body");
+    CHECK(caller.waitFor("body"));
+}
+
 TEST(CallerConnection, closingIdleConnections_leavesRequestsThatHaveArrived)
 {
     RawCaller pipelining(world.loop, world.endpoint);
