--- a/include/celeryroute/detail/http1/callerconnection.h
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -123,6 +123,8 @@
     void writeHead(const AnswerHead &head, const std::optional<std::size_t> &length);
     void answerWritten();
     void linger();
+    /// @brief Whether the connection has a reason to stay open after its deadline.
+    bool mayStayOpen();
     void end();
     void setDeadline(Duration fromNow);
     void clearDeadline();
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -308,6 +308,12 @@
     m_handler.connectionEnded(*this);
 }
 
+// A request may have arrived in this turn, after the loop looked for events.
+bool CallerConnection::mayStayOpen()
+{
+    return m_phase == Phase::Idle && (!m_channel.input().empty() || m_channel.stirred());
+}
+
 void CallerConnection::end()
 {
     m_phase = Phase::Ended;
@@ -345,6 +351,10 @@
         reject(RequestTimeout);
         return;
     }
+    if (mayStayOpen()) {
+        setDeadline(m_handler.callerLimits().idleTimeout);
+        return;
+    }
     if (m_channel.unsent() > 0) {
         m_handler.answerDropped(*this, m_channel.unsent());
     }
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -681,6 +681,20 @@
     CHECK_EQUAL(0, world.ended);
 }
 
+// Both timers are due in one turn, and the first of them sends the request.
+TEST(CallerConnection, requestThatArrivesInTheTurnOfTheIdleTimeout_isTaken)
+{
+    world.limits.idleTimeout = 20ms;
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(Get);
+    CHECK(world.waitForRequests(1));
+    world.latest().answer({200, {}, {}}, "first");
+    world.loop.at(world.loop.now() + 1ms, [&caller] { caller.send(Get); });
+    std::this_thread::sleep_for(40ms);
+    CHECK(world.waitForRequests(2));
+    CHECK_EQUAL(0, world.ended);
+}
+
 TEST(CallerConnection, idleConnection_endsAtItsLimit)
 {
     world.limits.idleTimeout = 20ms;
