--- a/include/celeryroute/detail/http1/callerconnection.h
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -123,6 +123,7 @@
     void writeHead(const AnswerHead &head, const std::optional<std::size_t> &length);
     void answerWritten();
     void linger();
+    void beginIdleTime();
     /// @brief Whether the connection has a reason to stay open after its deadline.
     bool mayStayOpen();
     void end();
@@ -141,6 +142,7 @@
     bool m_withoutBody = false;
     bool m_continued = false;
     bool m_oldVersion = false;
+    TimePoint m_idleSince{};
     std::optional<TimePoint> m_deadline;
     TimePoint m_timerAt{};
     EventLoop::TimerId m_timer = 0;
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -40,7 +40,7 @@
     , m_number(number)
     , m_alive(std::make_shared<bool>(true))
 {
-    setDeadline(m_handler.callerLimits().idleTimeout);
+    beginIdleTime();
 }
 
 CallerConnection::~CallerConnection()
@@ -256,7 +256,7 @@
     m_channel.flush();
     m_phase = Phase::Idle;
     m_channel.setReading(true);
-    setDeadline(m_handler.callerLimits().idleTimeout);
+    beginIdleTime();
     if (!m_channel.input().empty()) {
         // A pipelined request is read from the loop, since this may run inside the handler of the one before.
         m_loop.defer([this, alive = m_alive] {
@@ -308,6 +308,12 @@
     m_handler.connectionEnded(*this);
 }
 
+void CallerConnection::beginIdleTime()
+{
+    m_idleSince = m_loop.now();
+    setDeadline(m_handler.callerLimits().idleTimeout);
+}
+
 // A request may have arrived in this turn, after the loop looked for events.
 bool CallerConnection::mayStayOpen()
 {
@@ -343,6 +349,10 @@
     if (!m_deadline) {
         return;
     }
+    if (m_phase == Phase::Idle) {
+        // Callers know the newest limit only. A lower one holds from the next idle time on.
+        m_deadline = std::max(*m_deadline, m_idleSince + m_handler.callerLimits().idleTimeout);
+    }
     if (*m_deadline > m_loop.now()) {
         setDeadline(*m_deadline - m_loop.now());
         return;
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -695,6 +695,24 @@
     CHECK_EQUAL(0, world.ended);
 }
 
+// Callers know the newest limit only.
+TEST(CallerConnection, idleConnectionWhoseLimitIsRaised_staysOpenForTheNewOne)
+{
+    world.limits.idleTimeout = 20ms;
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(Get);
+    CHECK(world.waitForRequests(1));
+    world.latest().answer({200, {}, {}}, "first");
+    world.limits.idleTimeout = 1h;
+    std::this_thread::sleep_for(40ms);
+    settle(world.loop);
+    CHECK_EQUAL(0, world.ended);
+    caller.send(Get);
+    CHECK(world.waitForRequests(2));
+    world.latest().answer({200, {}, {}}, "second");
+    CHECK(caller.waitFor("second"));
+}
+
 TEST(CallerConnection, idleConnection_endsAtItsLimit)
 {
     world.limits.idleTimeout = 20ms;
