--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -84,6 +84,8 @@
         m_handler.callerDrained(*this);
     } else if (m_phase == Phase::Lingering) {
         setDeadline(LingerTime);
+    } else if (m_phase == Phase::Idle) {
+        beginIdleTime();
     }
 }
 
@@ -314,10 +316,12 @@
     setDeadline(m_handler.callerLimits().idleTimeout);
 }
 
-// A request may have arrived in this turn, after the loop looked for events.
+// The caller may have taken a part of its answer, or a request may have arrived in this turn, after the loop looked for
+// events.
 bool CallerConnection::mayStayOpen()
 {
-    return m_phase == Phase::Idle && (!m_channel.input().empty() || m_channel.stirred());
+    const bool takesAnswer = m_channel.unsent() < m_unsentAtDeadline;
+    return takesAnswer || (m_phase == Phase::Idle && (!m_channel.input().empty() || m_channel.stirred()));
 }
 
 void CallerConnection::end()
@@ -330,6 +334,12 @@
 void CallerConnection::setDeadline(Duration fromNow)
 {
     m_deadline = m_loop.now() + fromNow;
+    m_unsentAtDeadline = m_channel.unsent();
+    startTimer();
+}
+
+void CallerConnection::startTimer()
+{
     if (m_timer != 0 && m_timerAt <= *m_deadline) {
         return; // The timer looks again when it fires.
     }
@@ -354,7 +364,7 @@
         m_deadline = std::max(*m_deadline, m_idleSince + m_handler.callerLimits().idleTimeout);
     }
     if (*m_deadline > m_loop.now()) {
-        setDeadline(*m_deadline - m_loop.now());
+        startTimer();
         return;
     }
     if (m_phase == Phase::Reading) {
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -724,6 +724,25 @@
     CHECK_EQUAL(1, world.ended);
 }
 
+// Each time that the limit has passed, the caller has taken a part of the answer.
+TEST(CallerConnection, answerThatIsReadSlowerThanTheIdleTimeout_arrivesWhole)
+{
+    for (const std::string &request : {Get, std::string("GET / HTTP/1.0\r\n\r\n")}) {
+        world.limits.idleTimeout = 1h;
+        RawCaller caller(world.loop, world.endpoint, 4096);
+        caller.send(request);
+        CHECK(world.waitForRequests(world.taken.size() + 1));
+        world.limits.idleTimeout = 2ms;
+        world.latest().answer({200, {}, {}}, std::string(LargeAnswer, 'a'));
+        for (int parts = 0; parts < 1000 && bodyOf(caller.received()).size() < LargeAnswer; ++parts) {
+            std::this_thread::sleep_for(3ms);
+            world.loop.turn(0ms);
+        }
+        CHECK_EQUAL(LargeAnswer, bodyOf(caller.received()).size());
+        CHECK_EQUAL(0, world.dropped);
+    }
+}
+
 TEST(CallerConnection, answerThatIsNotRead_isDroppedAtTheIdleTimeoutAndReported)
 {
     RawCaller caller(world.loop, world.endpoint, 4096);
