--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -142,7 +142,8 @@
     void retry(std::string_view reason);
     void failCall(std::string_view reason);
 
-    // Hedging: while its target is silent, a call may be sent to another one. The first to continue keeps it.
+    // Hedging: while its target is silent, a call may be sent to another one, and to a third one if that is silent
+    // too. The first to continue keeps it.
     void startStallTimer();
     Duration stallTimeout() const;
     bool mayHedge() const;
@@ -153,6 +154,8 @@
     void applyHedge(const WaitForLoad &verdict);
     void applyHedge(const WaitForRoom &verdict);
     void applyHedge(const Refuse &verdict);
+    /// @brief Gives up a hedge that is silent too, in favour of another target.
+    void leaveSilentHedge();
     void keepTarget(std::string_view reason);
     /// @brief Gives up the hedge, because the silent target continued.
     void endHedging();
--- a/src/gateway/callhedging.cpp
+++ b/src/gateway/callhedging.cpp
@@ -33,8 +33,8 @@
 
 bool Call::mayHedge() const
 {
-    return isAttemptInProgress() && m_hedge == nullptr && m_caller != nullptr && mayRetry()
-        && m_possibleRuns + 1 < m_route->maxAttempts;
+    const std::uint32_t running = m_hedge == nullptr ? 1 : 2;
+    return isAttemptInProgress() && m_caller != nullptr && mayRetry() && m_possibleRuns + running < m_route->maxAttempts;
 }
 
 void Call::handleStall()
@@ -44,12 +44,14 @@
     if (!mayHedge() || m_readingPaused || timeout <= Duration::zero()) {
         return;
     }
-    if (m_gateway.loop().now() - m_current->lastProgress() < timeout) {
+    const TimePoint now = m_gateway.loop().now();
+    const TargetAttempt &latest = m_hedge == nullptr ? *m_current : *m_hedge;
+    if (now - std::max(m_current->lastProgress(), latest.lastProgress()) < timeout) {
         startStallTimer();
         return;
     }
-    if (m_current->ticket()) {
-        m_gateway.targetTable().noteSilent(*m_current->ticket(), m_gateway.loop().now());
+    if (latest.ticket()) {
+        m_gateway.targetTable().noteSilent(*latest.ticket(), now);
     }
     hedge();
 }
@@ -70,6 +72,9 @@
     }
     std::vector<std::string> excluded = avoidedTargets();
     excluded.push_back(lastTarget());
+    if (m_hedge != nullptr) {
+        excluded.push_back(m_hedge->destination().target);
+    }
     if (usesEngine()) {
         const EngineDecision decision = m_gateway.engineChooser().choose(engineCall(std::move(excluded)), now);
         std::visit([this](const auto &verdict) { applyHedge(verdict); }, decision.verdict);
@@ -94,6 +99,9 @@
         return;
     }
     m_gateway.queue().remove(m_number);
+    if (m_hedge != nullptr) {
+        leaveSilentHedge();
+    }
     m_gateway.metrics().countRetry(reasons::TargetSilent);
     m_hedge = &startAttempt(*target, *endpoint);
     m_gateway.log().write(DecisionEvent::RequestHedged,
@@ -108,11 +116,19 @@
 
 void Call::applyHedge(const WaitForLoad &verdict)
 {
+    if (m_hedge != nullptr) {
+        keepTarget(reasons::NoSuccessor);
+        return;
+    }
     enqueue(verdict.item, verdict.target, verdict.expected);
 }
 
 void Call::applyHedge(const WaitForRoom &verdict)
 {
+    if (m_hedge != nullptr) {
+        keepTarget(reasons::NoSuccessor);
+        return;
+    }
     enqueue(itemKey(m_fields.model, m_fields.adapter), {}, verdict.expected);
 }
 
@@ -121,6 +137,14 @@
     keepTarget(reasons::NoSuccessor);
 }
 
+// It has not begun to answer, so unlike the current target it holds nothing that the caller has a part of.
+void Call::leaveSilentHedge()
+{
+    m_possibleRuns += m_hedge->mayRun() ? 1 : 0;
+    m_leftSilent.push_back(m_hedge->destination().target);
+    endAttempt(*std::exchange(m_hedge, nullptr), CallEnd::Abandoned);
+}
+
 void Call::keepTarget(std::string_view reason)
 {
     m_gateway.queue().remove(m_number);
--- a/tests/src/unit-silenttargets.cpp
+++ b/tests/src/unit-silenttargets.cpp
@@ -253,6 +253,64 @@
     STRCMP_EQUAL("1", world.arrived[2].field("Last-Event-Id").c_str());
 }
 
+TEST(SilentTargets, hedgeThatIsSilentToo_isReplacedByAThirdTarget)
+{
+    SilentTargetWorld world(4);
+    for (ServingRoute &route : world.state.routes) {
+        route.maxAttempts = 4;
+    }
+    world.apply();
+    world.scripts = {world.respondWith(StreamHead + chunk(event(1))), world.respondWith("")};
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/resumable/a"));
+    CHECK(world.waitForArrivals(3));
+    CHECK(turnUntil(world.loop, [&world] { return world.targetOf(1).wasReset(0); }));
+    CHECK_FALSE(world.targetOf(0).left(0));
+    world.answer(2, SecondHead + chunk(event(2)) + LastChunk);
+    CHECK(caller.waitForEnd());
+    STRCMP_EQUAL((event(1) + event(2) + "<end>").c_str(), chunksOf(caller.received()).c_str());
+    CHECK_EQUAL(3U, world.arrived.size());
+}
+
+// With nobody left to ask, whichever of the two goes on first completes the answer.
+TEST(SilentTargets, bothTargetsSilent_theFirstToContinueCompletesTheAnswer)
+{
+    for (const std::size_t first : {0U, 1U}) {
+        SilentTargetWorld world(2);
+        world.scripts = {world.respondWith(StreamHead + chunk(event(1))), world.respondWith("")};
+        RawCaller caller(world.loop, world.endpoint);
+        caller.send(GatewayWorld::request("/resumable/a"));
+        CHECK(world.waitForArrivals(2));
+        world.wait(3 * Silence);
+        CHECK_FALSE(world.targetOf(0).left(0));
+        CHECK_FALSE(world.targetOf(1).left(0));
+        world.answer(first, (first == 0 ? std::string() : std::string(SecondHead)) + chunk(event(2)) + LastChunk);
+        CHECK(caller.waitForEnd());
+        STRCMP_EQUAL((event(1) + event(2) + "<end>").c_str(), chunksOf(caller.received()).c_str());
+        CHECK_EQUAL(2U, world.arrived.size());
+    }
+}
+
+TEST(SilentTargets, bothTargetsSilentUntilTheTimeLimit_callEndsOnceAndLeavesBoth)
+{
+    for (const std::string path : {"/idempotent/a", "/resumable/a"}) {
+        SilentTargetWorld world(2);
+        world.scripts = {path == "/resumable/a" ? world.respondWith(StreamHead + chunk(event(1)))
+                                                : world.respondWith(""),
+                         world.respondWith("")};
+        RawCaller caller(world.loop, world.endpoint);
+        caller.send(GatewayWorld::request(path, "X-Deadline-Ms: 400\r\n"));
+        CHECK(world.waitForArrivals(2));
+        CHECK(caller.waitForEnd());
+        CHECK_EQUAL(path == "/resumable/a" ? 200 : 504, statusOf(caller.received()));
+        CHECK(path == "/idempotent/a" || chunksOf(caller.received()) == event(1));
+        CHECK(turnUntil(world.loop, [&world] {
+            return world.targetOf(0).wasReset(0) && world.targetOf(1).wasReset(0);
+        }));
+        CHECK_EQUAL(0U, world.gateway.callsInProgress());
+    }
+}
+
 TEST(SilentTargets, callerLeaves_bothTargetsAreLeft)
 {
     SilentTargetWorld world(2);
