--- a/include/celeryroute/detail/http1/callerconnection.h
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -100,8 +100,8 @@
     {
         return m_phase == Phase::Idle;
     }
-    /// @brief Closes the connection, if it is idle and no request has arrived.
-    void closeIdle();
+    /// @brief Closes the connection, if it has been idle for @p least and no request has arrived.
+    void closeIdle(Duration least = Duration::zero());
 
 private:
     enum class Phase {
--- a/include/celeryroute/detail/http1/callerserver.h
+++ b/include/celeryroute/detail/http1/callerserver.h
@@ -33,7 +33,8 @@
     /// @brief Destroys @p connection after this turn.
     void discard(CallerConnection &connection);
 
-    void closeIdle();
+    /// @brief Closes the connections that have been idle for @p least.
+    void closeIdle(Duration least = Duration::zero());
     /// @brief Ends every connection without a word; not from within a connection's callback.
     void closeAll();
     std::size_t connections() const
--- a/src/gateway/callhedging.cpp
+++ b/src/gateway/callhedging.cpp
@@ -34,7 +34,8 @@
 bool Call::mayHedge() const
 {
     const std::uint32_t running = m_hedge == nullptr ? 1 : 2;
-    return isAttemptInProgress() && m_caller != nullptr && mayRetry() && m_possibleRuns + running < m_route->maxAttempts;
+    return isAttemptInProgress() && m_caller != nullptr && mayRetry()
+        && m_possibleRuns + running < m_route->maxAttempts;
 }
 
 void Call::handleStall()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr Duration QueueInterval = std::chrono::milliseconds(50);
+/// At a stop, a connection is closed only after it has been idle for this long. Callers are most likely to send their
+/// next request right after they have connected or got an answer.
+constexpr Duration ReuseTime = std::chrono::milliseconds(500);
 constexpr std::size_t MaxReconsidered = 64; ///< Waiting calls that are reconsidered at once.
 
 /// @brief The logged reason for a request that was rejected with @p status before it became a call.
@@ -347,7 +350,7 @@
 void Gateway::stopAccepting()
 {
     m_server.stopListening();
-    m_server.closeIdle();
+    m_server.closeIdle(ReuseTime);
 }
 
 } // namespace celeryroute
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -297,11 +297,14 @@
     return m_channel.unsent() > CongestedBytes;
 }
 
-void CallerConnection::closeIdle()
+void CallerConnection::closeIdle(Duration least)
 {
     if (m_phase != Phase::Idle || !m_channel.input().empty() || m_channel.stirred()) {
         return; // A request that has arrived is answered first.
     }
+    if (m_loop.now() - m_idleSince < least) {
+        return;
+    }
     if (m_channel.unsent() > 0) {
         linger(); // Its last answer is still on its way.
         return;
--- a/src/http1/callerserver.cpp
+++ b/src/http1/callerserver.cpp
@@ -62,7 +62,7 @@
     m_loop.defer([this, gone = &connection] { m_connections.erase(gone); });
 }
 
-void CallerServer::closeIdle()
+void CallerServer::closeIdle(Duration least)
 {
     std::vector<CallerConnection *> idle;
     for (const auto &[address, connection] : m_connections) {
@@ -71,7 +71,7 @@
         }
     }
     for (CallerConnection *connection : idle) {
-        connection->closeIdle();
+        connection->closeIdle(least);
     }
 }
 
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -817,7 +817,12 @@
     CHECK_EQUAL(1U, countOf(again.received(), "Connection: close"));
     CHECK_FALSE(idle.ended());
     world.gateway.stopAccepting();
-    CHECK(idle.waitForEnd());
+    settle(world.loop);
+    CHECK_FALSE(idle.ended()); // Its caller may be about to send the next request.
+    CHECK(turnUntil(world.loop, [this, &idle] {
+        world.gateway.stopAccepting();
+        return idle.ended();
+    }));
     CHECK_FALSE(idle.wasReset());
     CHECK_EQUAL(1U, world.gateway.callsInProgress());
     CHECK_FALSE(busy.ended());
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -788,6 +788,29 @@
     CHECK(other.waitForEnd());
 }
 
+TEST(CallerConnection, closingIdleConnections_leavesThoseThatCallersAreLikelyToUse)
+{
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(Get);
+    CHECK(world.waitForRequests(1));
+    world.latest().answer({200, {}, {}}, "first");
+    RawCaller connected(world.loop, world.endpoint);
+    settle(world.loop);
+    world.server.closeIdle(1h);
+    settle(world.loop);
+    CHECK_EQUAL(0, world.ended);
+    caller.send(Get);
+    connected.send(Get);
+    CHECK(world.waitForRequests(3));
+    std::this_thread::sleep_for(2ms);
+    RawCaller idle(world.loop, world.endpoint);
+    settle(world.loop);
+    std::this_thread::sleep_for(2ms);
+    settle(world.loop);
+    world.server.closeIdle(1ms);
+    CHECK(idle.waitForEnd());
+}
+
 TEST(CallerConnection, closingIdleConnections_leavesAnAnswerOnItsWayWhole)
 {
     RawCaller caller(world.loop, world.endpoint, 4096);
