--- a/include/celeryroute/detail/gateway/targetattempt.h
+++ b/include/celeryroute/detail/gateway/targetattempt.h
@@ -122,6 +122,7 @@
     std::optional<CallTicket> m_ticket;
     TargetConnection *m_connection = nullptr;
     AnswerBuffers &m_buffers;
+    const AnswerBounds m_boundsAtStart;
     AnswerBuffers::Holding m_held;
     TargetAnswer m_answer;
     TimePoint m_lastProgress;
--- a/src/gateway/targetattempt.cpp
+++ b/src/gateway/targetattempt.cpp
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/gateway/answerlimits.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace celeryroute {
@@ -29,6 +30,7 @@
     , m_destination(std::move(destination))
     , m_ticket(ticket)
     , m_buffers(buffers)
+    , m_boundsAtStart(buffers.bounds())
     , m_held(buffers)
     , m_lastProgress(m_destination.sentAt)
 {}
@@ -47,13 +49,14 @@
 
 std::optional<std::string_view> TargetAttempt::exceededLimit() const
 {
-    const AnswerBounds &bounds = m_buffers.bounds();
-    const bool lengthTooLarge = m_answer.head.framing == BodyFraming::Length
-        && m_answer.head.bodyLength > bounds.answerBytes;
-    if (m_answer.isEventStream && m_answer.body.size() > bounds.eventBytes) {
+    // A lower limit holds for answers that begin under it. The total protects the process, so it holds at once.
+    const std::size_t answerBytes = std::max(m_boundsAtStart.answerBytes, m_buffers.bounds().answerBytes);
+    const std::size_t eventBytes = std::max(m_boundsAtStart.eventBytes, m_buffers.bounds().eventBytes);
+    const bool lengthTooLarge = m_answer.head.framing == BodyFraming::Length && m_answer.head.bodyLength > answerBytes;
+    if (m_answer.isEventStream && m_answer.body.size() > eventBytes) {
         return answerlimits::Event;
     }
-    if (!m_answer.isEventStream && (lengthTooLarge || m_answer.body.size() > bounds.answerBytes)) {
+    if (!m_answer.isEventStream && (lengthTooLarge || m_answer.body.size() > answerBytes)) {
         return answerlimits::Answer;
     }
     return m_answer.body.size() > m_buffers.share() ? std::optional(answerlimits::Total) : std::nullopt;
--- a/tests/src/unit-endlessanswers.cpp
+++ b/tests/src/unit-endlessanswers.cpp
@@ -316,6 +316,36 @@
     STRCMP_EQUAL((event(1, data) + "<end>").c_str(), chunksOf(world.call("/stream/a")).c_str());
 }
 
+// A limit that was lowered while an answer arrived ended it, though it had begun under the higher one.
+TEST(EndlessCall, answersInProgressWhileALimitChanges_keepTheHigherOne)
+{
+    const std::string data(std::size_t{8} * 1024, 'a');
+    const AnswerBounds low{std::size_t{4} * 1024, std::size_t{4} * 1024, AnswerBounds().totalBytes};
+    const AnswerBounds high;
+    const std::string large = Started + "Content-Length: 8192\r\n\r\n";
+    for (const auto &[before, after] : {std::pair(high, low), std::pair(low, high)}) {
+        for (const std::string path : {"/stream/a", "/idempotent/a"}) {
+            GatewayWorld fresh(1);
+            fresh.apply();
+            fresh.gateway.answerBuffers().useBounds(before);
+            const bool stream = path == "/stream/a";
+            fresh.scripts = {fresh.respondWith(stream ? StreamHead + chunk(event(1)) : "")};
+            RawCaller caller(fresh.loop, fresh.endpoint);
+            caller.send(GatewayWorld::request(path));
+            CHECK(fresh.waitForArrivals(1));
+            settle(fresh.loop);
+            fresh.gateway.answerBuffers().useBounds(after);
+            fresh.answer(0, stream ? chunk("id: 2\ndata: " + data) : large + data.substr(1));
+            settle(fresh.loop);
+            fresh.answer(0, stream ? chunk("\n\n") + LastChunk : "a");
+            CHECK(caller.waitForEnd());
+            CHECK_EQUAL(200, statusOf(caller.received()));
+            const std::string body = stream ? chunksOf(caller.received()) : bodyOf(caller.received());
+            CHECK_TRUE(body == (stream ? event(1) + event(2, data) + "<end>" : data));
+        }
+    }
+}
+
 TEST_GROUP(AnswerBuffers)
 {
     AnswerBuffers buffers;
