--- a/include/celeryroute/detail/http1/callerconnection.h
+++ b/include/celeryroute/detail/http1/callerconnection.h
@@ -145,7 +145,7 @@
     bool m_oldVersion = false;
     TimePoint m_idleSince{};
     std::optional<TimePoint> m_deadline;
-    std::size_t m_unsentAtDeadline = 0; ///< Bytes of the answer that were unsent when the deadline was set.
+    std::size_t m_unconfirmedAtDeadline = 0; ///< Bytes of the answer that had not arrived when the deadline was set.
     TimePoint m_timerAt{};
     EventLoop::TimerId m_timer = 0;
     std::shared_ptr<bool> m_alive;
--- a/include/celeryroute/detail/net/tcpchannel.h
+++ b/include/celeryroute/detail/net/tcpchannel.h
@@ -58,6 +58,8 @@
     {
         return m_output.size() - m_outputBegin;
     }
+    /// @brief Bytes that the peer's system has not confirmed, with those of unsent(); one system call.
+    std::size_t unconfirmed() const;
     /// @brief Counts the bytes sent from now on.
     void restartSentCount()
     {
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -320,7 +320,7 @@
 // events.
 bool CallerConnection::mayStayOpen()
 {
-    const bool takesAnswer = m_channel.unsent() < m_unsentAtDeadline;
+    const bool takesAnswer = m_channel.unsent() > 0 && m_channel.unconfirmed() < m_unconfirmedAtDeadline;
     return takesAnswer || (m_phase == Phase::Idle && (!m_channel.input().empty() || m_channel.stirred()));
 }
 
@@ -334,7 +334,7 @@
 void CallerConnection::setDeadline(Duration fromNow)
 {
     m_deadline = m_loop.now() + fromNow;
-    m_unsentAtDeadline = m_channel.unsent();
+    m_unconfirmedAtDeadline = m_channel.unsent() > 0 ? m_channel.unconfirmed() : 0;
     startTimer();
 }
 
--- a/src/net/tcpchannel.cpp
+++ b/src/net/tcpchannel.cpp
@@ -4,7 +4,9 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -90,6 +92,12 @@
     setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
+std::size_t TcpChannel::unconfirmed() const
+{
+    int held = 0;
+    return unsent() + (ioctl(m_socket, SIOCOUTQ, &held) == 0 ? static_cast<std::size_t>(held) : 0);
+}
+
 bool TcpChannel::stirred() const
 {
     char byte = 0;
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -7,10 +7,12 @@
 #include "scriptedtarget.h"
 
 #include <algorithm>
+#include <netinet/in.h>
 #include <random>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -336,6 +338,19 @@
 const std::string Get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
 constexpr std::size_t LargeAnswer = std::size_t{8} * 1024 * 1024; ///< More than the system's buffers take in.
 
+/// @brief Connects to @p endpoint by a socket whose reads wait.
+int connectBlocking(const Endpoint &endpoint, int receiveBuffer)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = htonl(endpoint.ip);
+    (void)::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    return socket;
+}
+
 } // namespace
 
 TEST_GROUP(CallerConnection)
@@ -743,6 +758,27 @@
     }
 }
 
+// The system reports room in its buffer only when a large part of it is free.
+TEST(CallerConnection, answerThatIsReadInPartsSmallerThanTheSystemsBuffers_arrivesWhole)
+{
+    constexpr std::size_t PartSize = std::size_t{32} * 1024;
+    constexpr int Parts = 20;
+    const int socket = connectBlocking(world.endpoint, 4096);
+    CHECK_EQUAL(static_cast<ssize_t>(Get.size()), ::send(socket, Get.data(), Get.size(), 0));
+    CHECK(world.waitForRequests(1));
+    world.limits.idleTimeout = 2ms;
+    world.latest().answer({200, {}, {}}, std::string(LargeAnswer, 'a'));
+    std::string part(PartSize, '\0');
+    for (int parts = 0; parts < Parts; ++parts) {
+        CHECK_EQUAL(static_cast<ssize_t>(PartSize), recv(socket, part.data(), part.size(), MSG_WAITALL));
+        std::this_thread::sleep_for(3ms);
+        world.loop.turn(0ms);
+    }
+    CHECK_EQUAL(0, world.dropped);
+    CHECK_EQUAL(0, world.ended);
+    close(socket);
+}
+
 TEST(CallerConnection, answerThatIsNotRead_isDroppedAtTheIdleTimeoutAndReported)
 {
     RawCaller caller(world.loop, world.endpoint, 4096);
