Keep a stream whose engine falls silent again and again

Callers of the standalone roles lost the rest of a stream at its fourth silence of 5 s, and a stream or a first event that was still to come where the engine left four probes in a row unanswered for 1 s each.

Cause: MaxResumes counted resumptions and silent probes over the whole stream, and an answer that had begun was given up for another target although none can go on with it.

Change: an event resets the count. The target of a resumable answer that has begun is probed until it answers or refuses. Four resumptions in a row without an event, all answered, still end a stream.

--- a/include/celeryroute/detail/agent/attempt.h
+++ b/include/celeryroute/detail/agent/attempt.h
@@ -38,7 +38,8 @@
     bool suspect = false; ///< Whether it runs alone because it may crash the target.
     Duration loadWait{};
     HttpMultiClient::CallId call = 0;
-    unsigned resumes = 0;
+    TimePoint callBegan; ///< Begin of the last call to the target.
+    unsigned resumes = 0; ///< Resumptions and silent probes since the last event.
     bool reachedTarget = false; ///< Whether the target may have received any byte of the call.
     bool headSent = false;
     std::optional<proto::ResponseHead> head;
--- a/include/celeryroute/detail/agent/attemptrunner.h
+++ b/include/celeryroute/detail/agent/attemptrunner.h
@@ -76,7 +76,7 @@
     QueueEntry queueEntry(const Attempt &attempt) const;
     void refuseAll(const std::vector<RefusedEntry> &refused, TimePoint now);
     void dispatch(const AttemptPointer &attempt, TimePoint now);
-    void startCall(const AttemptPointer &attempt);
+    void startCall(const AttemptPointer &attempt, TimePoint now);
     void onHead(const AttemptPointer &attempt, int status, const HttpFields &headers);
     void onData(const AttemptPointer &attempt, const std::string &data);
     void onCallEnd(const AttemptPointer &attempt, const HttpCallEnd &end, TimePoint now);
--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -31,11 +31,12 @@
     attempt->phase = AttemptPhase::Running;
     attempt->startedAt = now;
     emit(AgentEventKind::Dispatched, *attempt);
-    startCall(attempt);
+    startCall(attempt, now);
 }
 
-void AttemptRunner::startCall(const AttemptPointer &attempt)
+void AttemptRunner::startCall(const AttemptPointer &attempt, TimePoint now)
 {
+    attempt->callBegan = now;
     const HttpCall call = targetRequest(m_dependencies.settings,
                                         m_pool->kind,
                                         attempt->submit(),
@@ -80,6 +81,7 @@
     }
     std::string whole = attempt->meter.take(data);
     if (!whole.empty()) {
+        attempt->resumes = 0;
         sendChunk(*attempt, attempt->chunks.append(std::move(whole)));
     }
 }
@@ -101,6 +103,10 @@
         finish(attempt, Outcome{Error{ResultCode::TargetFailed, end.error->message}}, now);
         return;
     }
+    // Before the head, the deadline limits the wait for a target that is silent but answers probes.
+    if (!attempt->headSent && now - attempt->callBegan >= m_dependencies.settings.progressTimeout) {
+        attempt->resumes = 0;
+    }
     suspend(attempt);
 }
 
@@ -159,14 +165,16 @@
 
 void AttemptRunner::resumeOrFinish(const AttemptPointer &attempt, TargetCondition condition, TimePoint now)
 {
-    if (condition == TargetCondition::Silent && attempt->resumes < MaxResumes) {
-        ++attempt->resumes;
+    // No other target can go on with an answer that has begun, so its target is awaited.
+    const bool begun = attempt->headSent && resumable(*attempt);
+    if (condition == TargetCondition::Silent && (begun || attempt->resumes < MaxResumes)) {
+        attempt->resumes += begun ? 0 : 1;
         m_dependencies.monitor.requestProbe();
     } else if (condition == TargetCondition::Alive && resumable(*attempt)) {
         ++attempt->resumes;
         attempt->phase = AttemptPhase::Running;
         emit(AgentEventKind::Resumed, *attempt, absl::StrCat("from event ", attempt->meter.events()));
-        startCall(attempt);
+        startCall(attempt, now);
     } else {
         const bool silent = condition == TargetCondition::Silent;
         const ResultCode code = silent ? ResultCode::TargetTimeout : ResultCode::TargetFailed;
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -255,6 +255,37 @@
     CHECK_EQUAL(2U, target.received("/v1/chat").size());
 }
 
+TEST(Agent, targetIsSilentAfterEachEvent_streamResumesToItsEnd)
+{
+    start();
+    target.silenceEachAfterOneEvent();
+    entry->submit(chatSubmit("a"));
+    checkCompleteAnswer("a");
+}
+
+TEST(Agent, targetIsSilentBeforeItsFirstEvent_callGoesOnOverNewConnections)
+{
+    start();
+    target.hold();
+    entry->submit(chatSubmit("a"));
+    target.waitForRequests("/v1/chat", 6);
+    target.release();
+    checkCompleteAnswer("a");
+}
+
+TEST(Agent, targetLeavesProbesUnansweredDuringAStream_streamResumesToItsEnd)
+{
+    start();
+    target.silenceNextAfter(2);
+    entry->submit(chatSubmit("a"));
+    CHECK(entry->receiveUntil([this] { return entry->answer("a").chunks.size() == 1; }));
+    target.holdProbes();
+    const std::size_t probes = target.received("/v1/load").size();
+    target.waitForRequests("/v1/load", probes + 7);
+    target.releaseProbes();
+    checkCompleteAnswer("a");
+}
+
 TEST(Agent, targetDiesInTheMiddleOfAStream_reportsTheCrashAndUnknown)
 {
     start();
--- a/tests/support/faketarget.cpp
+++ b/tests/support/faketarget.cpp
@@ -102,6 +102,12 @@
     m_silentAfter = events;
 }
 
+void FakeTarget::silenceEachAfterOneEvent()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_silentAfterOne = true;
+}
+
 void FakeTarget::dropNextOrderAnswer()
 {
     absl::MutexLock lock(&m_mutex);
@@ -127,6 +133,18 @@
     }
 }
 
+void FakeTarget::holdProbes()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_holdingProbes = true;
+}
+
+void FakeTarget::releaseProbes()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_holdingProbes = false;
+}
+
 void FakeTarget::addResident(const InventoryItem &item)
 {
     absl::MutexLock lock(&m_mutex);
@@ -172,6 +190,10 @@
     {
         absl::MutexLock lock(&m_mutex);
         m_received.push_back(request);
+        if (m_holdingProbes && (request.path == "/v1/load" || request.path == "/healthz")) {
+            m_silent.push_back(responder);
+            return;
+        }
     }
     if (request.path == "/v1/inventory") {
         responder->respond({200, {}, inventoryJson()});
@@ -191,6 +213,7 @@
     int cutAfter = -1;
     int silentAfter = -1;
     bool cutInOrder = false;
+    bool silentAfterOne = false;
     {
         absl::MutexLock lock(&m_mutex);
         if (m_holding) {
@@ -200,6 +223,7 @@
         std::swap(cutAfter, m_cutAfter);
         std::swap(silentAfter, m_silentAfter);
         std::swap(cutInOrder, m_cutInOrder);
+        silentAfterOne = m_silentAfterOne;
     }
     if (request.path != "/v1/chat/completions") {
         responder->respond({200, {{"content-type", "application/json"}}, R"({"booked":true})"});
@@ -215,7 +239,7 @@
             responder->end(cutInOrder);
             return;
         }
-        if (number == silentAfter) {
+        if (number == silentAfter || (silentAfterOne && number > first)) {
             absl::MutexLock lock(&m_mutex);
             m_silent.push_back(responder);
             return;
--- a/tests/support/faketarget.h
+++ b/tests/support/faketarget.h
@@ -32,11 +32,16 @@
     /// The next streamed answer ends in order inside the event after this many events.
     void endNextInsideEventAfter(int events);
     void silenceNextAfter(int events);
+    /// Each streamed answer stalls with its connection open after one event.
+    void silenceEachAfterOneEvent();
     /// The next order takes effect, but its connection is closed without a complete answer.
     void dropNextOrderAnswer();
     /// Delays the answers to calls until release().
     void hold();
     void release();
+    /// Leaves probes unanswered until releaseProbes().
+    void holdProbes();
+    void releaseProbes();
 
     void addResident(const InventoryItem &item);
     std::vector<HttpRequest> received(const std::string &pathPrefix) const;
@@ -65,6 +70,8 @@
     int m_cutAfter ABSL_GUARDED_BY(m_mutex) = -1;
     bool m_cutInOrder ABSL_GUARDED_BY(m_mutex) = false; ///< The cut answer ends as if it were complete.
     int m_silentAfter ABSL_GUARDED_BY(m_mutex) = -1;
+    bool m_silentAfterOne ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_holdingProbes ABSL_GUARDED_BY(m_mutex) = false;
     bool m_dropOrderAnswer ABSL_GUARDED_BY(m_mutex) = false;
     bool m_holding ABSL_GUARDED_BY(m_mutex) = false;
     std::uint16_t m_port = 0;
