Leave a service's call only when probes are unanswered too

Callers of the standalone roles got 502 for a repeatable call to a service that worked on it for over 5 s without a byte; where another target existed, each one was left after 5 s in the same way.

Cause: the progress timeout ended the connection first and only then probed the target, but a service can't resume a call, so an answer to the probe came too late.

Change: calls to services have no idle limit; their deadline holds. A repeatable call without a head that is older than the progress timeout is reported as TargetTimeout, so that the entry may try another target, when the target has left four probes in a row unanswered. A dead target still ends its calls at once. Cost: a call whose connection alone went silent waits for its deadline.

--- a/include/celeryroute/detail/agent/attemptrunner.h
+++ b/include/celeryroute/detail/agent/attemptrunner.h
@@ -81,6 +81,7 @@
     void onData(const AttemptPointer &attempt, const std::string &data);
     void onCallEnd(const AttemptPointer &attempt, const HttpCallEnd &end, TimePoint now);
     void targetDied(TimePoint now);
+    bool isUnanswered(const Attempt &attempt, TimePoint now) const;
     void resumeOrFinish(const AttemptPointer &attempt, TargetCondition condition, TimePoint now);
     void suspend(const AttemptPointer &attempt);
     bool resumable(const Attempt &attempt) const;
@@ -104,6 +105,7 @@
     std::size_t m_live = 0;
     RecentClaims m_claims;
     ServiceTimes m_serviceTimes;
+    unsigned m_silentProbes = 0; ///< Since the target last answered a probe.
     bool m_stopping = false;
 };
 
--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -124,18 +124,35 @@
     return isEngine() && position && attempt.resumes < MaxResumes;
 }
 
+/// Returns whether a service's call should be left to another target. A service can't resume calls, so silence alone is
+/// no reason.
+bool AttemptRunner::isUnanswered(const Attempt &attempt, TimePoint now) const
+{
+    return !isEngine() && attempt.phase == AttemptPhase::Running && !attempt.headSent && attempt.submit().repeatable()
+        && m_silentProbes > MaxResumes && now - attempt.startedAt >= m_dependencies.settings.progressTimeout;
+}
+
 void AttemptRunner::targetProbed(TargetCondition condition, TimePoint now)
 {
+    m_silentProbes = condition == TargetCondition::Silent ? m_silentProbes + 1 : 0;
     if (condition == TargetCondition::Dead) {
         targetDied(now);
         return;
     }
     std::vector<AttemptPointer> suspended;
+    std::vector<AttemptPointer> unanswered;
     for (const auto &[id, attempt] : m_attempts) {
         if (attempt->phase == AttemptPhase::Suspended) {
             suspended.push_back(attempt);
+        } else if (isUnanswered(*attempt, now)) {
+            unanswered.push_back(attempt);
         }
     }
+    for (const AttemptPointer &attempt : unanswered) {
+        cutCall(attempt);
+        const Error error{ResultCode::TargetTimeout, "the target answers neither the call nor probes"};
+        finish(attempt, Outcome{error, proto::RUN_UNKNOWN}, now);
+    }
     for (const AttemptPointer &attempt : suspended) {
         resumeOrFinish(attempt, condition, now);
     }
--- a/src/agent/targetrequest.cpp
+++ b/src/agent/targetrequest.cpp
@@ -30,7 +30,7 @@
     call.url = settings.targetUrl + submit.path();
     call.body = submit.body();
     call.totalTimeout = MaxCallTime;
-    call.idleTimeout = settings.progressTimeout;
+    call.idleTimeout = kind == PoolKind::Engine ? settings.progressTimeout : Duration::zero();
     if (!submit.content_type().empty()) {
         call.headers["content-type"] = submit.content_type();
     }
@@ -42,9 +42,6 @@
         call.headers["idempotency-key"] = submit.idempotency_key().empty() ? ownKey : submit.idempotency_key();
         // A call that must not be repeated must not be sent over an idle connection that may be dead.
         call.freshConnection = !submit.repeatable();
-        if (!submit.repeatable()) {
-            call.idleTimeout = Duration::zero(); // It is sent to no other target, so a silent one is awaited.
-        }
         return call;
     }
     // The engine identifies calls by this id when it cancels or resumes them. The request id would be ambiguous,
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -513,6 +513,31 @@
     CHECK_EQUAL(1U, target.received("/couriers/book").size());
 }
 
+TEST(ServiceAgent, repeatableCallToATargetThatAnswersProbes_isAnsweredWhenTheTargetHasFinished)
+{
+    target.hold();
+    proto::SubmitRequest submit = booking("a", "");
+    submit.set_repeatable(true);
+    entry->submit(submit);
+    target.waitForRequests("/couriers/book", 1);
+    std::this_thread::sleep_for(2 * ProgressTimeout);
+    target.release();
+    STRCMP_EQUAL(R"({"booked":true})", entry->waitForAnswer("a").body().c_str());
+    CHECK_EQUAL(1U, target.received("/couriers/book").size());
+}
+
+TEST(ServiceAgent, repeatableCallToATargetThatLeavesProbesUnanswered_reportsTheTimeout)
+{
+    target.hold();
+    proto::SubmitRequest submit = booking("a", "");
+    submit.set_repeatable(true);
+    entry->submit(submit);
+    target.waitForRequests("/couriers/book", 1);
+    target.holdProbes();
+    checkRefused("a", ResultCode::TargetTimeout, proto::RUN_UNKNOWN);
+    target.releaseProbes();
+}
+
 TEST(ServiceAgent, targetDiesDuringACall_reportsUnknownAndNeverRunsItAgain)
 {
     target.hold();
