Ask for the rest of a silent stream instead of ending it

Callers of the standalone entry lost the rest of a stream after 20 s without a chunk, although its agent and target were sound and would have gone on.

Cause: the entry took the silence for a loss and cancelled the attempt; no other target can go on with a stream.

Change: after progressTimeout without a chunk the entry sends ResumeStream. A message that was lost is sent again, and an agent that doesn't know the attempt any more ends it.

--- a/include/celeryroute/detail/entry/dispatchersettings.h
+++ b/include/celeryroute/detail/entry/dispatchersettings.h
@@ -15,7 +15,8 @@
     std::uint32_t maxAttempts = 3;
     std::size_t maxWholeAnswerBytes = 16U << 20U;
     std::size_t maxUnreadBytes = 4U << 20U; ///< Limit of data buffered for a caller that does not read its stream.
-    Duration progressTimeout = std::chrono::seconds(20); ///< Maximum time between chunks of a stream.
+    Duration progressTimeout = std::chrono::seconds(
+        20); ///< Time without a chunk after which an agent is asked again for the rest of a stream.
     LinkTimeouts link;
     bool operator==(const DispatcherSettings &) const = default;
 };
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -258,15 +258,17 @@
             expire(*flight, now);
         }
     }
+    // Silence is no reason to end a stream. If a message was lost, the agent sends it again; if the agent doesn't know
+    // the attempt any more, it says so, which ends the stream.
     const auto stalled = m_table.select([this, now](const Flight &flight) {
         return flight.attempt && flight.headSent && now - flight.attempt->lastProgress > m_settings.progressTimeout;
     });
     for (const std::string &requestId : stalled) {
         Flight &flight = *m_table.find(requestId);
-        cancelAttempt(flight);
-        refuse(flight,
-               {{ResultCode::TargetTimeout, "the stream made no progress"}, RunState::Unknown, Duration::zero()},
-               now);
+        flight.attempt->lastProgress = now;
+        if (HostLink *link = m_directory.find(flight.attempt->host)) {
+            requestMissingChunks(flight, *link);
+        }
     }
     for (const auto &[host, link] : m_directory.links()) {
         if (!link->reachable(now) && now - link->opened() > m_settings.link.unreachableAfter) {
--- a/tests/src/unit-entry.cpp
+++ b/tests/src/unit-entry.cpp
@@ -251,15 +251,21 @@
             [](const Error &) { return false; });
         // The agents of this group answer two heartbeats only; on a busy machine a test may take longer than the
         // default timeouts.
+        startDispatcher(patientTimeouts());
+    }
+
+    static LinkTimeouts patientTimeouts()
+    {
         LinkTimeouts patient;
         patient.reconnectAfter = std::chrono::hours(1);
         patient.unreachableAfter = std::chrono::hours(1);
-        startDispatcher(patient);
+        return patient;
     }
 
-    void startDispatcher(LinkTimeouts timeouts)
+    void startDispatcher(LinkTimeouts timeouts, Duration progressTimeout = DispatcherSettings().progressTimeout)
     {
         DispatcherSettings settings;
+        settings.progressTimeout = progressTimeout;
         settings.instance = "entry-1";
         settings.link = timeouts;
         settings.link.heartbeatInterval = std::chrono::milliseconds(20);
@@ -270,6 +276,8 @@
         hooks.confirmedAt = [] { return MonotonicClock::now(); };
         hooks.submitDivision = [](const proto::ShareDivision &) {};
         hooks.heardFrom = [](const std::string &, TimePoint) {};
+        dispatcher.reset();
+        while (agent.receive()) {}
         dispatcher = std::make_unique<Dispatcher>(settings, context, hooks, Observers{timeline, metrics});
         handleErrors(
             [this]() -> Result<bool> {
@@ -360,6 +368,14 @@
         end.mutable_response_end()->set_run(run);
         server.send(submit.connection, end);
     }
+
+    void finishStream(const PeerMessage &submit)
+    {
+        sendChunk(agent, submit, 1, "b");
+        sendEnd(agent, submit, 2, ResultCode::Ok, proto::RAN);
+        STRCMP_EQUAL("ab", responder->body().c_str());
+        CHECK(responder->complete());
+    }
 };
 
 TEST(DispatcherWithFakeAgent, wholeAnswer_reachesTheCaller)
@@ -387,6 +403,19 @@
     CHECK(responder->complete());
 }
 
+TEST(DispatcherWithFakeAgent, streamWithoutProgress_isAskedForAndGoesOn)
+{
+    startDispatcher(patientTimeouts(), std::chrono::milliseconds(50));
+    const PeerMessage submit = submitCall(true);
+    sendHead(agent, submit);
+    sendChunk(agent, submit, 0, "a");
+    for (int silences = 0; silences < 3; ++silences) {
+        const PeerMessage resume = waitFor(agent, [](const proto::Envelope &e) { return e.has_resume(); });
+        CHECK_EQUAL(1, resume.envelope->resume().next_sequence());
+    }
+    finishStream(submit);
+}
+
 TEST(DispatcherWithFakeAgent, answerOfAnotherAttempt_isDropped)
 {
     const PeerMessage submit = submitCall(false);
