Finish the calls of a host that leaves the host list

Beside a change of the host list, callers of the standalone entry lost their streams and, where no other target was left, got 502 with PeerSilent: of a host that was taken out of the list, and of one whose failure domain or pool changed, although its agent was sound and at the same address.

Cause: HostDirectory::update closed the link first, and its calls were then treated as those of a lost host.

Change: a link is replaced only when role or address change. A host that leaves the list while calls are at it keeps its link as a leaving one, which gets no new calls, until its last call has ended; if it goes silent, its calls are given up as before.

--- a/include/celeryroute/detail/entry/hostlink.h
+++ b/include/celeryroute/detail/entry/hostlink.h
@@ -33,6 +33,8 @@
     HostLink(TransportContext &context, HostEntry host, LinkTimeouts timeouts, TimePoint now);
 
     const HostEntry &host() const;
+    /// @param host must have the same role and address as before
+    void setHost(const HostEntry &host);
     void setState(HostState state);
     PeerLink &peer();
 
--- a/src/entry/callrunner.cpp
+++ b/src/entry/callrunner.cpp
@@ -242,6 +242,11 @@
     m_table.remove(requestId);
 }
 
+std::set<std::string> CallRunner::hostsInUse() const
+{
+    return m_table.hosts();
+}
+
 void CallRunner::linksChanged(TimePoint now)
 {
     m_router.refresh(now);
--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -15,6 +15,7 @@
 #include <peer.pb.h>
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace celeryroute {
@@ -41,6 +42,8 @@
     /// @brief Enforces deadlines and ends attempts at stalled streams and unreachable hosts.
     void tick(TimePoint now);
     /// @brief Updates the target choosers after links were added or removed.
+    /// @brief Hosts at which calls are in progress.
+    std::set<std::string> hostsInUse() const;
     void linksChanged(TimePoint now);
     /// @brief Ends the attempts at a host that was removed from the host list.
     void hostLost(const std::string &host, TimePoint now);
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -68,6 +68,7 @@
             receiveFromAgents(now);
             answerPeers(now);
             tickLinks(now);
+            closeUnlistedLinks(now);
             planDivision(now);
             runner.claims().setLogReachable(hooks.logReachable && hooks.logReachable());
             runner.tick(now);
@@ -112,7 +113,7 @@
 
     void apply(const NewHosts &command, TimePoint now)
     {
-        for (const std::string &host : directory.update(command.hosts, now)) {
+        for (const std::string &host : directory.update(command.hosts, runner.hostsInUse(), now)) {
             runner.hostLost(host, now);
         }
         runner.linksChanged(now);
@@ -219,6 +220,13 @@
         }
     }
 
+    void closeUnlistedLinks(TimePoint now)
+    {
+        if (directory.hasUnlisted() && directory.closeUnlisted(runner.hostsInUse())) {
+            runner.linksChanged(now);
+        }
+    }
+
     void planDivision(TimePoint now)
     {
         std::set<std::string> entries;
--- a/src/entry/flighttable.cpp
+++ b/src/entry/flighttable.cpp
@@ -72,6 +72,17 @@
     return selected;
 }
 
+std::set<std::string> FlightTable::hosts() const
+{
+    std::set<std::string> hosts;
+    for (const auto &[requestId, flight] : m_flights) {
+        if (flight->attempt) {
+            hosts.insert(flight->attempt->host);
+        }
+    }
+    return hosts;
+}
+
 std::size_t FlightTable::size() const
 {
     return m_flights.size();
--- a/src/entry/flighttable.h
+++ b/src/entry/flighttable.h
@@ -26,6 +26,8 @@
     std::vector<std::string> takeExpired(TimePoint now);
     /// @brief Request ids for which @p condition holds.
     std::vector<std::string> select(const std::function<bool(const Flight &)> &condition) const;
+    /// @brief Hosts at which attempts are in progress.
+    std::set<std::string> hosts() const;
     std::size_t size() const;
 
 private:
--- a/src/entry/hostdirectory.cpp
+++ b/src/entry/hostdirectory.cpp
@@ -6,8 +6,7 @@
 
 bool sameLink(const HostEntry &left, const HostEntry &right)
 {
-    return left.role == right.role && left.address == right.address && left.pool == right.pool
-        && left.domain == right.domain;
+    return left.role == right.role && left.address == right.address;
 }
 
 } // namespace
@@ -18,7 +17,8 @@
     , m_ownHost(std::move(ownHost))
 {}
 
-std::vector<std::string> HostDirectory::update(const std::vector<HostEntry> &hosts, TimePoint now)
+std::vector<std::string>
+HostDirectory::update(const std::vector<HostEntry> &hosts, const std::set<std::string> &inUse, TimePoint now)
 {
     std::map<std::string, const HostEntry *> wanted;
     for (const HostEntry &host : hosts) {
@@ -30,10 +30,16 @@
     for (auto link = m_links.begin(); link != m_links.end();) {
         const auto found = wanted.find(link->first);
         if (found != wanted.end() && sameLink(*found->second, link->second->host())) {
-            link->second->setState(found->second->state);
+            link->second->setHost(*found->second);
+            m_unlisted.erase(link->first);
+            ++link;
+        } else if (found == wanted.end() && inUse.contains(link->first)) {
+            link->second->setState(HostState::Leaving);
+            m_unlisted.insert(link->first);
             ++link;
         } else {
             closed.push_back(link->first);
+            m_unlisted.erase(link->first);
             link = m_links.erase(link);
         }
     }
@@ -45,6 +51,19 @@
     return closed;
 }
 
+bool HostDirectory::closeUnlisted(const std::set<std::string> &inUse)
+{
+    const std::size_t closed = std::erase_if(m_unlisted, [this, &inUse](const std::string &host) {
+        return !inUse.contains(host) && m_links.erase(host) > 0;
+    });
+    return closed > 0;
+}
+
+bool HostDirectory::hasUnlisted() const
+{
+    return !m_unlisted.empty();
+}
+
 HostLink *HostDirectory::find(const std::string &host)
 {
     const auto found = m_links.find(host);
--- a/src/entry/hostlink.cpp
+++ b/src/entry/hostlink.cpp
@@ -21,6 +21,11 @@
     return m_host;
 }
 
+void HostLink::setHost(const HostEntry &host)
+{
+    m_host = host;
+}
+
 void HostLink::setState(HostState state)
 {
     m_host.state = state;
--- a/tests/src/unit-entry.cpp
+++ b/tests/src/unit-entry.cpp
@@ -416,6 +416,24 @@
     finishStream(submit);
 }
 
+TEST(DispatcherWithFakeAgent, hostLeavesTheListDuringAStream_streamIsFinished)
+{
+    const PeerMessage submit = submitCall(true);
+    sendHead(agent, submit);
+    sendChunk(agent, submit, 0, "a");
+    dispatcher->setHosts({});
+    finishStream(submit);
+}
+
+TEST(DispatcherWithFakeAgent, hostMovesToAnotherDomainDuringAStream_streamIsFinished)
+{
+    const PeerMessage submit = submitCall(true);
+    sendHead(agent, submit);
+    sendChunk(agent, submit, 0, "a");
+    dispatcher->setHosts({{"host-1", agent.endpoint(), "b", HostRole::Agent, "assay-llm", HostState::Live}});
+    finishStream(submit);
+}
+
 TEST(DispatcherWithFakeAgent, answerOfAnotherAttempt_isDropped)
 {
     const PeerMessage submit = submitCall(false);
