--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -31,11 +31,12 @@
     attempt->phase = AttemptPhase::Running;
     attempt->startedAt = now;
     emit(AgentEventKind::Dispatched, *attempt);
-    startCall(attempt);
+    startCall(attempt, now);
 }
 
-void AttemptRunner::startCall(const AttemptPointer &attempt)
+void AttemptRunner::startCall(const AttemptPointer &attempt, TimePoint now)
 {
+    attempt->callBegan = now;
     const HttpCall call = targetRequest(m_dependencies.settings,
                                         m_pool->kind,
                                         attempt->submit(),
@@ -80,6 +81,7 @@
     }
     std::string whole = attempt->meter.take(data);
     if (!whole.empty()) {
+        attempt->resumes = 0;
         sendChunk(*attempt, attempt->chunks.append(std::move(whole)));
     }
 }
@@ -101,6 +103,10 @@
         finish(attempt, Outcome{Error{ResultCode::TargetFailed, end.error->message}}, now);
         return;
     }
+    // Before the head, the deadline limits the wait for a target that is silent but answers probes.
+    if (!attempt->headSent && now - attempt->callBegan >= m_dependencies.settings.progressTimeout) {
+        attempt->resumes = 0;
+    }
     suspend(attempt);
 }
 
@@ -118,18 +124,35 @@
     return isEngine() && position && attempt.resumes < MaxResumes;
 }
 
+/// Returns whether a service's call should be left to another target. A service can't resume calls, so silence alone is
+/// no reason.
+bool AttemptRunner::isUnanswered(const Attempt &attempt, TimePoint now) const
+{
+    return !isEngine() && attempt.phase == AttemptPhase::Running && !attempt.headSent && attempt.submit().repeatable()
+        && m_silentProbes > MaxResumes && now - attempt.startedAt >= m_dependencies.settings.progressTimeout;
+}
+
 void AttemptRunner::targetProbed(TargetCondition condition, TimePoint now)
 {
+    m_silentProbes = condition == TargetCondition::Silent ? m_silentProbes + 1 : 0;
     if (condition == TargetCondition::Dead) {
         targetDied(now);
         return;
     }
     std::vector<AttemptPointer> suspended;
+    std::vector<AttemptPointer> unanswered;
     for (const auto &[id, attempt] : m_attempts) {
         if (attempt->phase == AttemptPhase::Suspended) {
             suspended.push_back(attempt);
+        } else if (isUnanswered(*attempt, now)) {
+            unanswered.push_back(attempt);
         }
     }
+    for (const AttemptPointer &attempt : unanswered) {
+        cutCall(attempt);
+        const Error error{ResultCode::TargetTimeout, "the target answers neither the call nor probes"};
+        finish(attempt, Outcome{error, proto::RUN_UNKNOWN}, now);
+    }
     for (const AttemptPointer &attempt : suspended) {
         resumeOrFinish(attempt, condition, now);
     }
@@ -159,14 +182,16 @@
 
 void AttemptRunner::resumeOrFinish(const AttemptPointer &attempt, TargetCondition condition, TimePoint now)
 {
-    if (condition == TargetCondition::Silent && attempt->resumes < MaxResumes) {
-        ++attempt->resumes;
+    // No other target can go on with an answer that has begun, so its target is awaited.
+    const bool begun = attempt->headSent && resumable(*attempt);
+    if (condition == TargetCondition::Silent && (begun || attempt->resumes < MaxResumes)) {
+        attempt->resumes += begun ? 0 : 1;
         m_dependencies.monitor.requestProbe();
     } else if (condition == TargetCondition::Alive && resumable(*attempt)) {
         ++attempt->resumes;
         attempt->phase = AttemptPhase::Running;
         emit(AgentEventKind::Resumed, *attempt, absl::StrCat("from event ", attempt->meter.events()));
-        startCall(attempt);
+        startCall(attempt, now);
     } else {
         const bool silent = condition == TargetCondition::Silent;
         const ResultCode code = silent ? ResultCode::TargetTimeout : ResultCode::TargetFailed;
