Log agent.declined once a change of reason, and show the store's rate at agents

Cause: AgentNode compared the declined items with those of the instant before. An item whose wants come and go was new each time.

Change: DeclineHistory remembers what was logged.

--- a/include/celeryroute/detail/keeper/modelcontroller.h
+++ b/include/celeryroute/detail/keeper/modelcontroller.h
@@ -72,6 +72,11 @@
         return m_report.copies;
     }
 
+    const StoreLoadShare &storeLoadShare() const
+    {
+        return m_storeLoadShare;
+    }
+
     /// @brief Entries with calls that wait for an item of the target.
     std::vector<std::string> waitingEntries(TimePoint now) const
     {
--- a/include/celeryroute/detail/keeper/storeloadshare.h
+++ b/include/celeryroute/detail/keeper/storeloadshare.h
@@ -39,7 +39,23 @@
     /// @brief Time until the next turn, or zero if loads are limited by count.
     Duration timeUntilTurn(TimePoint now) const;
 
+    /// @brief Loads a second that this target may begin, or zero while it waits after a start.
+    double grantedRate(TimePoint now) const;
+
+    /// @brief Loads a second that this target began in the last window.
+    double usedRate(TimePoint now) const
+    {
+        return rateOf(recentLoads(now));
+    }
+
+    /// @brief Number of loads that this target began in the last window.
+    std::uint64_t recentLoads(TimePoint now) const;
+
+    /// @brief Loads a second when @p loads begin in a window.
+    double rateOf(std::uint64_t loads) const;
+
 private:
+    bool isWaiting(TimePoint now) const;
     std::uint32_t loadsPerWindow() const;
     Duration cycle() const;
     bool permitsByCount(TimePoint now, std::uint32_t pending) const;
--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -2,6 +2,7 @@
 
 #include <celeryroute/detail/feed/desiredstatefeed.h>
 #include <celeryroute/detail/feed/exponentialbackoff.h>
+#include <celeryroute/detail/keeper/declinehistory.h>
 #include <celeryroute/detail/keeper/modelcontroller.h>
 #include <celeryroute/detail/node/asynchttpclient.h>
 #include <celeryroute/detail/node/eramonitor.h>
@@ -53,6 +54,7 @@
     void sendLoad();
     std::uint64_t stateNumber() const;
     ServingGauges gauges() const;
+    StoreLoadGauge storeLoadGauge(TimePoint now) const;
 
     NodeCore &m_core;
     AsyncHttpClient m_store;
@@ -71,7 +73,7 @@
     std::optional<bool> m_targetAnswers; ///< Empty before the first read of the target's report.
     TimePoint m_targetHeardAt; ///< Time of the newest report; initially the start time.
     StoreMonitor m_fenceMonitor;
-    std::vector<DeclinedItem> m_declined;
+    DeclineHistory m_declined;
     bool m_isReadingReport = false;
     EventLoop::TimerId m_reportTimer = 0;
     TimePoint m_reportAt;
--- a/include/celeryroute/detail/telemetry/eventnames.h
+++ b/include/celeryroute/detail/telemetry/eventnames.h
@@ -133,7 +133,7 @@
     EventDescription{DecisionEvent::AgentFenced, "agent.fenced", LineVolume::Dependency, "target fence msg", "the agent may order its target under this fence"},
     EventDescription{DecisionEvent::AgentOrder, "agent.order", LineVolume::Decision, "target operation item source sequence fence report_age_ms msg heard_inc heard_msg", "the agent orders a load or an unload"},
     EventDescription{DecisionEvent::AgentOutcome, "agent.outcome", LineVolume::Decision, "target operation item outcome status took_ms msg", "the result of an order"},
-    EventDescription{DecisionEvent::AgentDeclined, "agent.declined", LineVolume::Decision, "target item reason msg heard_inc heard_msg", "an item that is wanted is not loaded from now on"},
+    EventDescription{DecisionEvent::AgentDeclined, "agent.declined", LineVolume::Decision, "target item reason count msg heard_inc heard_msg", "an item that is wanted is not loaded for this reason from now on"},
 };
 // clang-format on
 
--- a/include/celeryroute/detail/telemetry/servinggauges.h
+++ b/include/celeryroute/detail/telemetry/servinggauges.h
@@ -18,6 +18,16 @@
     bool operator==(const AllowanceGauge &) const = default;
 };
 
+/// Loads of one target from the weight store.
+struct StoreLoadGauge {
+    double granted = 0; ///< Loads a second that may begin.
+    double used = 0; ///< Loads a second that began in the last window.
+    double wanted = 0; ///< The same, if the waiting models had been loaded too.
+    std::uint64_t waitingModels = 0; ///< Models for which calls wait and that the store's rate holds back.
+    Duration longestWait{};
+    bool operator==(const StoreLoadGauge &) const = default;
+};
+
 /// Current values of a process, taken when its metrics are read. Values that do not apply to its role are empty.
 struct ServingGauges {
     std::optional<bool> ready;
@@ -26,6 +36,7 @@
     std::optional<Duration> registryAge; ///< Time since the start of the newest answered read of the target registry.
     std::optional<double> retryAllowance; ///< Number of retries that the retry budget permits now.
     std::vector<AllowanceGauge> allowances;
+    std::optional<StoreLoadGauge> storeLoads;
     std::uint64_t queuedRequests = 0;
     std::uint64_t runningRequests = 0;
     std::uint64_t callerConnections = 0;
--- a/src/keeper/orderplanner.cpp
+++ b/src/keeper/orderplanner.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/keeper/orderplanner.h>
 
+#include <celeryroute/detail/keeper/declinereasons.h>
+
 #include <algorithm>
 
 namespace celeryroute {
@@ -15,12 +17,6 @@
 constexpr double RecencyWeight = 0.1; ///< Mean calls in flight that are added for a model used just now.
 constexpr double MinLoadSeconds = 0.001; ///< Lower limit of the load time in seconds, which avoids a division by zero.
 
-// Reasons for which an item is declined.
-constexpr std::string_view Unknown = "unknown"; ///< The model is not declared, or takes no adapters.
-constexpr std::string_view StoreRate = "store_rate"; ///< The rate of loads from the weight store is used up.
-constexpr std::string_view Refused = "refused"; ///< The target rejected an order for it recently.
-constexpr std::string_view NoRoom = "no_room"; ///< Evictions cannot free enough memory or adapter slots.
-
 } // namespace
 
 OrderPlanner::OrderPlanner(OrderPlannerInput input, TimePoint now)
@@ -154,14 +150,17 @@
     const bool fromStore = !m_input.catalog.hasCopy(item.model);
     const bool allowed = !fromStore || m_input.share.permits(m_now, m_storeLoads);
     if (model == nullptr || !allowed || m_input.backoff.isRejected(item.model, m_now)) {
-        m_plan.declined.push_back({toString(item), model == nullptr ? Unknown : !allowed ? StoreRate : Refused});
+        m_plan.declined.push_back({toString(item),
+                                   model == nullptr ? declinereasons::Unknown
+                                       : !allowed   ? declinereasons::StoreRate
+                                                    : declinereasons::Refused});
         return;
     }
     const bool withAdapter = !item.adapter.empty();
     const auto victims = m_memoryPlan.evictFor(model->memoryMb + (withAdapter ? model->adapterMb : 0),
                                                withAdapter ? 1 : 0);
     if (!victims) {
-        m_plan.declined.push_back({toString(item), NoRoom});
+        m_plan.declined.push_back({toString(item), declinereasons::NoRoom});
         return;
     }
     m_memoryPlan.addModel({item.model, model->memoryMb, false, 0, {}});
@@ -197,12 +196,13 @@
     }
     const EngineModel *model = m_input.catalog.model(item.model);
     if (model == nullptr || model->adapters == 0 || m_input.backoff.isRejected(name, m_now)) {
-        m_plan.declined.push_back({name, model == nullptr || model->adapters == 0 ? Unknown : Refused});
+        m_plan.declined.push_back(
+            {name, model == nullptr || model->adapters == 0 ? declinereasons::Unknown : declinereasons::Refused});
         return;
     }
     const auto victims = m_memoryPlan.evictFor(model->adapterMb, 1);
     if (!victims) {
-        m_plan.declined.push_back({name, NoRoom});
+        m_plan.declined.push_back({name, declinereasons::NoRoom});
         return;
     }
     m_memoryPlan.addAdapter(item.model, {item.adapter, model->adapterMb, false, 0});
--- a/src/keeper/storeloadshare.cpp
+++ b/src/keeper/storeloadshare.cpp
@@ -76,21 +76,41 @@
 
 bool StoreLoadShare::permits(TimePoint now, std::uint32_t pending) const
 {
-    if (m_targets == 0 || m_limit <= Slack) {
-        return false;
-    }
-    if (m_unobservedUntil != TimePoint::min() && now - m_unobservedUntil <= cycle()) {
+    if (m_targets == 0 || m_limit <= Slack || isWaiting(now)) {
         return false;
     }
     return loadsPerWindow() > 0 ? permitsByCount(now, pending) : permitsByTurn(now, pending);
 }
 
+bool StoreLoadShare::isWaiting(TimePoint now) const
+{
+    return m_unobservedUntil != TimePoint::min() && now - m_unobservedUntil <= cycle();
+}
+
 bool StoreLoadShare::permitsByCount(TimePoint now, std::uint32_t pending) const
+{
+    return recentLoads(now) + pending < loadsPerWindow();
+}
+
+std::uint64_t StoreLoadShare::recentLoads(TimePoint now) const
 {
     const auto recent = std::count_if(m_loadStarts.begin(), m_loadStarts.end(), [&](TimePoint began) {
         return now - began <= m_window;
     });
-    return static_cast<std::uint32_t>(recent) + pending < loadsPerWindow();
+    return static_cast<std::uint64_t>(recent);
+}
+
+double StoreLoadShare::rateOf(std::uint64_t loads) const
+{
+    return m_window <= Duration::zero() ? 0 : static_cast<double>(loads) / toSeconds(m_window);
+}
+
+double StoreLoadShare::grantedRate(TimePoint now) const
+{
+    if (m_targets == 0 || m_limit <= Slack || isWaiting(now)) {
+        return 0;
+    }
+    return loadsPerWindow() > 0 ? rateOf(loadsPerWindow()) : 1 / toSeconds(cycle());
 }
 
 Duration StoreLoadShare::positionInCycle(TimePoint time) const
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/node/agentnode.h>
 
+#include <celeryroute/detail/keeper/declinereasons.h>
 #include <celeryroute/detail/net/clock.h>
 #include <celeryroute/detail/node/gossipmessages.h>
 #include <celeryroute/detail/node/peerchangelogger.h>
@@ -266,23 +267,18 @@
 
 void AgentNode::logDeclined()
 {
-    const std::vector<DeclinedItem> &declined = m_controller.declined();
-    if (declined == m_declined) {
-        return;
-    }
-    for (const DeclinedItem &item : declined) {
-        if (std::find(m_declined.begin(), m_declined.end(), item) == m_declined.end()) {
-            m_core.log.write(DecisionEvent::AgentDeclined,
-                             m_core.loop.now(),
-                             {{fieldnames::Target, m_instance},
-                              {fieldnames::Item, item.item},
-                              {fieldnames::Reason, item.reason},
-                              {fieldnames::Message, m_peers.nextSequence()},
-                              {fieldnames::HeardIncarnation, incarnationOf(m_lastDemand)},
-                              {fieldnames::HeardMessage, messageOf(m_lastDemand)}});
-        }
+    const TimePoint now = m_core.loop.now();
+    for (const DeclineNotice &notice : m_declined.update(m_controller.declined(), now)) {
+        m_core.log.write(DecisionEvent::AgentDeclined,
+                         now,
+                         {{fieldnames::Target, m_instance},
+                          {fieldnames::Item, notice.declined.item},
+                          {fieldnames::Reason, notice.declined.reason},
+                          {"count", notice.count},
+                          {fieldnames::Message, m_peers.nextSequence()},
+                          {fieldnames::HeardIncarnation, incarnationOf(m_lastDemand)},
+                          {fieldnames::HeardMessage, messageOf(m_lastDemand)}});
     }
-    m_declined = declined;
 }
 
 void AgentNode::sendOrder(const TargetOrder &order)
@@ -419,9 +415,23 @@
     gauges.targetConnections = m_target.connections();
     gauges.storeConnections = m_store.connections();
     gauges.peers = m_entries.presentCount();
+    gauges.storeLoads = storeLoadGauge(now);
     return gauges;
 }
 
+StoreLoadGauge AgentNode::storeLoadGauge(TimePoint now) const
+{
+    const WaitingModels waiting = m_declined.waitingModels(declinereasons::StoreRate, now);
+    const StoreLoadShare &share = m_controller.storeLoadShare();
+    StoreLoadGauge gauge;
+    gauge.granted = share.grantedRate(now);
+    gauge.used = share.usedRate(now);
+    gauge.wanted = share.rateOf(share.recentLoads(now) + waiting.count);
+    gauge.waitingModels = waiting.count;
+    gauge.longestWait = waiting.longestWait;
+    return gauge;
+}
+
 void AgentNode::beginStop()
 {
     m_core.log.write(DecisionEvent::ProcessStop,
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -75,6 +75,22 @@
     text.appendSample({{"peer", "store"}}, gauges.storeConnections);
 }
 
+void exposeStoreLoads(ExpositionText &text, const StoreLoadGauge &loads)
+{
+    text.beginFamily("celeryroute_store_load_rate", MetricType::Gauge, "Loads a second from the weight store.");
+    text.appendSample({{"kind", "granted"}}, loads.granted);
+    text.appendSample({{"kind", "used"}}, loads.used);
+    text.appendSample({{"kind", "wanted"}}, loads.wanted);
+    exposeGauge(text,
+                "celeryroute_models_waiting",
+                "Models that the rate of the weight store holds back.",
+                GaugeValue(loads.waitingModels));
+    exposeGauge(text,
+                "celeryroute_models_waiting_seconds",
+                "Longest wait of such a model.",
+                GaugeValue(toSeconds(loads.longestWait)));
+}
+
 void exposeProcess(ExpositionText &text, const ServingGauges &gauges)
 {
     text.beginFamily("celeryroute_log_lines_total", MetricType::Counter, "Lines of the log by what became of them.");
@@ -109,6 +125,9 @@
     exposeState(text, gauges);
     exposeAllowances(text, gauges.allowances);
     exposeLoad(text, gauges);
+    if (gauges.storeLoads) {
+        exposeStoreLoads(text, *gauges.storeLoads);
+    }
     exposeProcess(text, gauges);
     return text.text();
 }
--- a/tests/src/unit-modelcontroller.cpp
+++ b/tests/src/unit-modelcontroller.cpp
@@ -571,6 +571,28 @@
     CHECK_EQUAL(12, loads(TimePoint(21s)));
 }
 
+TEST(StoreLoadShare, ratesAreRead_followTheDivisionAndTheLoads)
+{
+    ServingBounds bounds;
+    bounds.loadWindow = 10s;
+    bounds.loadOverage = 1;
+    StoreLoadShare share(1);
+    share.setLimits(2, bounds); // 22 loads in a window
+    CHECK_EQUAL(0, share.grantedRate(TimePoint(20s)));
+    share.noteTargets(4, TimePoint(20s));
+    DOUBLES_EQUAL(0.5, share.grantedRate(TimePoint(20s)), 1e-9);
+    share.noteLoadStarted(TimePoint(21s));
+    share.noteLoadStarted(TimePoint(22s));
+    DOUBLES_EQUAL(0.2, share.usedRate(TimePoint(23s)), 1e-9);
+    DOUBLES_EQUAL(0.1, share.usedRate(TimePoint(31500ms)), 1e-9);
+    share.noteJoined(TimePoint(40s));
+    CHECK_EQUAL(0, share.grantedRate(TimePoint(52s)));
+    CHECK(share.grantedRate(TimePoint(53s)) > 0);
+    share.noteTargets(44, TimePoint(60s));
+    CHECK(share.grantedRate(TimePoint(120s)) > 0);
+    CHECK(share.grantedRate(TimePoint(120s)) < 2.2 / 44);
+}
+
 // The limit is nine loads in a window. The loads of a target that left still count in the window, so the others may use
 // its share only afterwards.
 TEST(StoreLoadShare, targetsJoinAndLeave_totalStaysBelowTheLimit)
--- a/tests/src/unit-telemetry.cpp
+++ b/tests/src/unit-telemetry.cpp
@@ -237,6 +237,7 @@
     gauges.registryAge = 250ms;
     gauges.retryAllowance = 12.5;
     gauges.allowances = {{"yard", 0.25, 900}};
+    gauges.storeLoads = {0.5, 0.25, 0.75, 2, 1500ms};
     gauges.queuedRequests = 3;
     gauges.runningRequests = 4;
     gauges.targetConnections = 5;
@@ -264,6 +265,11 @@
                              "celeryroute_registry_age_seconds 0.25",
                              "celeryroute_allowance_share_ratio{customer=\"yard\"} 0.25",
                              "celeryroute_allowance_level{customer=\"yard\"} 900",
+                             "celeryroute_store_load_rate{kind=\"granted\"} 0.5",
+                             "celeryroute_store_load_rate{kind=\"used\"} 0.25",
+                             "celeryroute_store_load_rate{kind=\"wanted\"} 0.75",
+                             "celeryroute_models_waiting 2",
+                             "celeryroute_models_waiting_seconds 1.5",
                              "celeryroute_requests_queued 3",
                              "celeryroute_requests_running 4",
                              "celeryroute_connections{peer=\"target\"} 5",
