Count each load asked of a target with its own time only

Callers saw: refusals `too_late` on a replaced fleet with a Retry-After that grows too fast with the loads that their entry has asked of one target.

Cause: an entry counts, for loads that it has asked for and that the agent does not report yet, the time from the request until the model is there. That time contains the earlier loads of the same target already, so that each further request doubled it: 6, 12, 24 s for three loads of 6 s that take 18 s.

Change: a plan says which part of its time the load adds to the earlier ones (its own time, the wait for the store and penalties); only that is summed.

Evidence: EngineChooser.severalLoadsRequestedFromOneTarget_... failed before (twelve loads of 6 s, the k-th must be ready after k x 6 s) and passes.

--- a/include/celeryroute/detail/placement/loadplanner.h
+++ b/include/celeryroute/detail/placement/loadplanner.h
@@ -20,6 +20,7 @@
 struct LoadPlan {
     std::string target;
     double readySeconds = 0; ///< Time until the model is resident.
+    double addedSeconds = 0; ///< Part of readySeconds that does not pass with the earlier loads of the target.
     double cost = 0; ///< Expected number of other calls that miss their latency goal because of the load.
     double queueDelay = 0; ///< Seconds that calls wait at the target now.
     CopySource source = CopySource::Store;
@@ -52,7 +53,7 @@
 private:
     struct RequestedLoad {
         std::string target;
-        TimePoint requestedAt;
+        Duration added; ///< Time that the load takes beyond the earlier loads of the target.
         TimePoint ready; ///< Expected end of the load.
         TimePoint expires; ///< The request is given up then.
         TimePoint lastSent; ///< Last time the request was sent to the agent.
--- a/src/placement/loadplanner.cpp
+++ b/src/placement/loadplanner.cpp
@@ -74,6 +74,7 @@
 struct LoadPlanner::Candidate {
     KnownTarget *target = nullptr;
     double readySeconds = 0; ///< Seconds until the model is resident.
+    double addedSeconds = 0; ///< Part of readySeconds that does not pass with the earlier loads of the target.
     /// Expected late calls because of evictions, plus the share of its usual calls that the target should not get.
     double cost = 0;
     double queueDelay = 0; ///< Seconds that calls wait at the target now.
@@ -108,6 +109,7 @@
     }
     return LoadPlan{chosen->target->record.id,
                     chosen->readySeconds,
+                    chosen->addedSeconds,
                     chosen->cost,
                     chosen->queueDelay,
                     chosen->source,
@@ -129,7 +131,7 @@
             }
             const double readySeconds = toSeconds(*remaining);
             if (!earliest || readySeconds < earliest->readySeconds) {
-                earliest = LoadPlan{target->record.id, readySeconds, 0, 0, CopySource::Disk, true};
+                earliest = LoadPlan{target->record.id, readySeconds, 0, 0, 0, CopySource::Disk, true};
             }
         }
     }
@@ -150,7 +152,7 @@
         return std::nullopt;
     }
     const double readySeconds = std::max(0.0, toSeconds(requested->second.ready - now));
-    return LoadPlan{requested->second.target, readySeconds, 0, 0, CopySource::Disk, true};
+    return LoadPlan{requested->second.target, readySeconds, 0, 0, 0, CopySource::Disk, true};
 }
 
 bool LoadPlanner::noteRequested(const TargetPool &pool, const EngineModel &model, const LoadPlan &plan, TimePoint now)
@@ -162,7 +164,11 @@
         if (known != m_requested.end()) {
             eraseRequest(known->second.target, key);
         }
-        m_requested[key] = {plan.target, now, now + load, now + load * 2 + RequestGrace, now};
+        m_requested[key] = {plan.target,
+                            fromSeconds(plan.addedSeconds),
+                            now + load,
+                            now + load * 2 + RequestGrace,
+                            now};
         m_requestedByTarget[plan.target].push_back(key);
         return true;
     }
@@ -228,15 +234,16 @@
     Candidate candidate;
     candidate.target = &target;
     candidate.source = sourceAt(target, model.name, now);
-    candidate.readySeconds = busySeconds(pool, target, now) + loadSeconds(model, candidate.source);
+    candidate.addedSeconds = loadSeconds(model, candidate.source);
     if (candidate.source == CopySource::Store) {
-        candidate.readySeconds += toSeconds(target.storeWait(now));
+        candidate.addedSeconds += toSeconds(target.storeWait(now));
     }
     candidate.declined = target.declines(model.name, now);
-    candidate.readySeconds += candidate.declined ? DeclinedPenalty : 0;
+    candidate.addedSeconds += candidate.declined ? DeclinedPenalty : 0;
     if (!fresh) {
-        candidate.readySeconds += target.view ? SilentPenalty : UnreportedPenalty;
+        candidate.addedSeconds += target.view ? SilentPenalty : UnreportedPenalty;
     }
+    candidate.readySeconds = busySeconds(pool, target, now) + candidate.addedSeconds;
     candidate.cost = eviction + 1 - target.health.trafficShare(pool.failures.value(0, now), now);
     const PredictedDelays start = pool.predictDelays(target, meanTokens(pool, now), LowestPriority, now);
     candidate.queueDelay = start.queueDelay + start.firstEventDelay * std::max(0.0, target.latency.value(1, now) - 1);
@@ -256,7 +263,7 @@
         const std::string model = key.substr(pool.name.size() + 1);
         const RequestedLoad &requested = m_requested.at(key);
         if (now < requested.expires && target.model(model, now) == nullptr && !target.loadingFor(model, now)) {
-            busy += std::max(0.0, toSeconds(requested.ready - requested.requestedAt));
+            busy += toSeconds(requested.added);
         }
     }
     return busy;
--- a/tests/src/unit-placementengines.cpp
+++ b/tests/src/unit-placementengines.cpp
@@ -265,6 +265,23 @@
     CHECK(decision.extraLoad == LoadRequest({"wanted", "2"}));
 }
 
+TEST(EngineChooser, severalLoadsRequestedFromOneTarget_eachIsReadyOneLoadAfterTheOneBefore)
+{
+    constexpr int Models = 12;
+    EngineSpec spec = *front.table.pool("engines")->engine;
+    for (int i = 0; i < Models; ++i) {
+        spec.models.push_back({"model-" + std::to_string(i), 5, 6s, 700ms, 500ms, 0, 0});
+    }
+    ServingState state;
+    state.pools.push_back({"engines", "", 0, spec});
+    front.table.setState(state);
+    for (int i = 0; i < Models; ++i) {
+        EngineCall call = callFor("model-" + std::to_string(i));
+        call.excluded = {"1", "2", "3", "4", "5"};
+        CHECK(std::get<Refuse>(front.verdict(call)) == (Refuse{(i + 1) * 6s, RefuseReason::TooLate}));
+    }
+}
+
 TEST(EngineChooser, adapterNotLoaded_isRequestedFromFewHolders)
 {
     std::set<std::string> asked;
