--- a/include/celeryroute/detail/keeper/modelcontroller.h
+++ b/include/celeryroute/detail/keeper/modelcontroller.h
@@ -91,6 +91,7 @@
         std::int64_t bornMs = 0;
         bool reachable = false;
         bool ordering = false;
+        bool leaving = false;
         std::vector<ResidentModel> resident;
         std::vector<TargetOrder> running;
         LocalCopies copies;
@@ -120,6 +121,7 @@
     bool m_successor = false;
     bool m_reachable = false;
     TimePoint m_unreachableAt;
+    bool m_leaving = false; ///< The target has said in this lifetime that it is leaving.
     TargetReport m_report; ///< Newest report, used for load figures and local copies.
     TimePoint m_lastRead;
     OrderTracker m_tracker;
--- a/include/celeryroute/detail/keeper/targetstatus.h
+++ b/include/celeryroute/detail/keeper/targetstatus.h
@@ -15,6 +15,7 @@
     std::string instance;
     std::int64_t bornMs = 0;
     bool reachable = false;
+    bool leaving = false; ///< The target has said that it is leaving.
     bool ordering = false; ///< The agent can send load orders to the target.
     std::vector<ResidentModel> models; ///< Resident models, without those that are being unloaded.
     std::vector<LoadingItem> loading; ///< Items that are being loaded or are planned to be loaded.
--- a/include/celeryroute/detail/node/agentnode.h
+++ b/include/celeryroute/detail/node/agentnode.h
@@ -42,7 +42,7 @@
     void advance();
     void scheduleReport();
     void readReport();
-    void handleReport(int status, const std::string &body, TimePoint began);
+    void handleReport(const MessageHead &head, const std::string &body, TimePoint began);
     void sendOrder(const TargetOrder &order);
     void handleOrderAnswer(const TargetOrder &order, const MessageHead &head, TimePoint sentAt);
     void noteTargetAnswers(bool answers);
--- a/include/celeryroute/detail/placement/targetview.h
+++ b/include/celeryroute/detail/placement/targetview.h
@@ -24,6 +24,7 @@
     std::uint64_t cacheTotal = 0;
     std::vector<std::string> declined; ///< Items that do not fit into memory beside those in use.
     std::uint64_t state = 0; ///< Number of the state; rises with each change but of the load.
+    bool leaving = false; ///< The target has told its agent that it is leaving.
     bool operator==(const TargetView &) const = default;
 };
 
--- a/include/celeryroute/detail/serving/targetreport.h
+++ b/include/celeryroute/detail/serving/targetreport.h
@@ -20,6 +20,7 @@
     std::uint64_t cacheUsed = 0; ///< KV cache tokens that can't be evicted.
     std::uint64_t cacheTotal = 0; ///< Capacity of the KV cache in tokens.
     LocalCopies copies;
+    bool leaving = false; ///< The target says that it is leaving.
     bool operator==(const TargetReport &) const = default;
 };
 
--- a/src/keeper/modelcontroller.cpp
+++ b/src/keeper/modelcontroller.cpp
@@ -98,6 +98,8 @@
         m_storeLoadShare.noteJoined(now);
     }
     updateLoadTimes(before, first || effect.newLifetime, now);
+    const bool sameLifetime = !effect.newLifetime && report.bornMs != 0;
+    m_leaving = report.leaving || (m_leaving && sameLifetime);
     if (m_report.copies != report.copies) {
         m_catalog.setCopies(report.copies);
     }
@@ -156,7 +158,7 @@
 
 bool ModelController::canOrder() const
 {
-    return m_reachable && m_spec && m_fence && !m_fenced && !m_instance.empty();
+    return m_reachable && !m_leaving && m_spec && m_fence && !m_fenced && !m_instance.empty();
 }
 
 bool ModelController::isReadyForOrder(TimePoint now) const
@@ -286,8 +288,9 @@
 {
     return m_published.instance == m_instance && m_published.bornMs == m_tracker.bornMs()
         && m_published.reachable == m_reachable && m_published.ordering == canOrder()
-        && m_published.resident == m_tracker.resident() && m_published.running == m_tracker.running()
-        && m_published.copies == m_report.copies && m_published.declined == plan.declined
+        && m_published.leaving == m_leaving && m_published.resident == m_tracker.resident()
+        && m_published.running == m_tracker.running() && m_published.copies == m_report.copies
+        && m_published.declined == plan.declined
         && std::equal(m_published.expected.begin(),
                       m_published.expected.end(),
                       plan.expected.begin(),
@@ -301,6 +304,7 @@
                    m_tracker.bornMs(),
                    m_reachable,
                    canOrder(),
+                   m_leaving,
                    m_tracker.resident(),
                    m_tracker.running(),
                    m_report.copies,
@@ -315,6 +319,7 @@
     result.instance = m_instance;
     result.bornMs = m_tracker.bornMs();
     result.reachable = m_reachable;
+    result.leaving = m_leaving;
     result.ordering = canOrder();
     for (const ResidentModel &model : m_tracker.resident()) {
         if (!m_tracker.isUnloading({model.name, {}})) {
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -223,19 +223,19 @@
     }
     m_isReadingReport = true;
     const TimePoint began = m_core.loop.now();
-    m_target.call(
-        m_core.translation.reportCall,
-        ReportTimeout,
-        [this, began](const MessageHead &head, const std::string &body) { handleReport(head.status, body, began); });
+    m_target.call(m_core.translation.reportCall,
+                  ReportTimeout,
+                  [this, began](const MessageHead &head, const std::string &body) { handleReport(head, body, began); });
 }
 
-void AgentNode::handleReport(int status, const std::string &body, TimePoint began)
+void AgentNode::handleReport(const MessageHead &head, const std::string &body, TimePoint began)
 {
     m_isReadingReport = false;
     const TimePoint now = m_core.loop.now();
-    const auto report = status == 0 ? std::nullopt : m_core.translation.targetReport(body);
+    auto report = head.status == 0 ? std::nullopt : m_core.translation.targetReport(body);
     noteTargetAnswers(report.has_value());
     if (report) {
+        report->leaving = head.field(m_core.translation.headers.leaving) != nullptr;
         m_controller.noteReport(*report, began, now);
     } else {
         m_controller.noteUnreachable(now);
--- a/src/node/gossipmessages.cpp
+++ b/src/node/gossipmessages.cpp
@@ -123,6 +123,7 @@
     state.set_instance(view.instance);
     state.set_born_ms(view.bornMs);
     state.set_reachable(view.reachable);
+    state.set_leaving(view.leaving);
     state.set_ordering(view.ordering);
     for (const ResidentModel &model : view.models) {
         wire::ResidentModel &out = *state.add_models();
--- a/src/placement/agentstateview.cpp
+++ b/src/placement/agentstateview.cpp
@@ -10,6 +10,7 @@
     view.state = state.state();
     view.bornMs = state.born_ms();
     view.reachable = state.reachable();
+    view.leaving = state.leaving();
     view.ordering = state.ordering();
     view.models.reserve(static_cast<std::size_t>(state.models_size()));
     for (const wire::ResidentModel &model : state.models()) {
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -114,6 +114,11 @@
         learnBorn(target, view.bornMs, now);
     }
     ChangedModels changed = affectedModels(target);
+    const bool leavingChanged = view.leaving && view.bornMs != 0 && !target.leaving;
+    if (leavingChanged) {
+        m_leaving.add(id, view.bornMs, now);
+        target.leaving = true;
+    }
     const bool isUnchanged = target.view && target.isViewFresh(now) && *target.view == view;
     const bool holdingsChanged = !target.view || !sameHoldings(*target.view, view);
     target.view = view;
@@ -134,7 +139,7 @@
     target.foreign.cacheTokens = view.cacheUsed > tokens ? static_cast<double>(view.cacheUsed - tokens) : 0;
     target.foreign.at = now;
     target.foreign.heard = true;
-    if (holdingsChanged) {
+    if (holdingsChanged || leavingChanged) {
         append(changed, reindex(target, now));
     } else if (isUnchanged) {
         return {};
--- a/tests/src/unit-modelcontroller.cpp
+++ b/tests/src/unit-modelcontroller.cpp
@@ -295,6 +295,36 @@
     STRCMP_EQUAL("load b @0", nextOrderText().c_str());
 }
 
+TEST(ModelController, targetLeaves_noOrdersUntilALaterLifetime)
+{
+    reportModels({});
+    reportDemand({{"b", 1, 0, 0s}});
+    report.leaving = true;
+    readReport();
+    STRCMP_EQUAL("none", nextOrderText().c_str());
+    CHECK(controller.status(now).leaving);
+    report.leaving = false; // A report that lacks the field does not end the leaving.
+    readReport();
+    STRCMP_EQUAL("none", nextOrderText().c_str());
+    CHECK(controller.status(now).leaving);
+    report.bornMs += 1000;
+    readReport();
+    STRCMP_EQUAL("load b @0", nextOrderText().c_str());
+    CHECK_FALSE(controller.status(now).leaving);
+}
+
+TEST(ModelController, targetWithoutStartTimeLeaves_noOrdersWhileItSaysSo)
+{
+    report.bornMs = 0;
+    report.leaving = true;
+    reportModels({});
+    reportDemand({{"b", 1, 0, 0s}});
+    STRCMP_EQUAL("none", nextOrderText().c_str());
+    report.leaving = false;
+    readReport();
+    STRCMP_EQUAL("load b @0", nextOrderText().c_str());
+}
+
 TEST(ModelController, reportIsOld_noOrders)
 {
     reportModels({});
@@ -446,6 +476,11 @@
     CHECK(changed()); // The unknown model is listed as declined.
     controller.noteUnreachable(now);
     CHECK(changed());
+    CHECK_FALSE(changed());
+    report.leaving = true;
+    readReport();
+    controller.noteUnreachable(now);
+    CHECK(changed());
 }
 
 TEST(ModelController, prefetchIsEnabled_loadsAFrequentlyUsedModelThatFits)
--- a/tests/src/unit-pausesandleaving.cpp
+++ b/tests/src/unit-pausesandleaving.cpp
@@ -1,5 +1,6 @@
 #include "availabilitysimulation.h"
 #include "gatewayworld.h"
+#include "nodeworld.h"
 #include "targetanswers.h"
 
 #include <cstdio>
@@ -244,6 +245,80 @@
     CHECK_FALSE(world.askedGetsCalls());
 }
 
+TEST(PausesAndLeaving, agentSaysThatItsTargetLeaves_strikesThatLifetime)
+{
+    for (const std::int64_t later : {std::int64_t{0}, std::int64_t{1}}) {
+        TwoTargetsWorld world(Born);
+        world.callAndAnswer(Ok, [] {});
+        TargetView view;
+        view.bornMs = Born;
+        view.leaving = true;
+        world.table.setView(world.asked, view, world.loop.now());
+        view.leaving = false; // The order of an agent's messages is not kept by all networks.
+        world.table.setView(world.asked, view, world.loop.now());
+        world.learnBorn(world.asked, Born + later);
+        CHECK_EQUAL(later > 0, world.askedGetsCalls());
+    }
+}
+
+TEST(PausesAndLeaving, agentSaysThatAnEarlierLifetimeLeaves_keepsTheLaterOne)
+{
+    TwoTargetsWorld world(Born);
+    world.callAndAnswer(Ok, [] {});
+    TargetView view;
+    view.bornMs = Born - 1;
+    view.leaving = true;
+    world.table.setView(world.asked, view, world.loop.now());
+    CHECK_TRUE(world.askedGetsCalls());
+}
+
+TEST_GROUP(LeavingEngine)
+{
+    NodeWorld world;
+    const std::string fields = "Authorization: Bearer key-a\r\nX-Model: m1\r\nX-Token-Usage: 100,5\r\n"
+                               "X-Deadline-Ms: 3000\r\n";
+
+    void setup() override
+    {
+        world.publish();
+        world.registerEngine();
+        world.startAgent();
+        for (std::size_t entry = 0; entry < 2; ++entry) {
+            world.startEntry();
+            CHECK(world.runUntilReadiness(entry, 200));
+        }
+    }
+    std::string call(std::size_t entry)
+    {
+        return world.call(world.callerEndpoint(entry), "/chat/a", "r-" + std::to_string(entry), fields);
+    }
+};
+
+// The agent loaded models at a target that no entry sends calls to.
+TEST(LeavingEngine, reportsSayThatItLeaves_allEntriesRefuseItsCallsAndNothingIsLoaded)
+{
+    world.engine.leaving = true;
+    for (const auto &entry : world.entries) {
+        CHECK(world.runUntilLogged(entry->log, "target.leaving"));
+    }
+    for (std::size_t entry = 0; entry < world.entries.size(); ++entry) {
+        const std::string answer = call(entry);
+        CHECK_EQUAL(503, statusOf(answer));
+        STRCMP_CONTAINS("Retry-After: ", answer.c_str());
+    }
+    CHECK(world.engine.orders.empty());
+}
+
+TEST(LeavingEngine, laterLifetime_getsOrdersAndCalls)
+{
+    world.engine.leaving = true;
+    CHECK(world.runUntilLogged(world.entries[0]->log, "target.leaving"));
+    world.engine.leaving = false;
+    world.engine.report["born"] = 2000;
+    CHECK(turnUntil(world.loop, [this] { return statusOf(call(0)) == 200; }));
+    CHECK_EQUAL(1U, world.engine.orders.size());
+}
+
 TEST_GROUP(PauseAndLeavingSchedules){};
 
 TEST(PauseAndLeavingSchedules, lossRestartsLostRecordsAndOutages_keepPausesAndLeaving)
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -149,8 +149,22 @@
     state.set_cache_used(100);
     state.set_cache_total(1000);
     state.add_declined("x");
-    const TargetView
-        expected{7, true, false, {{"m", 3, {"a1"}}}, {{"n", 600ms}}, {{"h"}, {"d"}}, 90ms, 2, 5, 100, 1000, {"x"}};
+    state.set_state(9);
+    state.set_leaving(true);
+    const TargetView expected{7,
+                              true,
+                              false,
+                              {{"m", 3, {"a1"}}},
+                              {{"n", 600ms}},
+                              {{"h"}, {"d"}},
+                              90ms,
+                              2,
+                              5,
+                              100,
+                              1000,
+                              {"x"},
+                              9,
+                              true};
     CHECK(toTargetView(state) == expected);
 }
 
--- a/tests/src/unit-placementengines.cpp
+++ b/tests/src/unit-placementengines.cpp
@@ -366,6 +366,19 @@
     CHECK_EQUAL(std::string("1"), front.chosenTarget(callFor("wanted")));
 }
 
+TEST(EngineChooser, agentSaysThatTheHolderLeaves_allEntriesRequestTheModelElsewhere)
+{
+    for (TestEntry *entry : {&front, &other}) {
+        entry->view(3).copies.onDisk = {"wanted"};
+        entry->report(3);
+        entry->addModel(0, "wanted");
+        CHECK_EQUAL(std::string("0"), entry->chosenTarget(callFor("wanted")));
+        entry->view(0).leaving = true;
+        entry->report(0);
+        CHECK_EQUAL(std::string("3"), entry->awaitedLoad(callFor("wanted")).target);
+    }
+}
+
 TEST_GROUP(PlacementRun)
 {
     simulation::EngineFleet fleet;
--- a/tests/support/fakeengine.cpp
+++ b/tests/support/fakeengine.cpp
@@ -27,7 +27,7 @@
 {
     if (request.head.target == "/api/report") {
         if (!silent) {
-            server.answer(request, httpAnswer(200, report.dump()));
+            server.answer(request, httpAnswer(200, report.dump(), leaving ? "Server-Leaving: 1\r\n" : ""));
         }
     } else if (request.head.target == "/api/order") {
         orders.push_back(json::parse(request.body));
--- a/tests/support/fakeengine.h
+++ b/tests/support/fakeengine.h
@@ -20,6 +20,7 @@
     std::vector<ScriptedTarget::Request> held; ///< Requests for paths that end with `/hold`; they are not answered.
     std::size_t misdirected = 0; ///< Number of calls for models that are not resident.
     Duration orderTime = std::chrono::milliseconds(30); ///< Time to execute an order.
+    bool leaving = false; ///< All answers say that the engine is leaving.
     bool silent = false; ///< Requests for reports are not answered.
 
     FakeEngine(EventLoop &eventLoop, std::uint32_t ip);
