--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -8,6 +8,7 @@
 #include <celeryroute/resultcode.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace celeryroute {
 
@@ -195,7 +196,7 @@
                                {"retry_reason", m_retryReason},
                                {"silent_ms", now - m_current->lastProgress()}});
         m_gateway.metrics().countRequest(kind, RequestOutcome::Cut);
-        m_caller->cut();
+        std::exchange(m_caller, nullptr)->cut();
         finish();
         return;
     }
