--- a/src/entry/callrunner.h
+++ b/src/entry/callrunner.h
@@ -41,9 +41,9 @@
     void linkReconnected(HostLink &link);
     /// @brief Enforces deadlines and ends attempts at stalled streams and unreachable hosts.
     void tick(TimePoint now);
-    /// @brief Updates the target choosers after links were added or removed.
     /// @brief Hosts at which calls are in progress.
     std::set<std::string> hostsInUse() const;
+    /// @brief Updates the target choosers after links were added or removed.
     void linksChanged(TimePoint now);
     /// @brief Ends the attempts at a host that was removed from the host list.
     void hostLost(const std::string &host, TimePoint now);
