--- a/include/celeryroute/detail/keeper/ordertracker.h
+++ b/include/celeryroute/detail/keeper/ordertracker.h
@@ -124,6 +124,7 @@
     void accept(const UnresolvedOrder &unresolved, TimePoint now);
     void keepAnswered(UnresolvedOrder unresolved, TimePoint now);
     std::uint32_t startLifetime();
+    void noteForeignOrder(TimePoint now);
     std::uint32_t advanceSequence(const TargetReport &report, TimePoint now);
     void takeOver(const TargetReport &report, TimePoint readBegan);
     bool mayFollowNextOrder(const UnresolvedOrder &unresolved, const std::string &instance) const;
--- a/src/keeper/ordertracker.cpp
+++ b/src/keeper/ordertracker.cpp
@@ -150,7 +150,7 @@
     }
     const std::uint64_t steps = report.sequence - m_sequence;
     if (!explained || steps > 1 || *m_lastRead < m_foreignOrdersUntil) {
-        m_foreignOrderRunning = true;
+        noteForeignOrder(now);
         return static_cast<std::uint32_t>(steps);
     }
     if (m_running.empty()) {
@@ -160,6 +160,14 @@
     return storeLoad ? 1 : 0;
 }
 
+void OrderTracker::noteForeignOrder(TimePoint now)
+{
+    if (!isBusy()) {
+        m_runningSince = now;
+    }
+    m_foreignOrderRunning = true;
+}
+
 // An unconfirmed order is dropped only with a report whose read began when the order could no longer take effect. Until
 // then the order may explain what a report shows.
 void OrderTracker::takeOver(const TargetReport &report, TimePoint readBegan)
@@ -176,7 +184,7 @@
         m_running.clear();
         m_foreignOrderRunning = false;
     } else if (m_running.empty()) {
-        m_foreignOrderRunning = true;
+        noteForeignOrder(readBegan);
     }
     std::erase_if(m_unresolved, [readBegan](const UnresolvedOrder &unresolved) {
         return unresolved.answered || unresolved.until <= readBegan;
--- a/tests/src/unit-modelcontroller.cpp
+++ b/tests/src/unit-modelcontroller.cpp
@@ -396,6 +396,21 @@
     STRCMP_EQUAL("load a/a1 @0", nextOrderText().c_str());
 }
 
+TEST(ModelController, foreignOrderIsRunning_waitingModelIsExpectedAfterItsUsualTime)
+{
+    start(false);
+    readReport();
+    now += 1s;
+    report.sequence = 1;
+    report.busy = true;
+    readReport();
+    reportDemand({{"a", 1, 0, 0s}});
+    nextOrderText();
+    const std::vector<LoadingItem> loading = controller.status(now).loading;
+    CHECK_EQUAL(1, loading.size());
+    CHECK(loading.front().remaining <= 22s);
+}
+
 TEST(ModelController, storeLoads_needTheNumberOfTargetsAndAWindowAfterARestart)
 {
     for (const bool firstStart : {true, false}) {
