--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -56,9 +56,16 @@
     void targetsChanged(const ChangedModels &models);
 
     /// @brief Starts to shut down: each connection is closed after its next answer.
-    void beginStop();
-    /// @brief Stops listening and closes idle connections. Calls in progress continue.
+    /// @param callsEnd when calls that are still in progress will be ended
+    void beginStop(TimePoint callsEnd = TimePoint::max());
+    /// @brief Stops listening and closes idle connections. Calls in progress continue; of new ones on connections that
+    /// are in use, those that may last until calls are ended are refused.
     void stopAccepting();
+    /// @brief Whether a new call with this deadline is refused because the shutdown might cut it.
+    bool mayBeCutByStop(TimePoint deadline) const
+    {
+        return !m_accepting && deadline > m_callsEnd;
+    }
     /// @brief Gives waiting calls their final answer, so that their callers can retry at another entry in time.
     void endWaitingCalls();
     /// @brief Gives every call its final answer now.
@@ -222,6 +229,8 @@
     EventLoop::TimerId m_resumeTimer = 0;
     EventLoop::TimerId m_queueTimer = 0;
     bool m_stopping = false;
+    bool m_accepting = true;
+    TimePoint m_callsEnd = TimePoint::max();
 };
 
 } // namespace celeryroute
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -62,6 +62,10 @@
     const Duration deadline = m_fields.deadline.value_or(MaxCallDuration);
     const Duration timeout = m_route->timeout > Duration::zero() ? m_route->timeout : MaxCallDuration;
     m_deadline = m_request.received + std::min(deadline, timeout);
+    if (m_gateway.mayBeCutByStop(m_deadline)) {
+        refuse(HttpStatus::ServiceUnavailable, reasons::Stopping, DefaultRetryAfter);
+        return;
+    }
     if (!chargeAllowance()) {
         return;
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -328,9 +328,10 @@
     scheduleQueueProcessing();
 }
 
-void Gateway::beginStop()
+void Gateway::beginStop(TimePoint callsEnd)
 {
     m_stopping = true;
+    m_callsEnd = callsEnd;
 }
 
 void Gateway::endWaitingCalls()
@@ -349,6 +350,7 @@
 
 void Gateway::stopAccepting()
 {
+    m_accepting = false;
     m_server.stopListening();
     m_server.closeIdle(ReuseTime);
 }
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -291,7 +291,7 @@
         return;
     }
     m_stopBegan = m_core.loop.now();
-    m_gateway.beginStop();
+    m_gateway.beginStop(*m_stopBegan + m_core.settings.bounds.stopGrace - CallEndReserve);
     m_wasReady = false;
     m_core.log.write(DecisionEvent::ProcessUnready, m_core.loop.now(), {{fieldnames::Reason, "stop"}});
     advanceStop();
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -835,6 +835,35 @@
     CHECK(RawCaller(world.loop, world.endpoint).ended());
 }
 
+// A stream whose head was sent before the stop keeps its connection, on which its caller may send the next request.
+TEST(Gateway, requestTakenLateInAShutdown_isRefusedIfItMightBeCut)
+{
+    const auto request = [](const std::string &path, const std::string &fields) {
+        return "GET " + path + " HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: k\r\nAuthorization: Bearer key-a\r\n"
+            + fields + "\r\n";
+    };
+    for (const bool isLong : {true, false}) {
+        GatewayWorld stopping(2);
+        stopping.apply();
+        stopping.scripts = {stopping.respondWith(StreamHead + chunk(event(1))), stopping.respondWith(Ok)};
+        RawCaller caller(stopping.loop, stopping.endpoint);
+        caller.send(request("/stream/a", {}));
+        CHECK(caller.waitFor("id: 1"));
+        stopping.gateway.beginStop(stopping.loop.now() + 10s);
+        stopping.gateway.stopAccepting();
+        stopping.answer(0, LastChunk);
+        CHECK(caller.waitFor("0\r\n\r\n"));
+        caller.send(request("/idempotent/a", isLong ? std::string() : "X-Deadline-Ms: 1000\r\n"));
+        CHECK(caller.waitForEnd());
+        const std::string &received = caller.received();
+        const std::string second = received.substr(received.rfind("HTTP/1.1 "));
+        CHECK_EQUAL(isLong ? 503 : 200, statusOf(second));
+        CHECK_EQUAL(isLong, fieldOf(second, "Retry-After") != "(none)");
+        STRCMP_EQUAL("close", fieldOf(second, "Connection").c_str());
+        CHECK_EQUAL(isLong ? 1U : 2U, stopping.arrived.size());
+    }
+}
+
 TEST(Gateway, prolongedShutdown_endsWaitingCallsBeforeRunningOnes)
 {
     world.apply();
