--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -127,6 +127,9 @@
     void forwardEvents(TargetAttempt &attempt);
     /// @brief Takes over whether the target leaves or asks for a pause.
     void noteAvailability(const TargetAttempt &attempt, const MessageHead &head);
+    /// @brief Takes over the limit that the target names.
+    /// @param showsEnd whether an answer without a limit shows that the target has none any more
+    void noteLimit(const TargetAttempt &attempt, const MessageHead &head, bool showsEnd);
     void noteWeightsVersion(const TargetAnswer &answer);
     void finishStream(TargetAttempt &attempt);
     void logResumed(const std::string &fromTarget);
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -166,6 +166,9 @@
     void useMaxTargetPause(Duration longest);
     /// @brief Records that @p target refused a call and asked for a pause of @p asked seconds.
     void notePause(const std::string &target, const std::string &asked);
+    /// @brief Records the values of the header fields in which a target named its limit, in its answer to a call that
+    /// was sent to @p destination. Without any the target has no limit.
+    void noteLimit(const AttemptDestination &destination, const std::vector<std::string_view> &named);
     /// @brief Records that @p target said in its answer to a call that it is leaving.
     void noteLeaving(const std::string &target, CallTicket ticket);
     /// @brief Marks requests that got no answer from @p target, which has died, as suspects.
--- a/include/celeryroute/detail/http1/messagehead.h
+++ b/include/celeryroute/detail/http1/messagehead.h
@@ -41,6 +41,8 @@
 
     /// @brief Value of the first field called @p name, or null.
     const std::string *field(std::string_view name) const;
+    /// @brief Values of all fields called @p name, in order.
+    std::vector<std::string_view> values(std::string_view name) const;
 };
 
 /// @brief Compares names of header fields.
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -11,6 +11,7 @@
 #include <celeryroute/detail/placement/targetpool.h>
 #include <celeryroute/detail/serving/endedlifetimes.h>
 #include <celeryroute/detail/serving/servingstate.h>
+#include <celeryroute/detail/targetlimit/targetlimits.h>
 
 #include <functional>
 #include <memory>
@@ -72,6 +73,15 @@
     {
         return m_versions;
     }
+    /// @brief Limits that targets have named.
+    const TargetLimits &limits() const
+    {
+        return m_limits;
+    }
+    TargetLimits &limits()
+    {
+        return m_limits;
+    }
     /// @brief Takes over the report of an agent; a report of an earlier lifetime is ignored.
     ChangedModels setView(const std::string &id,
                           const TargetView &view,
@@ -153,6 +163,7 @@
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
     EndedLifetimes m_leaving; ///< Lifetimes of targets that said in an answer that they are leaving.
     PausedTargets m_pauses;
+    TargetLimits m_limits;
     PoolVersions m_versions;
     std::unordered_map<std::string, std::unique_ptr<TargetPool>> m_pools;
     std::unordered_map<CallTicket, SentCall> m_calls;
--- a/include/celeryroute/detail/serving/headernames.h
+++ b/include/celeryroute/detail/serving/headernames.h
@@ -21,6 +21,8 @@
     std::string signature = "X-Signature"; ///< Present in every answer that a target computed.
     std::string notRun = "X-Not-Run"; ///< Present if the target did not run the call.
     std::string leaving = "X-Leaving"; ///< Present in all answers of a target that is leaving.
+    /// Requests a second that the target takes from all entries together, for as long as its answers name it.
+    std::string limit = "X-Limit";
     std::string load = "X-Load"; ///< Running calls, waiting calls and slots of the target.
     std::string storeEra = "X-Store-Era"; ///< In answers of the store: rises when it comes back from a copy.
     std::string lastEventId = "Last-Event-Id";
--- a/include/celeryroute/detail/telemetry/servinggauges.h
+++ b/include/celeryroute/detail/telemetry/servinggauges.h
@@ -44,6 +44,7 @@
     std::uint64_t storeConnections = 0;
     std::optional<std::uint64_t> targets;
     std::optional<std::uint64_t> shunnedTargets;
+    std::optional<std::uint64_t> limitedTargets;
     std::uint64_t peers = 0; ///< Processes whose datagrams arrive.
     std::uint64_t logLinesWritten = 0;
     std::uint64_t logLinesLeftOut = 0;
--- a/include/celeryroute/detail/telemetry/servingmetrics.h
+++ b/include/celeryroute/detail/telemetry/servingmetrics.h
@@ -54,6 +54,11 @@
     {
         m_resumptions.add(evidence);
     }
+    /// @brief Counts an answer in which a target named its limit; @p outcome says how it was read.
+    void countLimit(std::string_view outcome)
+    {
+        m_limits.add(outcome);
+    }
     /// @brief Counts a pause that a target asked for; @p outcome says whether it was taken, bounded or ignored.
     void countPause(std::string_view outcome)
     {
@@ -125,6 +130,7 @@
 
     EnumPairCounters<CallKind, RequestOutcome> m_requests;
     NamedCounters m_refusals;
+    NamedCounters m_limits;
     NamedCounters m_pauses;
     NamedCounters m_cutOffs;
     std::uint64_t m_answersDropped = 0;
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -45,6 +45,8 @@
             m_gateway.targetTable().noteLoad(destination.target, *read, m_gateway.loop().now());
         }
     }
+    const bool isSuccess = head.status >= HttpStatus::Ok && head.status < HttpStatus::MultipleChoices;
+    noteLimit(attempt, head, isSuccess && answer.signedByTarget && !answer.notRun);
     answer.head = std::move(head);
     if (&attempt == m_hedge && answer.isEventStream) {
         switchToHedge();
@@ -61,6 +63,19 @@
 void Call::attemptStrayHead(const TargetAttempt &attempt, const MessageHead &head)
 {
     noteAvailability(attempt, head);
+    noteLimit(attempt, head, false);
+}
+
+// Status 421 may come from another instance that has the address now.
+void Call::noteLimit(const TargetAttempt &attempt, const MessageHead &head, bool showsEnd)
+{
+    if (head.status == HttpStatus::Misdirected) {
+        return;
+    }
+    const std::vector<std::string_view> named = head.values(m_gateway.names().limit);
+    if (!named.empty() || showsEnd) {
+        m_gateway.noteLimit(attempt.destination(), named);
+    }
 }
 
 void Call::noteAvailability(const TargetAttempt &attempt, const MessageHead &head)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/gateway/httpstatus.h>
 #include <celeryroute/detail/placement/pauserequest.h>
+#include <celeryroute/detail/targetlimit/readlimit.h>
 #include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
@@ -95,6 +96,37 @@
     }
 }
 
+void Gateway::noteLimit(const AttemptDestination &destination, const std::vector<std::string_view> &named)
+{
+    constexpr std::size_t MaxLoggedText = 40;
+    const TimePoint now = m_dependencies.loop.now();
+    const ReadLimit read = readTargetLimit(named);
+    if (!named.empty()) {
+        m_dependencies.metrics.countLimit(labelValue(read.reading));
+    }
+    LimitChange change = LimitChange::None;
+    if (read.reading == LimitReading::None) {
+        change = m_dependencies.targetTable.limits().noteAnswer(destination.target,
+                                                                {destination.bornMs, std::nullopt, destination.sentAt});
+    } else if (read.reading != LimitReading::Malformed) {
+        change = m_dependencies.targetTable.limits().noteAnswer(destination.target,
+                                                                {destination.bornMs, read.perSecond, now});
+    }
+    if (change == LimitChange::None && read.reading != LimitReading::Malformed) {
+        return;
+    }
+    const KnownTarget *known = m_dependencies.targetTable.target(destination.target);
+    m_dependencies.log.write(DecisionEvent::TargetLimited,
+                             now,
+                             {{fieldnames::Target, destination.target},
+                              {"pool", known == nullptr ? std::string_view() : known->record.pool},
+                              {"change", labelValue(change)},
+                              {"per_second", m_dependencies.targetTable.limits().perSecond(destination.target)},
+                              {"asked", named.empty() ? std::string_view() : named.front().substr(0, MaxLoggedText)},
+                              {"outcome", labelValue(read.reading)},
+                              {"born_ms", destination.bornMs}});
+}
+
 void Gateway::noteLeaving(const std::string &target, CallTicket ticket)
 {
     const TimePoint now = m_dependencies.loop.now();
--- a/src/http1/messagehead.cpp
+++ b/src/http1/messagehead.cpp
@@ -74,4 +74,15 @@
     return found == fields.end() ? nullptr : &found->value;
 }
 
+std::vector<std::string_view> MessageHead::values(std::string_view name) const
+{
+    std::vector<std::string_view> found;
+    for (const HeaderField &field : fields) {
+        if (equalsIgnoringCase(field.name, name)) {
+            found.emplace_back(field.value);
+        }
+    }
+    return found;
+}
+
 } // namespace celeryroute
--- a/src/node/entrygauges.cpp
+++ b/src/node/entrygauges.cpp
@@ -51,6 +51,7 @@
     gauges.storeConnections = m_store.connections();
     gauges.targets = m_targets.targets().size();
     gauges.shunnedTargets = shunnedTargets();
+    gauges.limitedTargets = m_targetTable.limits().limitedCount();
     gauges.peers = m_agentPeers.presentCount() + m_entryPeers.presentCount();
     return gauges;
 }
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -204,6 +204,7 @@
         return;
     }
     m_peersCheckedAt = now;
+    m_targetTable.limits().expire(now);
     m_agentPeers.updateSilent(KnownTarget::MaxAgentSilence, now);
     m_entryPeers.updateSilent(m_allowances.members().timing().acknowledgementTimeout, now);
 }
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -246,6 +246,7 @@
     target.leaving = m_leaving.contains(target.record.id, bornMs);
     // A pause is asked for by id, so it outlasts a restart.
     target.paused = m_pauses.endOf(target.record.id).has_value();
+    m_limits.beginLifetime(target.record.id, bornMs, now);
     target.view.reset();
     target.health = fresh.health;
     notifyHealthChange(target, ejected, "new_lifetime", now);
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -59,6 +59,7 @@
     exposeAge(text, "celeryroute_registry_age_seconds", "The same for the registry of targets.", gauges.registryAge);
     exposeGauge(text, "celeryroute_targets", "Targets in the registry.", gauges.targets);
     exposeGauge(text, "celeryroute_targets_shunned", "Targets that get no requests for a time.", gauges.shunnedTargets);
+    exposeGauge(text, "celeryroute_targets_limited", "Targets that name a limit.", gauges.limitedTargets);
     exposeGauge(text, "celeryroute_peers", "Processes heard from.", GaugeValue(gauges.peers));
 }
 
@@ -162,6 +163,10 @@
                      MetricType::Counter,
                      "Pauses that targets asked for, by what became of them.");
     m_pauses.expose(text, "outcome");
+    text.beginFamily("celeryroute_target_limits_total",
+                     MetricType::Counter,
+                     "Answers in which targets named a limit, by how it was read.");
+    m_limits.expose(text, "outcome");
     text.beginFamily("celeryroute_answers_cut_off_total",
                      MetricType::Counter,
                      "Answers of targets that exceeded a limit.");
