--- a/include/celeryroute/detail/allowance/entrymembership.h
+++ b/include/celeryroute/detail/allowance/entrymembership.h
@@ -30,6 +30,14 @@
     bool operator==(const PeerChange &) const = default;
 };
 
+/// @brief Another entry that this one is connected to.
+struct PeerConnection {
+    std::string address;
+    std::uint64_t incarnation = 0;
+    TimePoint since{}; ///< First connection to this incarnation.
+    bool operator==(const PeerConnection &) const = default;
+};
+
 /// @brief Tracks the members of the group of entries, and with which of them this entry can exchange reports.
 ///
 /// A peer is connected while it has acknowledged a report that was sent to it within
@@ -100,6 +108,8 @@
     std::uint64_t acknowledged(const std::string &address) const;
 
     std::vector<std::string> connectedPeers() const;
+    /// @brief The connected peers, sorted by address.
+    std::vector<PeerConnection> connections() const;
     const std::string &address() const
     {
         return m_address;
@@ -118,6 +128,7 @@
         TimePoint receivedAt{};
         TimePoint confirmedAt{}; ///< Time at which the newest acknowledged report was sent.
         TimePoint absentSince{};
+        std::optional<TimePoint> connectedSince; ///< First connection to the incarnation.
         bool connected = false;
         std::size_t hidden = 0; ///< Entries that use its share and whose reports do not arrive here.
         TimePoint hiddenSince{};
--- a/src/allowance/entrymembership.cpp
+++ b/src/allowance/entrymembership.cpp
@@ -149,6 +149,17 @@
     return addresses;
 }
 
+std::vector<PeerConnection> EntryMembership::connections() const
+{
+    std::vector<PeerConnection> connections;
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.connected) {
+            connections.push_back({address, peer.incarnation, *peer.connectedSince});
+        }
+    }
+    return connections;
+}
+
 EntryMembership::Peer *EntryMembership::acceptReport(const EntryReport &report, TimePoint now)
 {
     if (report.sender == m_address || report.sender.empty()) {
@@ -168,6 +179,7 @@
         disconnect(report.sender, peer, now);
         peer.acknowledged = 0;
         peer.known = 0;
+        peer.connectedSince.reset();
         m_changes.push_back({report.sender, PeerEvent::Restarted, {}});
     } else if (report.incarnation < peer.incarnation || report.sequence <= peer.sequence) {
         return nullptr;
@@ -201,6 +213,7 @@
     peer.confirmedAt = sent->sentAt;
     if (!peer.connected) {
         peer.connected = true;
+        peer.connectedSince = peer.connectedSince.value_or(now);
         ++m_connectCount;
         m_changes.push_back({address, PeerEvent::Connected, now - peer.absentSince});
         lowerHiddenCounts(now);
--- a/tests/support/targetlimitjudge.h
+++ b/tests/support/targetlimitjudge.h
@@ -65,7 +65,8 @@
     void judge(TimePoint now)
     {
         std::erase_if(m_counted, [now](TimePoint arrival) { return now - arrival >= Window; });
-        if (m_named && now - *m_named >= FirstWindowEnds) {
+        const bool isLimited = !m_limits.empty() && m_limits.back().perSecond;
+        if (isLimited && now - *m_named >= FirstWindowEnds) {
             m_worstExcess = std::max(m_worstExcess, static_cast<double>(m_counted.size()) - allowed(now));
         }
     }
