--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -110,7 +110,13 @@
     void applyChoice(const WaitForLoad &verdict);
     void applyChoice(const WaitForRoom &verdict);
     void applyChoice(const Refuse &verdict);
-    void enqueue(const std::string &item, const std::string &target, Duration expected);
+    void waitForRoom(const WaitForRoom &verdict);
+    /// @param target whose agent should load @p item, or empty
+    /// @param permitTarget for which a permit is needed, or empty
+    void enqueue(const std::string &item,
+                 const std::string &target,
+                 Duration expected,
+                 const std::string &permitTarget = {});
     void send(const std::string &targetId);
     TargetAttempt &startAttempt(const KnownTarget &target, const Endpoint &endpoint);
     TargetRequest targetRequest(const KnownTarget &target);
@@ -221,6 +227,7 @@
     std::optional<std::uint64_t> m_crashingPart; ///< The part for which the request is refused.
     std::optional<TargetAnswer> m_errorAnswer; ///< A target's error answer, forwarded when no retry succeeds.
     std::vector<std::string> m_excluded; ///< Targets that are not chosen again.
+    std::string m_limitedTarget; ///< The target for whose limit the call is refused.
     std::vector<std::string> m_leftSilent; ///< Targets that are chosen again only if there is no other.
     std::string_view m_retryReason; ///< Why the last send failed.
     std::uint32_t m_possibleArrivals = 0; ///< Sends that may have reached a target.
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -129,6 +129,10 @@
     {
         return m_queue;
     }
+    const CallQueue &queue() const
+    {
+        return m_queue;
+    }
     AnswerBuffers &answerBuffers()
     {
         return m_answerBuffers;
@@ -169,6 +173,14 @@
     /// @brief Records the values of the header fields in which a target named its limit, in its answer to a call that
     /// was sent to @p destination. Without any the target has no limit.
     void noteLimit(const AttemptDestination &destination, const std::vector<std::string_view> &named);
+    /// @brief Sets the function that is called when a target's limit has changed, or a call waits for a permit to be
+    /// sent to a target with a limit.
+    void useLimitExchange(std::function<void()> advance)
+    {
+        m_advanceLimits = std::move(advance);
+    }
+    /// @brief Reconsiders calls that wait for permits for @p targets, the most urgent first.
+    void permitsArrived(const std::vector<std::string> &targets);
     /// @brief Records that @p target said in its answer to a call that it is leaving.
     void noteLeaving(const std::string &target, CallTicket ticket);
     /// @brief Marks requests that got no answer from @p target, which has died, as suspects.
@@ -212,6 +224,7 @@
     Dependencies m_dependencies;
     DemandChanged m_demandChanged;
     std::function<std::uint64_t()> m_nextMessage;
+    std::function<void()> m_advanceLimits;
     CallerServer m_server;
     TargetChannels m_channels;
     PlainChooser m_plainChooser;
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -15,6 +15,7 @@
 #include <celeryroute/detail/node/peerroster.h>
 #include <celeryroute/detail/node/peersocket.h>
 #include <celeryroute/detail/node/readinessserver.h>
+#include <celeryroute/detail/targetlimit/limitexchange.h>
 
 #include <optional>
 #include <set>
@@ -63,6 +64,11 @@
     /// @brief Tells the other entries which software versions began streams.
     void sendStreams();
     bool areVersionsComplete() const;
+    void handleLimits(const wire::Envelope &envelope);
+    void advanceLimitsSoon();
+    /// @brief Exchanges permits for targets with limits, and what is known of these, with the other entries.
+    void advanceLimits();
+    void sendLimits(const LimitExchange::Outgoing &outgoing);
     void logAllowances();
     void checkPeers();
 
@@ -87,6 +93,7 @@
     EntryAdmission m_admission;
     TargetTable m_targetTable;
     Gateway m_gateway;
+    LimitExchange m_limits;
     CrashExchange m_crashes;
     DemandSender m_demand;
     PeerSocket m_peers;
@@ -100,6 +107,8 @@
     std::set<std::string> m_entries; ///< IP addresses of the other entries.
     EventLoop::TimerId m_streamsTimer = 0;
     TimePoint m_streamsAt;
+    EventLoop::TimerId m_limitsTimer = 0;
+    bool m_limitsPending = false; ///< advanceLimits() is called at the end of this turn.
     EventLoop::TimerId m_gossipTimer = 0;
     TimePoint m_gossipAt;
     std::optional<HeardMessage> m_lastGossip; ///< Newest gossip message.
--- a/include/celeryroute/detail/placement/callqueue.h
+++ b/include/celeryroute/detail/placement/callqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <celeryroute/detail/targetlimit/permitdemand.h>
 #include <celeryroute/time.h>
 
 #include <cstddef>
@@ -22,6 +23,7 @@
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     TimePoint since;
     TimePoint deadline; ///< Time at which the entry stops waiting.
+    std::string permitTarget = {}; ///< Target for which the call waits for a permit; empty if it needs none.
     bool operator==(const WaitingCall &) const = default;
 };
 
@@ -49,6 +51,10 @@
     std::vector<std::uint64_t> inOrder(std::size_t limit) const;
     /// @brief Number of calls that wait for room at targets with @p model and are at least as urgent as @p priority.
     std::size_t waitingForRoom(const std::string &pool, const std::string &model, std::uint32_t priority) const;
+    /// @brief At most @p limit calls that wait for a permit for @p target, in queue order.
+    std::vector<std::uint64_t> waitingForPermit(const std::string &target, std::size_t limit) const;
+    /// @brief The permits that calls wait for, with one element for each target.
+    std::vector<PermitDemand> permitDemands() const;
     /// @brief Removes and returns the calls whose deadline has passed, the earliest deadline first.
     std::vector<WaitingCall> takeExpired(TimePoint now);
     /// @brief The earliest deadline; `TimePoint::max()` when no call waits.
@@ -81,6 +87,7 @@
     /// Number of calls that wait for room, by model and priority.
     std::unordered_map<std::string, std::map<std::uint32_t, std::size_t>> m_waitingForRoom;
     std::unordered_map<std::string, std::set<std::uint64_t>> m_byTarget;
+    std::map<std::string, std::set<OrderKey>> m_byPermitTarget;
     std::set<std::pair<TimePoint, std::uint64_t>> m_byDeadline;
 };
 
--- a/include/celeryroute/detail/placement/holder.h
+++ b/include/celeryroute/detail/placement/holder.h
@@ -17,6 +17,7 @@
     KnownTarget *target = nullptr;
     Grade grade = Grade::Unhealthy;
     bool hasRoom = false; ///< The target has capacity for the call now.
+    bool needsPermit = false; ///< The target has capacity, but its limit asks for a permit that is not held.
     double queueDelay = 0; ///< Seconds until the prefill begins.
     double firstEventDelay = 0; ///< Seconds to the first event, queueing included.
     double unloadedDelay = 0; ///< Seconds to the first event if the target had no other calls.
--- a/include/celeryroute/detail/placement/plainchooser.h
+++ b/include/celeryroute/detail/placement/plainchooser.h
@@ -17,6 +17,7 @@
     bool repeatable = false; ///< May run more than once, so it may probe an ejected target.
     /// The call continues at targets with this version of their software only.
     std::optional<std::string> softwareVersion = {};
+    Duration remaining = Duration::max(); ///< Time until the caller gives up.
     bool operator==(const PlainServiceCall &) const = default;
 };
 
@@ -34,6 +35,8 @@
 
     void sampleTargets(const TargetPool &pool, const PlainServiceCall &call, std::uint64_t round);
     Candidate assess(const TargetPool &pool, KnownTarget &target, const PlainServiceCall &call, TimePoint now);
+    /// @brief What to do with a call that only a target with a limit can take.
+    static PlainVerdict decideOnPermit(const Candidate &limited, const PlainServiceCall &call);
     std::uint64_t random();
 
     TargetTable &m_table;
--- a/include/celeryroute/detail/placement/verdicts.h
+++ b/include/celeryroute/detail/placement/verdicts.h
@@ -25,6 +25,7 @@
 /// Wait until a target that holds the item has room.
 struct WaitForRoom {
     Duration expected{}; ///< Time until there is room.
+    std::string permitTarget = {}; ///< The target for which a permit is needed; empty if only room is.
     bool operator==(const WaitForRoom &) const = default;
 };
 
@@ -33,6 +34,7 @@
     UnknownModel,
     TooLarge, ///< The model, with the adapter if there is one, is larger than any target of the pool.
     TooLate, ///< The call cannot be served in the time that remains.
+    TargetLimit, ///< The limit of the target leaves no request in the time that remains.
     VersionUnavailable, ///< No target holds the version of the weights that the call needs.
 };
 
@@ -40,6 +42,7 @@
 struct Refuse {
     Duration retryAfter{}; ///< Time after which a retry is expected to succeed.
     RefuseReason reason = RefuseReason::TooLate;
+    std::string target = {}; ///< With RefuseReason::TargetLimit: the target that has the limit.
     bool operator==(const Refuse &) const = default;
 };
 
--- a/include/celeryroute/detail/telemetry/metriclabels.h
+++ b/include/celeryroute/detail/telemetry/metriclabels.h
@@ -51,6 +51,7 @@
     Demand, ///< Of an entry to an agent.
     AgentState, ///< Of an agent to an entry.
     AgentLoad,
+    Limits, ///< Of an entry to another entry: limits of targets, and permits for sending to them.
 };
 
 enum class PeerRole {
@@ -92,9 +93,9 @@
     return {"cached", "read"};
 }
 
-constexpr std::array<std::string_view, 5> labelValues(PeerMessageKind)
+constexpr std::array<std::string_view, 6> labelValues(PeerMessageKind)
 {
-    return {"report", "crashes", "demand", "agent_state", "agent_load"};
+    return {"report", "crashes", "demand", "agent_state", "agent_load", "limits"};
 }
 constexpr std::array<std::string_view, 2> labelValues(PeerRole)
 {
--- a/include/celeryroute/detail/telemetry/reasonnames.h
+++ b/include/celeryroute/detail/telemetry/reasonnames.h
@@ -21,6 +21,7 @@
 inline constexpr std::string_view BeyondBurst = "beyond_burst";
 inline constexpr std::string_view NoTarget = "no_target";
 inline constexpr std::string_view TargetsPause = "targets_pause";
+inline constexpr std::string_view TargetLimit = "target_limit";
 inline constexpr std::string_view NotLoaded = "not_loaded";
 inline constexpr std::string_view ModelTooLarge = "model_too_large";
 inline constexpr std::string_view TooLate = "too_late";
@@ -63,6 +64,7 @@
     ReasonDescription{reasons::BeyondBurst, "the request costs more than the allowance can ever hold", "cost; the customer's burst"},
     ReasonDescription{reasons::NoTarget, "no target of the pool may be used", "target.shunned, target.draining, target.leaving, target.removed"},
     ReasonDescription{reasons::TargetsPause, "no target of the pool may be used, and some asked for a pause", "target.paused"},
+    ReasonDescription{reasons::TargetLimit, "the limit that the target named leaves no request in the time that remained", "target.limited, request.queued; celeryroute_target_permits"},
     ReasonDescription{reasons::NotLoaded, "no target holds the item, and a load would have come too late", "agent.order, agent.declined"},
     ReasonDescription{reasons::ModelTooLarge, "no target of the pool can hold the model, or the adapter beside it", "state.applied; sizes of the pool's models"},
     ReasonDescription{reasons::TooLate, "the answer could not have come within the caller's time limit", "held_ms, remaining_ms"},
--- a/src/gateway/callattempts.cpp
+++ b/src/gateway/callattempts.cpp
@@ -63,6 +63,11 @@
     if (refuseIfQuarantined()) {
         return;
     }
+    if (!m_gateway.targetTable().limits().use(targetId, bootTimeNow())) {
+        m_phase = Phase::Waiting;
+        waitForRoom({Duration::zero(), targetId});
+        return;
+    }
     if (m_possibleArrivals == 0) {
         m_gateway.admission().noteFirstSend(m_pool, now);
     } else if (!m_gateway.admission().takeRetry(m_pool, now)) {
--- a/src/gateway/callchoice.cpp
+++ b/src/gateway/callchoice.cpp
@@ -23,6 +23,8 @@
         return reasons::ModelTooLarge;
     case RefuseReason::NoTargets:
         return reasons::NoTarget;
+    case RefuseReason::TargetLimit:
+        return reasons::TargetLimit;
     case RefuseReason::TooLate:
     case RefuseReason::VersionUnavailable:
         break;
@@ -76,7 +78,11 @@
 
 PlainServiceCall Call::plainCall(std::vector<std::string> excluded) const
 {
-    return {m_pool, std::move(excluded), m_route->isRepeatable(), requiredSoftwareVersion()};
+    return {m_pool,
+            std::move(excluded),
+            m_route->isRepeatable(),
+            requiredSoftwareVersion(),
+            callerDeadline() - m_gateway.loop().now()};
 }
 
 EngineCall Call::engineCall(std::vector<std::string> excluded) const
@@ -123,7 +129,12 @@
 
 void Call::applyChoice(const WaitForRoom &verdict)
 {
-    enqueue(itemKey(m_fields.model, m_fields.adapter), {}, verdict.expected);
+    waitForRoom(verdict);
+}
+
+void Call::waitForRoom(const WaitForRoom &verdict)
+{
+    enqueue(itemKey(m_fields.model, m_fields.adapter), {}, verdict.expected, verdict.permitTarget);
 }
 
 std::vector<std::string> Call::avoidedTargets() const
@@ -148,6 +159,7 @@
         refuse(HttpStatus::ServiceUnavailable, reasons::VersionLeft, DefaultRetryAfter);
         return;
     }
+    m_limitedTarget = verdict.target;
     const std::optional<Duration> pause = returnAfterPauses();
     const bool allPause = verdict.reason == RefuseReason::NoTargets && pause;
     refuse(HttpStatus::ServiceUnavailable,
@@ -166,28 +178,37 @@
     return returnAfterPause(*left, priority(), stableHash(m_fields.requestId));
 }
 
-void Call::enqueue(const std::string &item, const std::string &target, Duration expected)
+void Call::enqueue(const std::string &item,
+                   const std::string &target,
+                   Duration expected,
+                   const std::string &permitTarget)
 {
     WaitingCall waiting;
     waiting.call = m_number;
     waiting.pool = m_pool;
     waiting.item = item;
     waiting.loadTarget = target;
+    waiting.permitTarget = permitTarget;
     waiting.priority = priority();
     waiting.since = m_request.received;
     waiting.deadline = callerDeadline();
     const WaitingCall *before = m_gateway.queue().find(m_number);
-    if (before == nullptr || before->loadTarget != target) {
-        const KnownTarget *asked = m_gateway.targetTable().target(target);
+    if (before == nullptr || before->loadTarget != target || before->permitTarget != permitTarget) {
+        const std::string &askedTarget = permitTarget.empty() ? target : permitTarget;
+        const KnownTarget *asked = m_gateway.targetTable().target(askedTarget);
         const TimePoint now = m_gateway.loop().now();
         const auto heard = asked == nullptr ? std::nullopt : asked->heardMessage(now);
         const auto age = asked == nullptr ? std::nullopt : m_gateway.targetTable().ageOf(*asked, now);
         m_gateway.log().write(DecisionEvent::RequestQueued,
                               now,
                               m_fields.requestId,
-                              {{fieldnames::Reason, target.empty() ? "room" : "load"},
+                              {{fieldnames::Reason,
+                                !permitTarget.empty() ? "permit"
+                                    : target.empty()  ? "room"
+                                                      : "load"},
                                {fieldnames::Item, item},
-                               {fieldnames::Target, target},
+                               {fieldnames::Target, askedTarget},
+                               {"limit_per_second", m_gateway.targetTable().limits().perSecond(askedTarget)},
                                {"expected_ms", expected},
                                {"limit_ms", waiting.deadline - now},
                                {"target_age_ms", age},
--- a/src/gateway/callendings.cpp
+++ b/src/gateway/callendings.cpp
@@ -93,7 +93,13 @@
 std::string Call::targetForLog() const
 {
     const WaitingCall *waiting = m_gateway.queue().find(m_number);
-    return waiting != nullptr && !waiting->loadTarget.empty() ? waiting->loadTarget : lastTarget();
+    if (waiting != nullptr && !waiting->permitTarget.empty()) {
+        return waiting->permitTarget;
+    }
+    if (waiting != nullptr && !waiting->loadTarget.empty()) {
+        return waiting->loadTarget;
+    }
+    return m_limitedTarget.empty() ? lastTarget() : m_limitedTarget;
 }
 
 // Before a route is found, this is the version of the state that was searched.
--- a/src/gateway/callhedging.cpp
+++ b/src/gateway/callhedging.cpp
@@ -2,7 +2,6 @@
 
 #include <celeryroute/detail/gateway/gateway.h>
 #include <celeryroute/detail/net/clock.h>
-#include <celeryroute/detail/placement/itemkey.h>
 #include <celeryroute/detail/telemetry/reasonnames.h>
 
 #include <algorithm>
@@ -99,6 +98,10 @@
         keepTarget(reasons::NoTarget);
         return;
     }
+    if (!m_gateway.targetTable().limits().use(verdict.target, bootTimeNow())) {
+        applyHedge(WaitForRoom{Duration::zero(), verdict.target});
+        return;
+    }
     if (!m_gateway.admission().takeRetry(m_pool, m_gateway.loop().now())) {
         m_gateway.metrics().countRetryWithheld();
         keepTarget(reasons::RetryAllowance);
@@ -135,7 +138,7 @@
         keepTarget(reasons::NoSuccessor);
         return;
     }
-    enqueue(itemKey(m_fields.model, m_fields.adapter), {}, verdict.expected);
+    waitForRoom(verdict);
 }
 
 void Call::applyHedge(const Refuse &)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -115,6 +115,9 @@
     if (change == LimitChange::None && read.reading != LimitReading::Malformed) {
         return;
     }
+    if (change != LimitChange::None && m_advanceLimits) {
+        m_advanceLimits();
+    }
     const KnownTarget *known = m_dependencies.targetTable.target(destination.target);
     m_dependencies.log.write(DecisionEvent::TargetLimited,
                              now,
@@ -124,7 +127,8 @@
                               {"per_second", m_dependencies.targetTable.limits().perSecond(destination.target)},
                               {"asked", named.empty() ? std::string_view() : named.front().substr(0, MaxLoggedText)},
                               {"outcome", labelValue(read.reading)},
-                              {"born_ms", destination.bornMs}});
+                              {"born_ms", destination.bornMs},
+                              {fieldnames::Message, nextMessage()}});
 }
 
 void Gateway::noteLeaving(const std::string &target, CallTicket ticket)
@@ -286,9 +290,23 @@
     if (!call.loadTarget.empty() && previous != call.loadTarget) {
         noteDemand(call.loadTarget, true);
     }
+    if (!call.permitTarget.empty() && m_advanceLimits) {
+        m_advanceLimits();
+    }
     scheduleQueueProcessing();
 }
 
+void Gateway::permitsArrived(const std::vector<std::string> &targets)
+{
+    const TimePoint now = m_dependencies.loop.now();
+    for (const std::string &target : targets) {
+        const std::uint32_t permits = m_dependencies.targetTable.limits().permits(target, now);
+        for (const std::uint64_t call : m_queue.waitingForPermit(target, permits)) {
+            reconsider(call);
+        }
+    }
+}
+
 void Gateway::requestSpareReplica(const LoadRequest &want)
 {
     m_spareReplicas[want.target] = SpareReplica{want.item, m_dependencies.loop.now()};
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -64,6 +64,7 @@
     , m_gateway({core.loop, core.translation.headers, m_targetTable, m_admission, core.log, core.metrics},
                 core.seed,
                 [this](const std::string &target, bool urgent) { m_demand.changed(target, urgent); })
+    , m_limits(core.settings.ip, core.loop.now(), m_targetTable.limits())
     , m_crashes(core.settings.ip, core.incarnation)
     , m_demand(core.loop, [this](const std::string &target) { return sendDemand(target); })
     , m_peers(core.loop,
@@ -110,6 +111,7 @@
 EntryNode::~EntryNode()
 {
     m_core.loop.cancel(m_gossipTimer);
+    m_core.loop.cancel(m_limitsTimer);
     m_core.loop.cancel(m_streamsTimer);
     m_core.loop.cancel(m_expiryTimer);
 }
@@ -127,6 +129,7 @@
     m_targetsDriver.advance();
     m_gateway.useMessageNumbers([this] { return m_peers.nextSequence(); });
     m_gateway.useVersionsComplete([this] { return areVersionsComplete(); });
+    m_gateway.useLimitExchange([this] { advanceLimitsSoon(); });
     scheduleGossip();
     scheduleStreams();
     // The next report on spent tokens may be due earlier because of the calls in this event loop iteration.
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -71,10 +71,13 @@
         handleGossip(envelope);
     } else if (envelope.has_streams()) {
         handleStreams(envelope);
+    } else if (envelope.has_limits()) {
+        handleLimits(envelope);
     }
-    PeerRoster &peers = envelope.has_gossip() ? m_entryPeers : m_agentPeers;
+    const bool fromEntry = envelope.has_gossip() || envelope.has_limits();
+    PeerRoster &peers = fromEntry ? m_entryPeers : m_agentPeers;
     m_core.metrics.countMissingDatagrams(
-        envelope.has_gossip() ? PeerRole::Entry : PeerRole::Agent,
+        fromEntry ? PeerRole::Entry : PeerRole::Agent,
         peers.recordDatagram(envelope.sender(), envelope.incarnation(), envelope.datagram()));
 }
 
@@ -204,7 +207,6 @@
         return;
     }
     m_peersCheckedAt = now;
-    m_targetTable.limits().expire(now);
     m_agentPeers.updateSilent(KnownTarget::MaxAgentSilence, now);
     m_entryPeers.updateSilent(m_allowances.members().timing().acknowledgementTimeout, now);
 }
@@ -222,6 +224,7 @@
         }
     }
     sendCrashes();
+    advanceLimits();
     scheduleGossip();
 }
 
--- a/src/placement/callqueue.cpp
+++ b/src/placement/callqueue.cpp
@@ -48,6 +48,9 @@
     } else {
         m_byTarget[call.loadTarget].insert(call.call);
     }
+    if (!call.permitTarget.empty()) {
+        m_byPermitTarget[call.permitTarget].insert(key);
+    }
     const std::uint64_t id = call.call;
     m_calls[id] = {std::move(call), number};
 }
@@ -71,6 +74,7 @@
     m_inOrder.erase(key);
     eraseFrom(m_byModel, model, key);
     eraseFrom(m_byTarget, call.loadTarget, call.call);
+    eraseFrom(m_byPermitTarget, call.permitTarget, key);
     if (call.loadTarget.empty()) {
         const auto counts = m_waitingForRoom.find(model);
         const auto count = counts->second.find(call.priority);
@@ -124,6 +128,21 @@
     return calls;
 }
 
+std::vector<std::uint64_t> CallQueue::waitingForPermit(const std::string &target, std::size_t limit) const
+{
+    const auto keys = m_byPermitTarget.find(target);
+    return keys == m_byPermitTarget.end() ? std::vector<std::uint64_t>() : firstCalls(keys->second, limit);
+}
+
+std::vector<PermitDemand> CallQueue::permitDemands() const
+{
+    std::vector<PermitDemand> demands;
+    for (const auto &[target, keys] : m_byPermitTarget) {
+        demands.push_back({target, static_cast<std::uint32_t>(keys.size()), keys.begin()->priority});
+    }
+    return demands;
+}
+
 std::vector<WaitingCall> CallQueue::takeExpired(TimePoint now)
 {
     std::vector<WaitingCall> expired;
--- a/src/placement/enginechooser.cpp
+++ b/src/placement/enginechooser.cpp
@@ -129,10 +129,12 @@
         }
         decision.extraLoad = requestReplica(context, *plan);
     }
+    const std::string permitTarget = best.needsPermit ? best.target->record.id : std::string();
     if (held > maxHoldTime(context, best)) {
-        decision.verdict = Refuse{fromSeconds(held), RefuseReason::TooLate};
+        const RefuseReason reason = best.needsPermit ? RefuseReason::TargetLimit : RefuseReason::TooLate;
+        decision.verdict = Refuse{fromSeconds(held), reason, permitTarget};
     } else {
-        decision.verdict = WaitForRoom{fromSeconds(best.roomDelay)};
+        decision.verdict = WaitForRoom{fromSeconds(best.roomDelay), permitTarget};
     }
     return decision;
 }
--- a/src/placement/holderfinder.cpp
+++ b/src/placement/holderfinder.cpp
@@ -158,9 +158,12 @@
     const bool free = fits && calls < context.pool.slotsOf(target) * (open + QueuedSlotShare);
     const double most = MaxWaitShare * std::max(context.latencyGoal - holder.unloadedDelay, context.latencyGoal / 4);
     const double refused = toSeconds(target.atCapacityUntil - context.now);
-    holder.hasRoom = free && refused <= 0 && (holder.queueDelay <= most || target.waiting(context.now) < 1);
+    const bool hasCapacity = free && refused <= 0 && (holder.queueDelay <= most || target.waiting(context.now) < 1);
+    holder.needsPermit = hasCapacity && !m_table.limits().mayReceive(target.record.id, context.now);
+    holder.hasRoom = hasCapacity && !holder.needsPermit;
     const double next = context.pool.duration.value(DefaultDuration, context.now) / std::max(1.0, calls);
-    holder.roomDelay = std::max({free ? 0.0 : next, holder.queueDelay - most, refused});
+    const double permit = toSeconds(m_table.limits().permitDelay(target.record.id, context.now));
+    holder.roomDelay = std::max({free ? 0.0 : next, holder.queueDelay - most, refused, permit});
 }
 
 // All entries prefer the same targets for an adapter, by rendezvous hashing, unless these targets are
--- a/src/placement/plainchooser.cpp
+++ b/src/placement/plainchooser.cpp
@@ -33,6 +33,17 @@
     double cost = std::numeric_limits<double>::infinity();
     bool healthy = false;
     bool hasRoom = false;
+    bool needsPermit = false; ///< The target has a limit, and no permit for it is held.
+    Duration permitDelay{};
+
+    /// @brief Whether to wait for a permit for this target rather than for @p other.
+    bool isSoonerThan(const Candidate &other) const
+    {
+        if (other.target == nullptr || healthy != other.healthy) {
+            return other.target == nullptr || healthy;
+        }
+        return permitDelay < other.permitDelay;
+    }
 };
 
 PlainChooser::PlainChooser(TargetTable &table, std::uint64_t seed)
@@ -47,6 +58,7 @@
         return Refuse{std::chrono::seconds(1), RefuseReason::NoTargets};
     }
     Candidate lastResort;
+    Candidate limited;
     bool full = false;
     const std::uint64_t rounds = pool->accepting.size() <= MaxWholePool ? 1 : SubsetRounds;
     for (std::uint64_t round = 0; round < rounds; ++round) {
@@ -61,7 +73,9 @@
             if (candidate.target == nullptr) {
                 continue;
             }
-            if (!candidate.healthy) {
+            if (candidate.needsPermit && candidate.hasRoom) {
+                limited = candidate.isSoonerThan(limited) ? candidate : limited;
+            } else if (!candidate.healthy) {
                 lastResort = candidate.cost < lastResort.cost ? candidate : lastResort;
             } else if (!candidate.hasRoom) {
                 full = true;
@@ -74,6 +88,9 @@
             return SendTo{best.target->record.id};
         }
     }
+    if (limited.target != nullptr && (limited.healthy || lastResort.target == nullptr)) {
+        return decideOnPermit(limited, call);
+    }
     if (full) {
         return WaitForRoom{fromSeconds(pool->latency.value(DefaultLatency, now))};
     }
@@ -83,6 +100,15 @@
     return Refuse{std::chrono::seconds(1), RefuseReason::NoTargets};
 }
 
+PlainVerdict PlainChooser::decideOnPermit(const Candidate &limited, const PlainServiceCall &call)
+{
+    const std::string &target = limited.target->record.id;
+    if (limited.permitDelay > call.remaining) {
+        return Refuse{limited.permitDelay, RefuseReason::TargetLimit, target};
+    }
+    return WaitForRoom{limited.permitDelay, target};
+}
+
 // The subsets of an entry stay the same, so that connections are reused. Their number is chosen so that all entries
 // together reach all targets. Further rounds use other subsets.
 void PlainChooser::sampleTargets(const TargetPool &pool, const PlainServiceCall &call, std::uint64_t round)
@@ -112,6 +138,9 @@
     candidate.cost = latency * (1 + use) * (1 + use);
     candidate.cost *= target.record.domain == m_table.domain() ? 1 : OtherDomainFactor;
     candidate.hasRoom = now >= target.atCapacityUntil && (target.slots == 0 || load < slots * (1 + QueuedSlotShare));
+    candidate.needsPermit = !m_table.limits().mayReceive(target.record.id, now);
+    candidate.permitDelay = candidate.needsPermit ? m_table.limits().permitDelay(target.record.id, now)
+                                                  : Duration::zero();
     const TargetHealth::State state = target.health.state(now);
     const double poolFailureRate = pool.failures.value(0, now);
     const double trafficShare = target.health.trafficShare(poolFailureRate, now);
--- a/src/telemetry/servingmetrics.cpp
+++ b/src/telemetry/servingmetrics.cpp
@@ -60,6 +60,15 @@
     exposeGauge(text, "celeryroute_targets", "Targets in the registry.", gauges.targets);
     exposeGauge(text, "celeryroute_targets_shunned", "Targets that get no requests for a time.", gauges.shunnedTargets);
     exposeGauge(text, "celeryroute_targets_limited", "Targets that name a limit.", gauges.limitedTargets);
+    if (gauges.issuedTargets) {
+        exposeGauge(text,
+                    "celeryroute_targets_issued",
+                    "Targets for which this entry issues permits.",
+                    gauges.issuedTargets);
+        text.beginFamily("celeryroute_target_permits", MetricType::Gauge, "Permits to send to targets with limits.");
+        text.appendSample({{"kind", "held"}}, gauges.heldPermits);
+        text.appendSample({{"kind", "wanted"}}, gauges.wantedPermits);
+    }
     exposeGauge(text, "celeryroute_peers", "Processes heard from.", GaugeValue(gauges.peers));
 }
 
--- a/tests/src/unit-nodelog.cpp
+++ b/tests/src/unit-nodelog.cpp
@@ -75,6 +75,9 @@
         } else if (path == "/open/pause") {
             target.answer(request,
                           httpAnswer(503, {}, "X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nRetry-After: 0.1\r\n"));
+        } else if (path == "/open/limit") {
+            target.answer(request,
+                          httpAnswer(200, {}, "X-Request-Id: {id}\r\nX-Server-Signature: s\r\nServer-Limit: 4\r\n"));
         } else if (path == "/open/leave") {
             target.answer(request,
                           httpAnswer(200, {}, "X-Request-Id: {id}\r\nX-Server-Signature: s\r\nServer-Leaving: 1\r\n"));
@@ -99,6 +102,14 @@
         FAIL_TEST((event + " of " + request + " is missing").c_str());
         return {};
     }
+    // The next call waits for a permit; its answer names no limit any more.
+    void limitTarget(NodeWorld::Entry & other)
+    {
+        CHECK_EQUAL(200, call("/open/limit", "limit"));
+        CHECK(world.runUntilLogged(other.log, "target.limited"));
+        CHECK_EQUAL(200, call("/open/a", "limited"));
+        STRCMP_EQUAL("permit", lineOf(entry->log, "request.queued", "limited").value("reason", "").c_str());
+    }
     // The load is declined because the model that occupies the memory is in use.
     void declineLoad()
     {
@@ -277,6 +288,7 @@
     declineLoad();
     CHECK_EQUAL(401, call("/pay/a", "unknown", "Authorization: Bearer key-b\r\n"));
     CHECK(turnUntil(world.loop, [this] { return call("/pay/a", "poor", "Authorization: Bearer key-p\r\n") == 429; }));
+    limitTarget(other);
     failAndLoseTarget(other);
     breakStreams();
     world.registerApp("i-3", world.secondApp, true);
--- a/tests/src/unit-placementengines.cpp
+++ b/tests/src/unit-placementengines.cpp
@@ -104,6 +104,28 @@
     TestEntry other{"entry-1"};
 };
 
+TEST(EngineChooser, holderWithALimit_getsTheCallOnlyForAPermit)
+{
+    front.addModel(0, "wanted");
+    front.table.limits().noteAnswer("0", {1, 2, front.now});
+    CHECK_TRUE(std::get<WaitForRoom>(front.verdict(callFor("wanted"))).permitTarget == "0");
+    front.table.limits().addPermits("0", 1, front.now + 500ms);
+    STRCMP_EQUAL("0", front.chosenTarget(callFor("wanted")).c_str());
+    front.table.limits().use("0", front.now);
+    front.table.limits().expectPermit("0", front.now + 8s);
+    CHECK_TRUE(std::get<Refuse>(front.verdict(callFor("wanted"))) == (Refuse{8s, RefuseReason::TargetLimit, "0"}));
+}
+
+TEST(EngineChooser, holderWithALimitBesideOneWithout_isPassedOver)
+{
+    front.addModel(0, "wanted");
+    front.addModel(1, "wanted");
+    front.table.limits().noteAnswer("0", {1, 2, front.now});
+    for (int i = 0; i < 10; ++i) {
+        STRCMP_EQUAL("1", front.chosenTarget(callFor("wanted", std::to_string(i))).c_str());
+    }
+}
+
 TEST(EngineChooser, modelCannotBeServed_refusesWithReason)
 {
     EngineCall call = callFor("unheard");
--- a/tests/src/unit-targetlimit.cpp
+++ b/tests/src/unit-targetlimit.cpp
@@ -111,12 +111,23 @@
 {
     GatewayWorld world{1};
 
+    void limit(const std::string &target)
+    {
+        world.table.limits().noteAnswer(target, {0, 1, world.loop.now()});
+    }
+    void addPermit(const std::string &target)
+    {
+        world.table.limits().addPermits(target, 1, world.loop.now() + 500ms);
+        world.gateway.permitsArrived({target});
+    }
+
     void setup() override
     {
         world.apply();
     }
     std::optional<double> limitAfter(const std::string &answer)
     {
+        world.table.limits().addPermits("t0", 1, world.loop.now() + 1min);
         world.scripts = {world.respondWith(answer)};
         world.call("/idempotent/a");
         return world.table.limits().perSecond("t0");
@@ -137,3 +148,60 @@
     CHECK_TRUE(limitAfter(httpAnswer(503, {}, refusal)).has_value());
     CHECK_FALSE(limitAfter(httpAnswer(421, {}, refusal + "X-Limit: 4\r\n")).value_or(0) != 4);
 }
+
+TEST(GatewayTargetLimit, callsAfterTheLimitIsHeard_waitForPermitsEach)
+{
+    world.scripts = {world.respondWith(signedAnswer(200, "ok", "X-Limit: 2\r\n"))};
+    world.call("/idempotent/a");
+    RawCaller first(world.loop, world.endpoint);
+    RawCaller second(world.loop, world.endpoint);
+    first.send(GatewayWorld::request("/idempotent/b"));
+    second.send(GatewayWorld::request("/once/c"));
+    settle(world.loop);
+    UNSIGNED_LONGS_EQUAL(1, world.arrived.size());
+    addPermit("t0");
+    CHECK(world.waitForArrivals(2));
+    settle(world.loop);
+    UNSIGNED_LONGS_EQUAL(2, world.arrived.size());
+    addPermit("t0");
+    CHECK(first.waitForEnd());
+    CHECK(second.waitForEnd());
+    UNSIGNED_LONGS_EQUAL(3, world.arrived.size());
+}
+
+TEST(GatewayTargetLimit, limitedTargetBesideAnother_otherOneGetsTheCall)
+{
+    world.addTarget();
+    limit("t0");
+    world.scripts = {world.respondWith(signedAnswer(200, "ok"))};
+    for (int i = 0; i < 5; ++i) {
+        LONGS_EQUAL(200, statusOf(world.call("/idempotent/a")));
+        STRCMP_EQUAL("t1", world.arrived.back().field(world.names.instance).c_str());
+    }
+}
+
+TEST(GatewayTargetLimit, retryAtALimitedTarget_needsAPermitToo)
+{
+    world.addTarget();
+    limit("t0");
+    world.scripts = {world.respondWith({}, AfterAnswer::Reset), world.respondWith(signedAnswer(200, "ok"))};
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/idempotent/a"));
+    CHECK(world.waitForArrivals(1));
+    settle(world.loop);
+    UNSIGNED_LONGS_EQUAL(1, world.arrived.size());
+    addPermit("t0");
+    CHECK(caller.waitForEnd());
+    LONGS_EQUAL(200, statusOf(caller.received()));
+    STRCMP_EQUAL("t0", world.arrived.back().field(world.names.instance).c_str());
+}
+
+TEST(GatewayTargetLimit, permitExpectedAfterTheDeadline_refusesAtOnceWithTheTimeOfThePermit)
+{
+    limit("t0");
+    world.table.limits().expectPermit("t0", world.loop.now() + 20s);
+    const std::string answer = world.call("/idempotent/a", "X-Deadline-Ms: 1000\r\n");
+    LONGS_EQUAL(503, statusOf(answer));
+    DOUBLES_EQUAL(20, std::stod(fieldOf(answer, "Retry-After")), 1);
+    UNSIGNED_LONGS_EQUAL(0, world.arrived.size());
+}
