--- a/src/targetlimit/limitexchange.cpp
+++ b/src/targetlimit/limitexchange.cpp
@@ -95,7 +95,8 @@
         borrowed.seenGrant = grant.number;
     }
     m_limits.expectPermit(grant.target, now + grant.nextAfter);
-    const TimePoint until = TimePoint(std::chrono::milliseconds(grant.askedAtMs)) + PermitIssuer::Validity;
+    const TimePoint askedAt = std::min(TimePoint(std::chrono::milliseconds(grant.askedAtMs)), now);
+    const TimePoint until = askedAt + PermitIssuer::Validity;
     if (grant.calls > 0 && borrowed.issuer == issuer && until >= now) {
         m_limits.addPermits(grant.target, grant.calls, until);
         m_granted.insert(grant.target);
@@ -201,6 +202,7 @@
 // A request whose calls were sent elsewhere would take permits from other entries.
 void LimitExchange::cancelOldRequests(const std::vector<PermitDemand> &demands, Reports &reports, TimePoint now)
 {
+    std::erase_if(m_borrowed, [this](const auto &borrowed) { return !m_limits.perSecond(borrowed.first); });
     for (auto &[target, borrowed] : m_borrowed) {
         const bool wanted = std::any_of(demands.begin(), demands.end(), [&target](const PermitDemand &demand) {
             return demand.target == target;
