--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -65,6 +65,8 @@
     void sendStreams();
     bool areVersionsComplete() const;
     void handleLimits(const wire::Envelope &envelope);
+    /// @brief Logs that a limit has ended now because @p target has started anew.
+    void logLimitOfEarlierLifetime(const std::string &target);
     void advanceLimitsSoon();
     /// @brief Exchanges permits for targets with limits, and what is known of these, with the other entries.
     void advanceLimits();
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -247,6 +247,7 @@
 {
     if (bornBefore != 0 && birthTime(target) != bornBefore) {
         m_gateway.targetDied(target);
+        logLimitOfEarlierLifetime(target);
     }
 }
 
--- a/src/node/entrynodelimits.cpp
+++ b/src/node/entrynodelimits.cpp
@@ -39,6 +39,22 @@
     advanceLimitsSoon();
 }
 
+void EntryNode::logLimitOfEarlierLifetime(const std::string &target)
+{
+    const TimePoint now = m_core.loop.now();
+    const TargetLimit *limit = m_targetTable.limits().newest(target);
+    if (limit != nullptr && !limit->perSecond && limit->at == now) {
+        m_core.log.write(DecisionEvent::TargetLimited,
+                         now,
+                         {{fieldnames::Target, target},
+                          {"pool", m_targetTable.target(target)->record.pool},
+                          {"change", labelValue(LimitChange::Ended)},
+                          {"outcome", "new_lifetime"},
+                          {"born_ms", limit->bornMs},
+                          {fieldnames::Message, m_peers.nextSequence()}});
+    }
+}
+
 // All that this turn of the event loop brings is told at once.
 void EntryNode::advanceLimitsSoon()
 {
--- a/tests/src/unit-targetlimitsharing.cpp
+++ b/tests/src/unit-targetlimitsharing.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t Entries = 3;
 constexpr double Limit = 2; ///< Requests a second.
 const std::string LimitFields = "X-Request-Id: {id}\r\nX-Server-Signature: s\r\nServer-Limit: 2\r\n";
+const std::string SignedAnswer = httpAnswer(200, "ok", "X-Request-Id: {id}\r\nX-Server-Signature: s\r\n");
 constexpr Duration CallInterval = 50ms; ///< Between calls at one entry.
 constexpr Duration PlayTime = 8s;
 
@@ -111,3 +112,29 @@
     // At the least, half of what the limit allows is used.
     CHECK_TEXT(static_cast<double>(served) >= Limit * toSeconds(PlayTime) / 2, text.c_str());
 }
+
+TEST(TargetLimitSharing, limitedTargetThatStartsAnew_getsCallsWithoutPermits)
+{
+    const auto registerBorn = [this](std::int64_t bornMs) {
+        const nlohmann::json record = {{"service", "app"},
+                                       {"address", world.app.address()},
+                                       {"zone", "a"},
+                                       {"slots", 8},
+                                       {"sequence", 0},
+                                       {"state", "ready"},
+                                       {"born", bornMs}};
+        world.store.put("keyed.servers", "i-1", record.dump());
+    };
+    world.publish();
+    registerBorn(1'000);
+    NodeWorld::Entry &entry = world.startEntry();
+    CHECK(world.runUntilReadiness(0, 200));
+    world.app.answerEveryRequest(httpAnswer(200, "ok", LimitFields));
+    LONGS_EQUAL(200, statusOf(world.call(world.callerEndpoint(0), "/open/a", "first")));
+    registerBorn(2'000);
+    CHECK(turnUntil(world.loop, [&entry] { return entry.log.linesOf("target.limited").size() == 2; }));
+    STRCMP_EQUAL("new_lifetime", entry.log.linesOf("target.limited").back().value("outcome", "").c_str());
+    world.app.answerEveryRequest(SignedAnswer);
+    LONGS_EQUAL(200, statusOf(world.call(world.callerEndpoint(0), "/open/a", "second")));
+    UNSIGNED_LONGS_EQUAL(0, entry.log.linesOf("request.queued").size());
+}
