--- a/tests/support/targetlimitjudge.h
+++ b/tests/support/targetlimitjudge.h
@@ -36,6 +36,12 @@
     {
         m_told.erase(entry);
     }
+    /// @brief Forgets the requests that have arrived. For use when the target stood still, so that requests of a longer
+    /// time arrive at once.
+    void restartWindow()
+    {
+        m_counted.clear();
+    }
     void arrive(std::size_t entry, TimePoint now)
     {
         ++m_arrivals;
