--- a/src/gateway/callchoice.cpp
+++ b/src/gateway/callchoice.cpp
@@ -194,6 +194,7 @@
     waiting.deadline = callerDeadline();
     const WaitingCall *before = m_gateway.queue().find(m_number);
     if (before == nullptr || before->loadTarget != target || before->permitTarget != permitTarget) {
+        const std::string_view awaited = !permitTarget.empty() ? "permit" : target.empty() ? "room" : "load";
         const std::string &askedTarget = permitTarget.empty() ? target : permitTarget;
         const KnownTarget *asked = m_gateway.targetTable().target(askedTarget);
         const TimePoint now = m_gateway.loop().now();
@@ -202,10 +203,7 @@
         m_gateway.log().write(DecisionEvent::RequestQueued,
                               now,
                               m_fields.requestId,
-                              {{fieldnames::Reason,
-                                !permitTarget.empty() ? "permit"
-                                    : target.empty()  ? "room"
-                                                      : "load"},
+                              {{fieldnames::Reason, awaited},
                                {fieldnames::Item, item},
                                {fieldnames::Target, askedTarget},
                                {"limit_per_second", m_gateway.targetTable().limits().perSecond(askedTarget)},
--- a/src/targetlimit/limitexchange.cpp
+++ b/src/targetlimit/limitexchange.cpp
@@ -203,11 +203,12 @@
 void LimitExchange::cancelOldRequests(const std::vector<PermitDemand> &demands, Reports &reports, TimePoint now)
 {
     std::erase_if(m_borrowed, [this](const auto &borrowed) { return !m_limits.perSecond(borrowed.first); });
+    std::set<std::string> wanted;
+    for (const PermitDemand &demand : demands) {
+        wanted.insert(demand.target);
+    }
     for (auto &[target, borrowed] : m_borrowed) {
-        const bool wanted = std::any_of(demands.begin(), demands.end(), [&target](const PermitDemand &demand) {
-            return demand.target == target;
-        });
-        if (borrowed.asked > 0 && !wanted) {
+        if (borrowed.asked > 0 && !wanted.contains(target)) {
             sendRequest({target, 0, 0}, borrowed, reports, now);
         }
     }
--- a/tests/support/limitplay.h
+++ b/tests/support/limitplay.h
@@ -276,7 +276,7 @@
         sendCalls(index);
         std::vector<PermitDemand> demands;
         if (!entry.waiting.empty()) {
-            demands.push_back({Target, static_cast<std::uint32_t>(entry.waiting.size()), 0});
+            demands.push_back({m_target, static_cast<std::uint32_t>(entry.waiting.size()), 0});
         }
         const EntryMembership alone(addressOf(index), entry.incarnation, m_now - std::chrono::hours(1));
         const EntryMembership &members = m_options.shares ? entry.pool->members() : alone;
@@ -289,18 +289,18 @@
     void sendCalls(std::size_t index)
     {
         Entry &entry = m_entries[index];
-        while (!entry.waiting.empty() && entry.limits->use(Target, m_now)) {
+        while (!entry.waiting.empty() && entry.limits->use(m_target, m_now)) {
             entry.waiting.pop_front();
             ++sent;
             judge.arrive(index, m_now);
             m_used += m_limit && m_now >= m_naming + TargetLimitJudge::FirstWindowEnds ? 1 : 0;
             if (m_limit) {
-                entry.limits->noteAnswer(Target, {Born, m_limit, m_now});
+                entry.limits->noteAnswer(m_target, {Born, m_limit, m_now});
                 if (!isExcused(index)) {
                     judge.tell(index, m_now);
                 }
             } else {
-                entry.limits->noteAnswer(Target, {Born, std::nullopt, m_now});
+                entry.limits->noteAnswer(m_target, {Born, std::nullopt, m_now});
             }
         }
     }
@@ -315,7 +315,7 @@
     }
 
     static constexpr std::int64_t Born = 1'000;
-    const std::string Target = "i-1";
+    const std::string m_target = "i-1";
 
     Options m_options;
     std::mt19937_64 m_random;
