--- a/tests/src/unit-permitissuer.cpp
+++ b/tests/src/unit-permitissuer.cpp
@@ -136,6 +136,20 @@
     CHECK_TRUE(readLimits(limits, now) == report);
 }
 
+// While calls wait, an entry asks for permits 7 times a second and is answered as often.
+TEST(LimitMessages, requestAndGrant_takeFewBytes)
+{
+    constexpr std::size_t MostBytes = 80;
+    const TimePoint now{1h};
+    const LimitNotice notice{"i-0123456789", {1'784'843'656'886, 1.2, now - 300ms}};
+    wire::EntryLimits request;
+    writeLimits({{notice}, {{"i-0123456789", 12, 3, 3'600'000, 500}}, {}}, now, request);
+    CHECK_TRUE(request.ByteSizeLong() <= MostBytes);
+    wire::EntryLimits grant;
+    writeLimits({{notice}, {}, {{"i-0123456789", 501, 1, 3'600'000, 800ms}}}, now, grant);
+    CHECK_TRUE(grant.ByteSizeLong() <= MostBytes);
+}
+
 TEST(LimitMessages, limitThatIsNoNumber_isReadAsNone)
 {
     wire::EntryLimits limits;
