--- a/tests/src/unit-targetlimit.cpp
+++ b/tests/src/unit-targetlimit.cpp
@@ -2,6 +2,7 @@
 #include <celeryroute/detail/targetlimit/targetlimits.h>
 
 #include "gatewayworld.h"
+#include "targetanswers.h"
 
 #include <string>
 #include <vector>
@@ -205,3 +206,42 @@
     DOUBLES_EQUAL(20, std::stod(fieldOf(answer, "Retry-After")), 1);
     UNSIGNED_LONGS_EQUAL(0, world.arrived.size());
 }
+
+TEST(GatewayTargetLimit, resumedStreamAtALimitedTarget_needsAPermitToo)
+{
+    world.addTarget();
+    limit("t0");
+    world.scripts = {world.respondWith(StreamHead + chunk(event(1)), AfterAnswer::Reset),
+                     world.respondWith(SecondHead + chunk(event(2)) + LastChunk)};
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/resumable/a"));
+    CHECK(world.waitForArrivals(1));
+    settle(world.loop);
+    UNSIGNED_LONGS_EQUAL(1, world.arrived.size());
+    addPermit("t0");
+    CHECK(caller.waitForEnd());
+    STRCMP_EQUAL((event(1) + event(2) + "<end>").c_str(), chunksOf(caller.received()).c_str());
+    STRCMP_EQUAL("t0", world.arrived.back().field(world.names.instance).c_str());
+}
+
+TEST(GatewayTargetLimit, hedgeAtALimitedTarget_needsAPermitToo)
+{
+    constexpr Duration Silence = 20ms;
+    for (ServingRoute &route : world.state.routes) {
+        route.targetGap = Silence;
+    }
+    world.apply();
+    world.addTarget();
+    limit("t0");
+    world.scripts = {world.respondWith(StreamHead + chunk(event(1))),
+                     world.respondWith(SecondHead + chunk(event(2)) + LastChunk)};
+    RawCaller caller(world.loop, world.endpoint);
+    caller.send(GatewayWorld::request("/resumable/a"));
+    CHECK(turnUntil(world.loop, [this] { return world.gateway.callsWaiting() == 1; }));
+    settle(world.loop);
+    UNSIGNED_LONGS_EQUAL(1, world.arrived.size());
+    addPermit("t0");
+    CHECK(caller.waitForEnd());
+    UNSIGNED_LONGS_EQUAL(2, world.arrived.size());
+    STRCMP_EQUAL((event(1) + event(2) + "<end>").c_str(), chunksOf(caller.received()).c_str());
+}
