--- a/tests/src/unit-limitexchange.cpp
+++ b/tests/src/unit-limitexchange.cpp
@@ -66,7 +66,7 @@
     }
 }
 
-TEST(LimitExchange, restartsCutsFreezesAndMovingLimits_targetGetsNoMoreThanItsLimitAllows)
+TEST(LimitExchange, restartsJoinsCutsFreezesAndMovingLimits_targetGetsNoMoreThanItsLimitAllows)
 {
     for (const std::size_t entries : {std::size_t{3}, std::size_t{31}}) {
         for (const double perSecond : {0.1, 1.2, 8.0, 50.0}) {
@@ -77,6 +77,7 @@
             options.restarts = 3;
             options.freezes = 2;
             options.cuts = 2;
+            options.joins = 1;
             options.moves = 4;
             options.ends = true;
             CHECK_TRUE(play(options, scheduleCount(entries)).worstExcess <= 0);
@@ -84,6 +85,19 @@
     }
 }
 
+TEST(LimitExchange, allEntriesLoseEachOther_targetGetsNoMoreThanItsLimitAllows)
+{
+    for (const std::size_t entries : {std::size_t{3}, std::size_t{31}}) {
+        for (const double perSecond : {0.1, 1.2, 8.0, 50.0}) {
+            LimitPlay::Options options;
+            options.entries = entries;
+            options.perSecond = perSecond;
+            options.isolates = true;
+            CHECK_TRUE(play(options, entries > 10 ? 1 : 10).worstExcess <= 0);
+        }
+    }
+}
+
 TEST(LimitExchange, entriesThatIssuePermitsEachForThemselves_failThePlay)
 {
     LimitPlay::Options options;
--- a/tests/support/limitplay.h
+++ b/tests/support/limitplay.h
@@ -32,8 +32,10 @@
         std::size_t restarts = 0;
         std::size_t freezes = 0;
         std::size_t cuts = 0;
+        std::size_t joins = 0; ///< Entries that start for the first time after the limit was named.
         std::size_t moves = 0; ///< Changes of the limit.
         bool ends = false; ///< The limit ends midway and begins again.
+        bool isolates = false; ///< All datagrams are lost for ten seconds, which excuses no entry.
         bool shares = true; ///< A deliberate fault if not: each entry issues its own permits.
     };
 
@@ -97,9 +99,11 @@
             Restart,
             Freeze,
             Cut,
+            Join,
             Move,
             End,
         } kind = Kind::Restart;
+        std::size_t entry = 0; ///< For Kind::Join.
     };
 
     static std::string addressOf(std::size_t index)
@@ -135,6 +139,12 @@
         draw(m_options.freezes, Trouble::Kind::Freeze);
         draw(m_options.cuts, Trouble::Kind::Cut);
         draw(m_options.moves, Trouble::Kind::Move);
+        for (std::size_t i = 0; i < m_options.joins; ++i) {
+            const std::size_t index = m_entries.size() - 1 - i;
+            const double at = std::uniform_real_distribution<double>(0, toSeconds(m_options.length))(m_random);
+            m_entries[index].downUntil = m_naming + fromSeconds(at);
+            m_troubles.push_back({m_entries[index].downUntil, Trouble::Kind::Join, index});
+        }
         if (m_options.ends) {
             m_troubles.push_back({m_naming + m_options.length / 2, Trouble::Kind::End});
         }
@@ -165,16 +175,19 @@
                 ++trouble;
                 continue;
             }
-            begin(trouble->kind);
+            begin(*trouble);
             trouble = m_troubles.erase(trouble);
         }
     }
-    void begin(Trouble::Kind kind)
+    void begin(const Trouble &trouble)
     {
         const std::size_t index = m_random() % m_entries.size();
         Entry &entry = m_entries[index];
         const auto duration = std::chrono::milliseconds(300 + m_random() % 5000);
-        switch (kind) {
+        switch (trouble.kind) {
+        case Trouble::Kind::Join:
+            start(trouble.entry);
+            return;
         case Trouble::Kind::Restart:
             start(index);
             entry.downUntil = m_now + std::chrono::seconds(1);
@@ -223,7 +236,7 @@
             m_datagrams.pop_front();
             Entry &receiver = m_entries[datagram.to];
             const bool isCut = m_now < receiver.cutUntil || m_now < m_entries[datagram.from].cutUntil;
-            if (m_now < receiver.downUntil || isCut || happens(m_options.lossRate)) {
+            if (m_now < receiver.downUntil || isCut || isIsolated() || happens(m_options.lossRate)) {
                 continue;
             }
             if (datagram.report) {
@@ -236,6 +249,12 @@
             receiver.exchange->receive(addressOf(datagram.from), datagram.incarnation, report, m_now);
         }
     }
+    bool isIsolated() const
+    {
+        constexpr Duration Begin = std::chrono::seconds(8);
+        constexpr Duration End = std::chrono::seconds(18);
+        return m_options.isolates && m_now >= m_naming + Begin && m_now < m_naming + End;
+    }
     void send(std::size_t from, std::size_t to, std::optional<EntryReport> report, LimitReport limits)
     {
         ++datagrams;
