--- a/tests/support/limitplay.h
+++ b/tests/support/limitplay.h
@@ -5,13 +5,16 @@
 
 #include "targetlimitjudge.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace celeryroute {
@@ -216,7 +219,6 @@
     void setLimit(std::optional<double> perSecond)
     {
         m_limit = perSecond;
-        m_limitSince = m_now;
         judge.name(perSecond, m_now);
     }
     // An entry is excused until it has been without trouble for as long as the bound takes to begin.
@@ -346,7 +348,6 @@
     std::map<std::size_t, TimePoint> m_excusedUntil;
     std::deque<Datagram> m_datagrams;
     std::optional<double> m_limit;
-    TimePoint m_limitSince{};
     bool m_hasEnded = false;
     TimePoint m_endedUntil{};
     double m_callsDue = 0;
