--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -17,6 +17,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HEARTBEAT_S = 1.2
@@ -498,6 +499,7 @@
         self.settings = {}
         self.exits = {}
         self.stopping = set()
+        self.starting = threading.Lock()  # Nothing is started once the case has ended.
         self.temporary = tempfile.TemporaryDirectory(prefix="celeryroute-review-")
         with open(os.path.join(REPOSITORY, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
@@ -506,10 +508,12 @@
         self.peer_port = self._peer_port()
         self.workers = []
         signal.signal(signal.SIGALRM, self._too_long)
+        signal.signal(signal.SIGTERM, self._too_long)
+        signal.signal(signal.SIGINT, self._too_long)
         signal.alarm(115)
 
     def _too_long(self, *_):
-        self.record.say("the case took too long")
+        self.record.say("the case took too long or was stopped")
         self.end()
         os._exit(2)
 
@@ -567,8 +571,11 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["CELERYROUTE_CONFIG"] = path
         log = open(os.path.join(self.temporary.name, name + ".log"), "ab")
-        self.processes[name] = subprocess.Popen(program["run"].split(), cwd=REPOSITORY, env=environment, stdout=log,
-                                                stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+        with self.starting:
+            if self.ended:
+                raise RuntimeError("the case has ended")
+            self.processes[name] = subprocess.Popen(program["run"].split(), cwd=REPOSITORY, env=environment,
+                                                    stdout=log, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
         log.close()
         self.record.write(name, "is started")
 
@@ -581,8 +588,10 @@
                         self.exits[name] = self.exits.get(name, 0) + 1
                         self.record.write(name, f"ended by itself, exit status {process.returncode}")
                         time.sleep(restart_after_s)
-                        if not self.ended:
+                        try:
                             self.start(name, bootstrap=False)
+                        except (OSError, RuntimeError):
+                            return
                 time.sleep(0.02)
         threading.Thread(target=run, daemon=True).start()
 
@@ -626,7 +635,11 @@
         return Requester(self, front)
 
     def end(self):
+        # Not waited for without end: a signal may have come while this thread holds the lock.
+        locked = self.starting.acquire(timeout=2)
         self.ended = True
+        if locked:
+            self.starting.release()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -693,12 +706,18 @@
 
 def main(folder, case):
     """Runs @p case with a deployment; it returns True if the rule held, False if not, None if it couldn't run."""
-    deployment = Deployment(folder)
+    deployment = None
     outcome = None
     try:
+        deployment = Deployment(folder)
         outcome = case(deployment)
+    except Exception:  # Whatever keeps the case from running says nothing about the rule.
+        traceback.print_exc()
     finally:
-        deployment.end()
+        if deployment:
+            deployment.end()
+    if not deployment:
+        os._exit(2)
     deployment.record.say({True: "the rule held", False: "the rule was broken"}.get(outcome, "the case could not run"))
     sys.stdout.flush()
     os._exit({True: 0, False: 1}.get(outcome, 2))
