--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -181,8 +181,6 @@
     }
     /// @brief Reconsiders calls that wait for permits for @p targets, the most urgent first.
     void permitsArrived(const std::vector<std::string> &targets);
-    /// @brief Records that @p target said in its answer to a call that it is leaving.
-    void noteLeaving(const std::string &target, CallTicket ticket);
     /// @brief Marks requests that got no answer from @p target, which has died, as suspects.
     void targetDied(const std::string &target);
     /// @brief The first of the prompt parts @p parts that crashes targets, if there is one.
@@ -217,6 +215,7 @@
 
     void scheduleResume();
     void standingChanged(const HealthChange &change);
+    void leavingChanged(const LeavingChange &change);
     void scheduleQueueProcessing();
     void processQueue();
     void reconsider(std::uint64_t call);
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/placement/enginecall.h>
 #include <celeryroute/detail/placement/healthchange.h>
 #include <celeryroute/detail/placement/knowntarget.h>
+#include <celeryroute/detail/placement/leavingchange.h>
 #include <celeryroute/detail/placement/pausedtargets.h>
 #include <celeryroute/detail/placement/poolversions.h>
 #include <celeryroute/detail/placement/reportedload.h>
@@ -47,6 +48,8 @@
 
     /// @brief Sets the function that is called whenever a target is ejected or returns to service.
     void onHealthChange(std::function<void(const HealthChange &)> changed);
+    /// @brief Sets the function that is called whenever a target is said to be leaving, or no longer counts as such.
+    void onLeavingChange(std::function<void(const LeavingChange &)> changed);
 
     /// @brief Takes over the desired state of all pools.
     void setState(const ServingState &state);
@@ -97,8 +100,8 @@
 
     /// @brief Records that a target said in its answer to a call that it is leaving. It gets no further calls in that
     /// lifetime, whatever the registry says.
-    /// @return the start of that lifetime, if its leaving was not known yet
-    std::optional<std::int64_t> noteLeaving(CallTicket ticket, TimePoint now);
+    /// @param request id of the call
+    void noteLeaving(CallTicket ticket, const std::string &request, TimePoint now);
 
     /// @brief Records that a target asked to get no calls until @p until. Of several pauses the longest counts. A pause
     /// outlasts restarts of the target and the removal of its record.
@@ -150,6 +153,9 @@
                             const std::optional<TimePoint> &ejectedBefore,
                             std::string_view reason,
                             TimePoint now) const;
+    void notifyLeavingChange(const KnownTarget &target, std::string_view reason, const std::string &request = {}) const;
+    /// @brief Takes over whether a target counts as leaving in the lifetime that is known now.
+    void setLeaving(KnownTarget &target, bool leaving);
     void eraseIfUnused(const std::string &id);
 
     std::string m_name;
@@ -160,6 +166,7 @@
     std::size_t m_registered = 0;
     std::optional<TimePoint> m_recordsConfirmed;
     std::function<void(const HealthChange &)> m_onHealthChange;
+    std::function<void(const LeavingChange &)> m_onLeavingChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
     EndedLifetimes m_leaving; ///< Lifetimes of targets that said in an answer that they are leaving.
     PausedTargets m_pauses;
--- a/include/celeryroute/detail/telemetry/eventnames.h
+++ b/include/celeryroute/detail/telemetry/eventnames.h
@@ -110,7 +110,7 @@
     EventDescription{DecisionEvent::TargetAdded, "target.added", LineVolume::Decision, "target pool address born_ms offset", "the registry names a target for the first time"},
     EventDescription{DecisionEvent::TargetRemoved, "target.removed", LineVolume::Decision, "target pool offset", "the registry names a target no longer"},
     EventDescription{DecisionEvent::TargetDraining, "target.draining", LineVolume::Decision, "target pool address offset remaining_ms", "the registry says that a target leaves"},
-    EventDescription{DecisionEvent::TargetLeaving, "target.leaving", LineVolume::Decision, "target pool born_ms", "a target said in an answer that it leaves"},
+    EventDescription{DecisionEvent::TargetLeaving, "target.leaving", LineVolume::Decision, "target pool born_ms reason outcome", "a target said in an answer that it leaves, or its agent told so, or another lifetime of it is known; excluded targets get no calls"},
     EventDescription{DecisionEvent::TargetPaused, "target.paused", LineVolume::Decision, "target asked outcome for_ms", "a target refused a request and asked for a pause"},
     EventDescription{DecisionEvent::TargetLimited, "target.limited", LineVolume::Decision, "target pool change per_second asked outcome born_ms issuer peer heard_inc heard_msg msg", "what is known of a target's limit has changed, or the limit can't be read"},
     EventDescription{DecisionEvent::TargetShunned, "target.shunned", LineVolume::Decision, "target reason for_ms", "a target gets no requests for a time"},
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -84,7 +84,7 @@
     // Status 421 may come from another instance that has the address now.
     if (head.field(m_gateway.names().leaving) != nullptr && head.status != HttpStatus::Misdirected
         && attempt.ticket()) {
-        m_gateway.noteLeaving(target, *attempt.ticket());
+        m_gateway.targetTable().noteLeaving(*attempt.ticket(), m_fields.requestId, m_gateway.loop().now());
     }
     if (const std::string *pause = head.field("Retry-After");
         pause != nullptr && head.status == HttpStatus::ServiceUnavailable) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,11 +43,13 @@
     , m_engineChooser(dependencies.targetTable, seed)
 {
     m_dependencies.targetTable.onHealthChange([this](const HealthChange &change) { standingChanged(change); });
+    m_dependencies.targetTable.onLeavingChange([this](const LeavingChange &change) { leavingChanged(change); });
 }
 
 Gateway::~Gateway()
 {
     m_dependencies.targetTable.onHealthChange({});
+    m_dependencies.targetTable.onLeavingChange({});
     m_dependencies.loop.cancel(m_resumeTimer);
 }
 
@@ -60,6 +62,18 @@
                               {change.ejected ? "for_ms" : "shunned_ms", change.span}});
 }
 
+void Gateway::leavingChanged(const LeavingChange &change)
+{
+    m_dependencies.log.write(DecisionEvent::TargetLeaving,
+                             m_dependencies.loop.now(),
+                             change.request,
+                             {{fieldnames::Target, change.target},
+                              {"pool", change.pool},
+                              {"born_ms", change.bornMs},
+                              {fieldnames::Reason, change.reason},
+                              {"outcome", change.leaving ? "excluded" : "in_use"}});
+}
+
 void Gateway::useMaxTargetPause(Duration longest)
 {
     m_maxTargetPause = longest;
@@ -131,19 +145,6 @@
                               {fieldnames::Message, nextMessage()}});
 }
 
-void Gateway::noteLeaving(const std::string &target, CallTicket ticket)
-{
-    const TimePoint now = m_dependencies.loop.now();
-    if (const std::optional<std::int64_t> bornMs = m_dependencies.targetTable.noteLeaving(ticket, now)) {
-        const KnownTarget *known = m_dependencies.targetTable.target(target);
-        m_dependencies.log.write(DecisionEvent::TargetLeaving,
-                                 now,
-                                 {{fieldnames::Target, target},
-                                  {"pool", known == nullptr ? std::string_view() : known->record.pool},
-                                  {"born_ms", *bornMs}});
-    }
-}
-
 void Gateway::targetDied(const std::string &target)
 {
     for (const CrashSuspects::Suspicion &suspicion : m_suspects.targetDied(target, m_dependencies.loop.now())) {
--- a/src/node/entrynodepeers.cpp
+++ b/src/node/entrynodepeers.cpp
@@ -93,18 +93,10 @@
     }
     if (m_agents.agent(state.instance()) != nullptr) {
         const std::int64_t bornMs = birthTime(state.instance());
-        const KnownTarget *target = m_targetTable.target(state.instance());
-        const bool wasLeaving = target != nullptr && target->leaving;
         const ChangedModels changed = m_targetTable.setView(state.instance(),
                                                             toTargetView(state),
                                                             now,
                                                             heardMessage(envelope));
-        if (target != nullptr && target->leaving && !wasLeaving) {
-            m_core.log.write(
-                DecisionEvent::TargetLeaving,
-                now,
-                {{fieldnames::Target, state.instance()}, {"pool", target->record.pool}, {"born_ms", target->bornMs}});
-        }
         reportRestart(state.instance(), bornMs);
         m_gateway.targetsChanged(changed);
     }
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -27,6 +27,11 @@
     m_onHealthChange = std::move(changed);
 }
 
+void TargetTable::onLeavingChange(std::function<void(const LeavingChange &)> changed)
+{
+    m_onLeavingChange = std::move(changed);
+}
+
 void TargetTable::setState(const ServingState &state)
 {
     for (const auto &[name, pool] : m_pools) {
@@ -118,6 +123,7 @@
     if (leavingChanged) {
         m_leaving.add(id, view.bornMs, now);
         target.leaving = true;
+        notifyLeavingChange(target, "agent");
     }
     const bool isUnchanged = target.view && target.isViewFresh(now) && *target.view == view;
     const bool holdingsChanged = !target.view || !sameHoldings(*target.view, view);
@@ -243,7 +249,7 @@
     const std::optional<TimePoint> ejected = target.health.ejectedSince();
     target.lifetime = ++m_lifetimes;
     target.bornMs = bornMs;
-    target.leaving = m_leaving.contains(target.record.id, bornMs);
+    setLeaving(target, m_leaving.contains(target.record.id, bornMs));
     // A pause is asked for by id, so it outlasts a restart.
     target.paused = m_pauses.endOf(target.record.id).has_value();
     m_limits.beginLifetime(target.record.id, bornMs, now);
--- a/src/placement/targettableavailability.cpp
+++ b/src/placement/targettableavailability.cpp
@@ -3,28 +3,46 @@
 #include <celeryroute/detail/placement/targetholdings.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace celeryroute {
 
-std::optional<std::int64_t> TargetTable::noteLeaving(CallTicket ticket, TimePoint now)
+void TargetTable::noteLeaving(CallTicket ticket, const std::string &request, TimePoint now)
 {
     const auto call = m_calls.find(ticket);
     if (call == m_calls.end()) {
-        return std::nullopt;
+        return;
     }
     const std::string &id = call->second.target;
     const auto known = m_targets.find(id);
     const bool isSameLifetime = known != m_targets.end() && known->second->lifetime == call->second.lifetime;
     // The start time may have become known after the call was sent.
     const std::int64_t bornMs = isSameLifetime ? known->second->bornMs : call->second.bornMs;
-    if (!m_leaving.add(id, bornMs, now)) {
-        return std::nullopt;
+    if (!m_leaving.add(id, bornMs, now) || known == m_targets.end()) {
+        return;
     }
-    if (known != m_targets.end() && m_leaving.contains(id, known->second->bornMs)) {
+    if (m_leaving.contains(id, known->second->bornMs)) {
         known->second->leaving = true;
         reindex(*known->second, now);
     }
-    return bornMs;
+    notifyLeavingChange(*known->second, "answer", request);
+}
+
+void TargetTable::setLeaving(KnownTarget &target, bool leaving)
+{
+    if (std::exchange(target.leaving, leaving) != leaving) {
+        notifyLeavingChange(target, "lifetime");
+    }
+}
+
+void TargetTable::notifyLeavingChange(const KnownTarget &target,
+                                      std::string_view reason,
+                                      const std::string &request) const
+{
+    if (m_onLeavingChange) {
+        m_onLeavingChange(
+            {target.record.id, target.record.pool, target.bornMs, target.leaving, reason, request});
+    }
 }
 
 void TargetTable::notePause(const std::string &id, TimePoint until, TimePoint now)
@@ -86,7 +104,7 @@
     m_leaving.learnBorn(target.record.id, bornMs);
     const bool leaving = m_leaving.contains(target.record.id, bornMs);
     if (target.leaving != leaving) {
-        target.leaving = leaving;
+        setLeaving(target, leaving);
         reindex(target, now);
     }
 }
--- a/tests/support/availabilitysimulation.cpp
+++ b/tests/support/availabilitysimulation.cpp
@@ -297,7 +297,7 @@
     const bool leaves = target.leaving;
     after(between(1ms, chance(0.05) ? 350ms : 10ms), [=, this] {
         if (leaves && m_options.heedsLeaving) {
-            m_table.noteLeaving(ticket, m_now);
+            m_table.noteLeaving(ticket, {}, m_now);
         }
         if (leaves) {
             ++m_report.leavings;
