--- a/include/celeryroute/detail/placement/knowntarget.h
+++ b/include/celeryroute/detail/placement/knowntarget.h
@@ -50,7 +50,8 @@
     std::int64_t bornMs = 0;
     bool registered = false; ///< Whether the registry has a record of the target.
     bool paused = false; ///< The target asked to get no calls for a while.
-    bool leaving = false; ///< The target said in an answer that it is leaving.
+    bool leaving = false; ///< The target said in an answer that it is leaving, in this lifetime or an earlier one.
+    bool leavingByAgent = false; ///< The agent told that the target is leaving in this lifetime.
     std::optional<TargetView> view;
     TimePoint viewReceivedAt;
     std::optional<HeardMessage> viewMessage; ///< The message that carried the view.
@@ -66,6 +67,10 @@
     std::vector<std::string> indexedLoading;
     std::vector<std::string> indexedCopies;
 
+    bool isLeaving() const
+    {
+        return leaving || leavingByAgent;
+    }
     /// @brief Whether the target may get new calls.
     bool acceptsCalls() const;
     /// @brief Whether the last report of the agent is recent enough to be used.
--- a/include/celeryroute/detail/placement/leavingchange.h
+++ b/include/celeryroute/detail/placement/leavingchange.h
@@ -6,7 +6,7 @@
 
 namespace celeryroute {
 
-/// A target is said to be leaving, or its standing changed with its lifetime.
+/// A target is said to be leaving, or what its agent told has ended with a lifetime.
 struct LeavingChange {
     std::string target;
     std::string pool;
--- a/include/celeryroute/detail/placement/sentcall.h
+++ b/include/celeryroute/detail/placement/sentcall.h
@@ -12,7 +12,6 @@
     std::string target;
     std::string pool;
     std::uint32_t lifetime = 0;
-    std::int64_t bornMs = 0; ///< Start of the lifetime, if it was known when the call was sent.
     std::string item; ///< Empty for a plain service.
     std::uint64_t cacheTokens = 0; ///< Tokens of prompt and expected output.
     std::uint64_t uncached = 0; ///< Prompt tokens that the target must prefill.
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/placement/healthchange.h>
 #include <celeryroute/detail/placement/knowntarget.h>
 #include <celeryroute/detail/placement/leavingchange.h>
+#include <celeryroute/detail/placement/leavingtargets.h>
 #include <celeryroute/detail/placement/pausedtargets.h>
 #include <celeryroute/detail/placement/poolversions.h>
 #include <celeryroute/detail/placement/reportedload.h>
@@ -98,10 +99,10 @@
     /// @brief Takes over the load that a target reported in an answer, unless a report of its agent is fresh.
     void noteLoad(const std::string &id, const ReportedLoad &load, TimePoint now);
 
-    /// @brief Records that a target said in its answer to a call that it is leaving. It gets no further calls in that
-    /// lifetime, whatever the registry says.
+    /// @brief Records that a target said in its answer to a call that it is leaving. It gets no further calls under
+    /// this id, whatever the registry says and also after a restart.
     /// @param request id of the call
-    void noteLeaving(CallTicket ticket, const std::string &request, TimePoint now);
+    void noteLeaving(const std::string &id, const std::string &request, TimePoint now);
 
     /// @brief Records that a target asked to get no calls until @p until. Of several pauses the longest counts. A pause
     /// outlasts restarts of the target and the removal of its record.
@@ -154,8 +155,8 @@
                             std::string_view reason,
                             TimePoint now) const;
     void notifyLeavingChange(const KnownTarget &target, std::string_view reason, const std::string &request = {}) const;
-    /// @brief Takes over whether a target counts as leaving in the lifetime that is known now.
-    void setLeaving(KnownTarget &target, bool leaving);
+    /// @brief Takes over whether the agent told that the target leaves in the lifetime that is known now.
+    void updateLeavingByAgent(KnownTarget &target);
     void eraseIfUnused(const std::string &id);
 
     std::string m_name;
@@ -168,7 +169,8 @@
     std::function<void(const HealthChange &)> m_onHealthChange;
     std::function<void(const LeavingChange &)> m_onLeavingChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
-    EndedLifetimes m_leaving; ///< Lifetimes of targets that said in an answer that they are leaving.
+    LeavingTargets m_leaving;
+    EndedLifetimes m_leavingByAgent; ///< Lifetimes in which agents told that their targets are leaving.
     PausedTargets m_pauses;
     TargetLimits m_limits;
     PoolVersions m_versions;
--- a/include/celeryroute/detail/serving/endedlifetimes.h
+++ b/include/celeryroute/detail/serving/endedlifetimes.h
@@ -14,8 +14,6 @@
 public:
     /// @return whether this lifetime of @p target was not known
     bool add(const std::string &target, std::int64_t bornMs, TimePoint now);
-    /// @brief Takes over the start of the known lifetime of @p target, if it was 0.
-    void learnBorn(const std::string &target, std::int64_t bornMs);
     /// @brief Whether this lifetime of @p target is known, or precedes the known one.
     bool contains(const std::string &target, std::int64_t bornMs) const;
 
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -82,9 +82,8 @@
 {
     const std::string &target = attempt.destination().target;
     // Status 421 may come from another instance that has the address now.
-    if (head.field(m_gateway.names().leaving) != nullptr && head.status != HttpStatus::Misdirected
-        && attempt.ticket()) {
-        m_gateway.targetTable().noteLeaving(*attempt.ticket(), m_fields.requestId, m_gateway.loop().now());
+    if (head.field(m_gateway.names().leaving) != nullptr && head.status != HttpStatus::Misdirected) {
+        m_gateway.targetTable().noteLeaving(target, m_fields.requestId, m_gateway.loop().now());
     }
     if (const std::string *pause = head.field("Retry-After");
         pause != nullptr && head.status == HttpStatus::ServiceUnavailable) {
--- a/src/placement/knowntarget.cpp
+++ b/src/placement/knowntarget.cpp
@@ -23,7 +23,7 @@
 
 bool KnownTarget::acceptsCalls() const
 {
-    return registered && !record.draining && !leaving && !paused;
+    return registered && !record.draining && !isLeaving() && !paused;
 }
 
 bool KnownTarget::isViewFresh(TimePoint now) const
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -119,10 +119,10 @@
         learnBorn(target, view.bornMs, now);
     }
     ChangedModels changed = affectedModels(target);
-    const bool leavingChanged = view.leaving && view.bornMs != 0 && !target.leaving;
+    const bool leavingChanged = view.leaving && view.bornMs != 0 && !target.leavingByAgent;
     if (leavingChanged) {
-        m_leaving.add(id, view.bornMs, now);
-        target.leaving = true;
+        m_leavingByAgent.add(id, view.bornMs, now);
+        target.leavingByAgent = true;
         notifyLeavingChange(target, "agent");
     }
     const bool isUnchanged = target.view && target.isViewFresh(now) && *target.view == view;
@@ -249,8 +249,9 @@
     const std::optional<TimePoint> ejected = target.health.ejectedSince();
     target.lifetime = ++m_lifetimes;
     target.bornMs = bornMs;
-    setLeaving(target, m_leaving.contains(target.record.id, bornMs));
-    // A pause is asked for by id, so it outlasts a restart.
+    updateLeavingByAgent(target);
+    // What a target says of itself in answers is known by id, so it outlasts a restart.
+    target.leaving = m_leaving.contains(target.record.id);
     target.paused = m_pauses.endOf(target.record.id).has_value();
     m_limits.beginLifetime(target.record.id, bornMs, now);
     target.view.reset();
--- a/src/placement/targettableavailability.cpp
+++ b/src/placement/targettableavailability.cpp
@@ -7,30 +7,21 @@
 
 namespace celeryroute {
 
-void TargetTable::noteLeaving(CallTicket ticket, const std::string &request, TimePoint now)
+void TargetTable::noteLeaving(const std::string &id, const std::string &request, TimePoint now)
 {
-    const auto call = m_calls.find(ticket);
-    if (call == m_calls.end()) {
-        return;
-    }
-    const std::string &id = call->second.target;
     const auto known = m_targets.find(id);
-    const bool isSameLifetime = known != m_targets.end() && known->second->lifetime == call->second.lifetime;
-    // The start time may have become known after the call was sent.
-    const std::int64_t bornMs = isSameLifetime ? known->second->bornMs : call->second.bornMs;
-    if (!m_leaving.add(id, bornMs, now) || known == m_targets.end()) {
+    if (!m_leaving.add(id) || known == m_targets.end()) {
         return;
     }
-    if (m_leaving.contains(id, known->second->bornMs)) {
-        known->second->leaving = true;
-        reindex(*known->second, now);
-    }
+    known->second->leaving = true;
+    reindex(*known->second, now);
     notifyLeavingChange(*known->second, "answer", request);
 }
 
-void TargetTable::setLeaving(KnownTarget &target, bool leaving)
+void TargetTable::updateLeavingByAgent(KnownTarget &target)
 {
-    if (std::exchange(target.leaving, leaving) != leaving) {
+    const bool leaving = m_leavingByAgent.contains(target.record.id, target.bornMs);
+    if (std::exchange(target.leavingByAgent, leaving) != leaving) {
         notifyLeavingChange(target, "lifetime");
     }
 }
@@ -40,7 +31,7 @@
                                       const std::string &request) const
 {
     if (m_onLeavingChange) {
-        m_onLeavingChange({target.record.id, target.record.pool, target.bornMs, target.leaving, reason, request});
+        m_onLeavingChange({target.record.id, target.record.pool, target.bornMs, target.isLeaving(), reason, request});
     }
 }
 
@@ -100,10 +91,9 @@
         return;
     }
     target.bornMs = bornMs;
-    m_leaving.learnBorn(target.record.id, bornMs);
-    const bool leaving = m_leaving.contains(target.record.id, bornMs);
-    if (target.leaving != leaving) {
-        setLeaving(target, leaving);
+    const bool accepted = target.acceptsCalls();
+    updateLeavingByAgent(target);
+    if (target.acceptsCalls() != accepted) {
         reindex(target, now);
     }
 }
--- a/src/placement/targettablecalls.cpp
+++ b/src/placement/targettablecalls.cpp
@@ -90,7 +90,6 @@
     call.target = target.record.id;
     call.pool = target.record.pool;
     call.lifetime = target.lifetime;
-    call.bornMs = target.bornMs;
     OwnLoad &own = target.own;
     ++own.calls;
     ++own.waiting;
--- a/src/serving/endedlifetimes.cpp
+++ b/src/serving/endedlifetimes.cpp
@@ -25,14 +25,6 @@
     return true;
 }
 
-void EndedLifetimes::learnBorn(const std::string &target, std::int64_t bornMs)
-{
-    const auto found = m_lifetimes.find(target);
-    if (found != m_lifetimes.end() && found->second.bornMs == 0) {
-        found->second.bornMs = bornMs;
-    }
-}
-
 bool EndedLifetimes::contains(const std::string &target, std::int64_t bornMs) const
 {
     const auto found = m_lifetimes.find(target);
