--- a/include/celeryroute/detail/placement/leavingtargets.h
+++ b/include/celeryroute/detail/placement/leavingtargets.h
@@ -1,22 +1,27 @@
 #pragma once
 
-#include <deque>
+#include <cstddef>
+#include <list>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace celeryroute {
 
-/// Targets that said in an answer that they are leaving, by id. Bounded; the oldest ones are forgotten.
+/// Ids of targets that said in an answer that they are leaving, and whose records are gone. Bounded; those that went
+/// first are forgotten.
 class LeavingTargets
 {
 public:
-    /// @return whether @p target was not known
-    bool add(const std::string &target);
-    bool contains(const std::string &target) const;
+    static constexpr std::size_t MaxTargets = 65'536;
+
+    void add(const std::string &target);
+    /// @brief Removes @p target, whose record is back.
+    /// @return whether it was contained
+    bool take(const std::string &target);
 
 private:
-    std::unordered_set<std::string> m_targets;
-    std::deque<std::string> m_order; ///< In the order in which they were added.
+    std::list<std::string> m_order; ///< In the order in which they were added.
+    std::unordered_map<std::string, std::list<std::string>::iterator> m_targets;
 };
 
 } // namespace celeryroute
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -169,7 +169,7 @@
     std::function<void(const HealthChange &)> m_onHealthChange;
     std::function<void(const LeavingChange &)> m_onLeavingChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
-    LeavingTargets m_leaving;
+    LeavingTargets m_leaving; ///< That are not in m_targets.
     EndedLifetimes m_leavingByAgent; ///< Lifetimes in which agents told that their targets are leaving.
     PausedTargets m_pauses;
     TargetLimits m_limits;
--- a/src/placement/leavingtargets.cpp
+++ b/src/placement/leavingtargets.cpp
@@ -2,28 +2,27 @@
 
 namespace celeryroute {
 
-namespace {
-
-constexpr std::size_t MaxTargets = 4096;
-
-} // namespace
-
-bool LeavingTargets::add(const std::string &target)
+void LeavingTargets::add(const std::string &target)
 {
-    if (!m_targets.insert(target).second) {
-        return false;
+    if (m_targets.contains(target)) {
+        return;
     }
-    m_order.push_back(target);
+    m_targets.emplace(target, m_order.insert(m_order.end(), target));
     if (m_order.size() > MaxTargets) {
         m_targets.erase(m_order.front());
         m_order.pop_front();
     }
-    return true;
 }
 
-bool LeavingTargets::contains(const std::string &target) const
+bool LeavingTargets::take(const std::string &target)
 {
-    return m_targets.contains(target);
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end()) {
+        return false;
+    }
+    m_order.erase(found->second);
+    m_targets.erase(found);
+    return true;
 }
 
 } // namespace celeryroute
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -228,6 +228,7 @@
         target = std::make_unique<KnownTarget>();
         target->record.id = id;
         target->digest = stableHash(id);
+        target->leaving = m_leaving.take(id);
     }
     return *target;
 }
@@ -250,8 +251,7 @@
     target.lifetime = ++m_lifetimes;
     target.bornMs = bornMs;
     updateLeavingByAgent(target);
-    // What a target says of itself in answers is known by id, so it outlasts a restart.
-    target.leaving = m_leaving.contains(target.record.id);
+    // A pause is asked for by id, so it outlasts a restart.
     target.paused = m_pauses.endOf(target.record.id).has_value();
     m_limits.beginLifetime(target.record.id, bornMs, now);
     target.view.reset();
@@ -268,6 +268,9 @@
 {
     const auto target = m_targets.find(id);
     if (target != m_targets.end() && !target->second->registered && target->second->own.calls == 0) {
+        if (target->second->leaving) {
+            m_leaving.add(id);
+        }
         m_targets.erase(target);
     }
 }
--- a/src/placement/targettableavailability.cpp
+++ b/src/placement/targettableavailability.cpp
@@ -10,12 +10,12 @@
 void TargetTable::noteLeaving(const std::string &id, const std::string &request, TimePoint now)
 {
     const auto known = m_targets.find(id);
-    if (!m_leaving.add(id) || known == m_targets.end()) {
-        return;
+    if (known == m_targets.end()) {
+        m_leaving.add(id);
+    } else if (!std::exchange(known->second->leaving, true)) {
+        reindex(*known->second, now);
+        notifyLeavingChange(*known->second, "answer", request);
     }
-    known->second->leaving = true;
-    reindex(*known->second, now);
-    notifyLeavingChange(*known->second, "answer", request);
 }
 
 void TargetTable::updateLeavingByAgent(KnownTarget &target)
--- a/tests/src/unit-leavingtargets.cpp
+++ b/tests/src/unit-leavingtargets.cpp
@@ -220,3 +220,43 @@
     }
     STRCMP_EQUAL("", reached.c_str());
 }
+
+// Beyond 4,096 targets the entry forgot which ones had said that they leave, the oldest first.
+TEST(LeavingTargets, thousandsOfTargetsLeave_noneIsUsedWhenItsRecordComesBack)
+{
+    constexpr int Count = 30'000;
+    const TimePoint now{std::chrono::seconds(1)};
+    const auto record = [](int number, std::int64_t bornMs) {
+        TargetRecord target;
+        target.id = "i-" + std::to_string(number);
+        target.pool = "apps";
+        target.address = "127.0.0.1:1";
+        target.bornMs = bornMs;
+        return target;
+    };
+    TargetTable table("entry", "here");
+    for (int number = 0; number < Count; ++number) {
+        table.setRecord(record(number, Born), now);
+        table.noteLeaving("i-" + std::to_string(number), "r1", now);
+    }
+    const auto used = [&table] {
+        int accepting = 0;
+        for (int number = 0; number < Count; ++number) {
+            accepting += table.target("i-" + std::to_string(number))->acceptsCalls() ? 1 : 0;
+        }
+        return accepting;
+    };
+    for (int number = 0; number < Count; ++number) {
+        table.removeRecord("i-" + std::to_string(number), now);
+        table.setRecord(record(number, Born + 1), now);
+    }
+    CHECK_EQUAL(0, used());
+    for (int number = 0; number < Count; ++number) {
+        table.removeRecord("i-" + std::to_string(number), now);
+    }
+    for (int number = 0; number < Count; ++number) {
+        table.setRecord(record(number, Born + 2), now);
+    }
+    CHECK_EQUAL(0, used());
+    CHECK_TRUE(table.pool("apps")->accepting.empty());
+}
