--- a/include/celeryroute/detail/feed/targetsfeed.h
+++ b/include/celeryroute/detail/feed/targetsfeed.h
@@ -72,7 +72,7 @@
 
 private:
     void process(const FeedRecord &record, TimePoint now, std::vector<TargetEvent> &events);
-    void remove(const std::string &id, std::uint64_t offset, TimePoint now, std::vector<TargetEvent> &events);
+    void remove(const std::string &id, std::uint64_t offset, std::vector<TargetEvent> &events);
     bool mayBeRestored(const TargetRecord &target, TimePoint now) const;
 
     TopicFollower m_follower;
--- a/include/celeryroute/detail/placement/targettable.h
+++ b/include/celeryroute/detail/placement/targettable.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <celeryroute/detail/base/recententries.h>
 #include <celeryroute/detail/placement/enginecall.h>
 #include <celeryroute/detail/placement/healthchange.h>
 #include <celeryroute/detail/placement/knowntarget.h>
 #include <celeryroute/detail/placement/leavingchange.h>
-#include <celeryroute/detail/placement/leavingtargets.h>
 #include <celeryroute/detail/placement/pausedtargets.h>
 #include <celeryroute/detail/placement/poolversions.h>
 #include <celeryroute/detail/placement/reportedload.h>
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 namespace celeryroute {
@@ -169,7 +170,8 @@
     std::function<void(const HealthChange &)> m_onHealthChange;
     std::function<void(const LeavingChange &)> m_onLeavingChange;
     std::unordered_map<std::string, std::unique_ptr<KnownTarget>> m_targets;
-    LeavingTargets m_leaving; ///< That are not in m_targets.
+    /// Targets that said in an answer that they are leaving, and are not in m_targets.
+    RecentEntries<std::monostate> m_leaving{EndedLifetimes::MaxTargets};
     EndedLifetimes m_leavingByAgent; ///< Lifetimes in which agents told that their targets are leaving.
     PausedTargets m_pauses;
     TargetLimits m_limits;
--- a/include/celeryroute/detail/serving/endedlifetimes.h
+++ b/include/celeryroute/detail/serving/endedlifetimes.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <celeryroute/time.h>
+#include <celeryroute/detail/base/recententries.h>
 
 #include <cstdint>
 #include <string>
-#include <unordered_map>
 
 namespace celeryroute {
 
@@ -12,17 +11,16 @@
 class EndedLifetimes
 {
 public:
+    /// Six replacements of a fleet of 11,000 targets.
+    static constexpr std::size_t MaxTargets = 65'536;
+
     /// @return whether this lifetime of @p target was not known
-    bool add(const std::string &target, std::int64_t bornMs, TimePoint now);
+    bool add(const std::string &target, std::int64_t bornMs);
     /// @brief Whether this lifetime of @p target is known, or precedes the known one.
     bool contains(const std::string &target, std::int64_t bornMs) const;
 
 private:
-    struct Lifetime {
-        std::int64_t bornMs = 0;
-        TimePoint since;
-    };
-    std::unordered_map<std::string, Lifetime> m_lifetimes; ///< By target; the latest one.
+    RecentEntries<std::int64_t> m_lifetimes{MaxTargets}; ///< Start of the latest one by target.
 };
 
 } // namespace celeryroute
--- a/src/feed/targetsfeed.cpp
+++ b/src/feed/targetsfeed.cpp
@@ -101,7 +101,7 @@
     }
     const std::map<std::string, std::uint64_t> missing = std::exchange(m_missing, {});
     for (const auto &[id, offset] : missing) {
-        remove(id, offset, now, events);
+        remove(id, offset, events);
     }
     return events;
 }
@@ -123,14 +123,14 @@
         if (known != m_targets.end() && mayBeRestored(known->second, now)) {
             m_missing.emplace(record.key, record.offset);
         } else {
-            remove(record.key, record.offset, now, events);
+            remove(record.key, record.offset, events);
         }
         return;
     }
     m_missing.erase(record.key);
     std::optional<TargetRecord> target = m_reader(record.key, record.value);
     if (!target) {
-        remove(record.key, record.offset, now, events);
+        remove(record.key, record.offset, events);
         return;
     }
     const bool mayHaveGoneBack = m_follower.mayBeRestored(record.offset);
@@ -147,11 +147,11 @@
     }
 }
 
-void TargetsFeed::remove(const std::string &id, std::uint64_t offset, TimePoint now, std::vector<TargetEvent> &events)
+void TargetsFeed::remove(const std::string &id, std::uint64_t offset, std::vector<TargetEvent> &events)
 {
     const auto known = m_targets.find(id);
     if (known != m_targets.end()) {
-        m_removed.add(id, known->second.bornMs, now);
+        m_removed.add(id, known->second.bornMs);
         m_targets.erase(known);
         events.emplace_back(TargetRemoved{id, offset});
     }
--- a/src/placement/targettable.cpp
+++ b/src/placement/targettable.cpp
@@ -121,7 +121,7 @@
     ChangedModels changed = affectedModels(target);
     const bool leavingChanged = view.leaving && view.bornMs != 0 && !target.leavingByAgent;
     if (leavingChanged) {
-        m_leavingByAgent.add(id, view.bornMs, now);
+        m_leavingByAgent.add(id, view.bornMs);
         target.leavingByAgent = true;
         notifyLeavingChange(target, "agent");
     }
@@ -228,7 +228,7 @@
         target = std::make_unique<KnownTarget>();
         target->record.id = id;
         target->digest = stableHash(id);
-        target->leaving = m_leaving.take(id);
+        target->leaving = m_leaving.erase(id);
     }
     return *target;
 }
@@ -269,7 +269,7 @@
     const auto target = m_targets.find(id);
     if (target != m_targets.end() && !target->second->registered && target->second->own.calls == 0) {
         if (target->second->leaving) {
-            m_leaving.add(id);
+            m_leaving.set(id, {});
         }
         m_targets.erase(target);
     }
--- a/src/placement/targettableavailability.cpp
+++ b/src/placement/targettableavailability.cpp
@@ -11,7 +11,7 @@
 {
     const auto known = m_targets.find(id);
     if (known == m_targets.end()) {
-        m_leaving.add(id);
+        m_leaving.set(id, {});
     } else if (!std::exchange(known->second->leaving, true)) {
         reindex(*known->second, now);
         notifyLeavingChange(*known->second, "answer", request);
--- a/tests/src/unit-storerestore.cpp
+++ b/tests/src/unit-storerestore.cpp
@@ -127,6 +127,27 @@
     STRCMP_EQUAL("ready again", world.addressOf("a").c_str());
 }
 
+// Of the targets that were removed, the oldest beyond 4,096 were forgotten.
+TEST(StoreRestore, thousandsOfRemovedTargetsThatCameBack_stayRemoved)
+{
+    constexpr int Count = 5'000;
+    constexpr Duration ReadTime = 14s; ///< Reads return few records each.
+    TargetsWorld world;
+    for (int number = 0; number < Count; ++number) {
+        world.topic.write("i-" + std::to_string(number), "first");
+    }
+    world.run(ReadTime);
+    CHECK_EQUAL(static_cast<std::size_t>(Count), world.feed.targets().size());
+    for (int number = 0; number < Count; ++number) {
+        world.topic.write("i-" + std::to_string(number), "");
+    }
+    world.run(ReadTime);
+    CHECK_EQUAL(0U, world.feed.targets().size());
+    world.topic.restore(Count);
+    world.run(ReadTime);
+    CHECK_EQUAL(0U, world.feed.targets().size());
+}
+
 TEST(StoreRestore, removedTargetThatCameBack_staysRemovedUntilItIsWrittenAgain)
 {
     TargetsWorld world;
