--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -130,6 +130,20 @@
         {"10.0.0.1:80", "host:80"},
         {"10.0.0.1:80", "10.0.0.1:80x"},
         {"10.0.0.1:80", "10.0.0.1:99999"},
+        {"10.0.0.1:80", "10.0.0.1:65536"},
+        {"10.0.0.1:80", "10.0.0.1:0"},
+        {"10.0.0.1:80", "10.0.0.1:-80"},
+        {"10.0.0.1:80", "10.0.0.1:18446744073709551696"},
+        {"\"slots\":64", "\"slots\":1e400"},
+        {"\"slots\":64", "\"slots\":4294967296"},
+        {"\"slots\":64", "\"slots\":-1"},
+        {"\"sequence\":2", "\"sequence\":18446744073709551616"},
+        {"\"sequence\":2", "\"sequence\":2.5"},
+        {"1764806400123", "1e300"},
+        {"1500", "1e300"},
+        {"\"version\":3", "\"version\":[3]"},
+        {"\"version\":3", "\"version\":{}"},
+        {"\"version\":3", "\"version\":true"},
         {"\"ready\"", "\"resting\""},
         {"\"slots\":64", "\"slots\":\"64\""},
         {"\"sequence\":2", "\"sequence\":null"},
@@ -146,6 +160,31 @@
     CHECK(!platform.targetRecord("i-1", "\xff\xfe"));
 }
 
+// A record whose version was a deeply nested list ended the process.
+TEST(Platform, textNestedDeeply_isRejected)
+{
+    constexpr std::size_t Depth = 100'000;
+    std::string objects;
+    for (std::size_t depth = 0; depth < Depth; ++depth) {
+        objects += "{\"a\":";
+    }
+    objects += '1' + std::string(Depth, '}');
+    for (const std::string &nested : {std::string(Depth, '[') + std::string(Depth, ']'), objects}) {
+        const auto with = [&nested](const std::string &text, const std::string &field) {
+            return text.substr(0, text.size() - 1) + ",\"" + field + "\":" + nested + '}';
+        };
+        for (const char *field : {"version", "service", "address", "zone", "slots", "state", "born", "models", "odd"}) {
+            CHECK_TEXT(!platform.targetRecord("i-1", with(EntryText, field)), field);
+        }
+        CHECK(!platform.servingState(with(StateText, "odd")));
+        CHECK(!platform.targetReport(with(ReportText, "odd")));
+        CHECK(std::holds_alternative<FeedUnavailable>(
+            platform.feedAnswer(ReadNewest{}, 200, with(R"({"items":[],"end":1})", "odd"))));
+        CHECK(std::holds_alternative<FeedUnavailable>(
+            platform.feedAnswer(AppendRecord{}, 200, with(R"({"offset":1})", "odd"))));
+    }
+}
+
 TEST(Platform, report_validIsParsedInvalidIsRejected)
 {
     const TargetReport expected{{{"m0", 1, {}}}, {"m0/a1"}, true, 2, 5, 1, 12, 41'000, 90'000, {{}, {"m1"}}};
