--- a/include/celeryroute/detail/http1/targetchannels.h
+++ b/include/celeryroute/detail/http1/targetchannels.h
@@ -35,7 +35,8 @@
     }
 
 private:
-    TargetConnection *takeIdle(const Endpoint &endpoint);
+    /// @brief Takes the most recently used idle connection that may carry a request with this id.
+    TargetConnection *takeIdle(const Endpoint &endpoint, const std::string &requestId);
     TargetConnection &open(const Endpoint &endpoint);
     void becameIdle(TargetConnection &connection);
     void ended(TargetConnection &connection);
--- a/include/celeryroute/detail/http1/targetconnection.h
+++ b/include/celeryroute/detail/http1/targetconnection.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace celeryroute {
 
@@ -24,6 +26,7 @@
     /// What holds for all targets.
     struct Conventions {
         std::string requestId; ///< Name of the field that tells the exchange.
+        std::string notRun{}; ///< Name of the field that says that a request was not run; may be empty.
         /// How long targets that do not state it keep an idle channel. They may close sooner than a second.
         Duration idleLimit = std::chrono::milliseconds(300);
         /// Sending time after which a head, a chunk line or a trailer of an answer must be complete.
@@ -61,6 +64,10 @@
     /// @brief Whether an idle connection may still be used at @p now.
     bool usable(TimePoint now) const;
 
+    /// @brief Whether the connection has carried a request with this id that was not served. Its target may write the
+    /// refusal once more, and in a second exchange with that id nothing would tell it from the answer.
+    bool hasRefused(const std::string &requestId) const;
+
     /// @brief When an idle connection is no longer usable.
     TimePoint expiry() const
     {
@@ -96,6 +103,8 @@
     std::unique_ptr<MessageParser> m_parser;
     FramingPace m_pace;
     std::size_t m_passedBytes = 0; ///< Of interim answers and answers to other requests, during the exchange.
+    std::vector<std::uint64_t> m_refused; ///< Digests of the ids of requests that were not served.
+    bool m_refuses = false; ///< The head of the answer says that the request was not served.
     bool m_headTaken = false;
     bool m_foreign = false;
     bool m_reusable = true;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,7 +38,7 @@
     : m_dependencies(dependencies)
     , m_demandChanged(std::move(demandChanged))
     , m_server(dependencies.loop, *this)
-    , m_channels(dependencies.loop, {dependencies.names.requestId})
+    , m_channels(dependencies.loop, {dependencies.names.requestId, dependencies.names.notRun})
     , m_plainChooser(dependencies.targetTable, seed)
     , m_engineChooser(dependencies.targetTable, seed)
 {
--- a/src/http/httpmulticlient.cpp
+++ b/src/http/httpmulticlient.cpp
@@ -51,7 +51,7 @@
     EventLoop loop;
     LoopMailbox mailbox{loop};
     ForeignFile extraFile{loop};
-    TargetChannels channels{loop, {{}, ChannelIdleLimit}};
+    TargetChannels channels{loop, {{}, {}, ChannelIdleLimit}};
     CallId lastId = 0;
     absl::flat_hash_map<CallId, std::shared_ptr<HttpTransfer>> transfers;
 
--- a/src/http1/targetchannels.cpp
+++ b/src/http1/targetchannels.cpp
@@ -24,7 +24,7 @@
 
 TargetConnection &TargetChannels::start(const Endpoint &endpoint, TargetRequest request, ExchangeUser &user)
 {
-    TargetConnection *connection = request.single ? nullptr : takeIdle(endpoint);
+    TargetConnection *connection = request.single ? nullptr : takeIdle(endpoint, request.id);
     if (connection == nullptr) {
         connection = &open(endpoint);
     }
@@ -32,13 +32,21 @@
     return *connection;
 }
 
-TargetConnection *TargetChannels::takeIdle(const Endpoint &endpoint)
+TargetConnection *TargetChannels::takeIdle(const Endpoint &endpoint, const std::string &requestId)
 {
     const auto found = m_idle.find(endpoint);
-    while (found != m_idle.end() && !found->second.empty()) {
-        TargetConnection *connection = found->second.back();
-        found->second.pop_back();
-        if (connection->usable(m_loop.now())) {
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    std::vector<TargetConnection *> &idle = found->second;
+    for (std::size_t i = idle.size(); i-- > 0;) {
+        TargetConnection *connection = idle[i];
+        const bool usable = connection->usable(m_loop.now());
+        if (usable && connection->hasRefused(requestId)) {
+            continue;
+        }
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+        if (usable) {
             return connection;
         }
         discard(connection);
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/http1/targetconnection.h>
 
+#include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/net/sockets.h>
 
 #include <algorithm>
@@ -12,6 +13,9 @@
 
 constexpr Duration SilenceLimit = std::chrono::seconds(3);
 constexpr int FirstFinalStatus = 200;
+constexpr int FirstUnservedStatus = 300;
+/// A connection that has refused more requests is closed.
+constexpr std::size_t MaxRefused = 64;
 /// Most bytes of interim answers and of answers to other requests before the answer of an exchange.
 constexpr std::size_t MaxPassedBytes = std::size_t{1024} * 1024;
 
@@ -112,6 +116,11 @@
     return !m_dead && m_user == nullptr && now < m_expiry && !m_channel->stirred();
 }
 
+bool TargetConnection::hasRefused(const std::string &requestId) const
+{
+    return std::find(m_refused.begin(), m_refused.end(), stableHash(requestId)) != m_refused.end();
+}
+
 void TargetConnection::channelConnected()
 {
     m_loop.cancel(m_connectTimer);
@@ -211,6 +220,7 @@
     if (m_foreign) {
         m_user->exchangeStrayHead(head);
     } else {
+        m_refuses = head.status >= FirstUnservedStatus || head.field(m_conventions.notRun) != nullptr;
         noteKeepAlive(head);
         m_user->exchangeHead(std::move(head));
     }
@@ -246,6 +256,10 @@
     }
     ExchangeUser *user = m_user;
     m_user = nullptr;
+    if (m_refuses && !m_request.id.empty()) {
+        m_refused.push_back(stableHash(m_request.id));
+        m_reusable = m_reusable && m_refused.size() < MaxRefused;
+    }
     // A target that answered before it had read the whole request would take the rest for the next one.
     const bool kept = m_reusable && !m_request.single && m_channel->unsent() == 0 && m_channel->input().empty();
     if (!kept) {
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -987,6 +987,53 @@
     CHECK_EQUAL(requests, target.requests().size());
 }
 
+// The second copy of a refusal bears the id that a second send of the request would have too.
+TEST(TargetChannels, refusedRequest_isNotSentAgainOverItsChannel)
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+    const auto run = [this](const std::string &id, const std::string &answer) {
+        target.answerEveryRequest(answer);
+        Exchange exchange;
+        start(exchange, id);
+        CHECK(finish(exchange) && exchange.complete);
+    };
+    run("refused", refusal);
+    run("served", Own);
+    CHECK_EQUAL(1U, target.channels());
+    run("refused", refusal);
+    CHECK_EQUAL(2U, target.channels());
+    run("refused", Own);
+    CHECK_EQUAL(3U, target.channels());
+    run("other", Own);
+    run("served", Own);
+    CHECK_EQUAL(3U, target.channels());
+}
+
+TEST(TargetChannels, channelWithManyRefusals_isClosedBeforeItForgetsOne)
+{
+    target.answerEveryRequest("HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+    constexpr int Requests = 1'000;
+    for (int number = 0; number < Requests; ++number) {
+        Exchange exchange;
+        start(exchange, std::to_string(number));
+        CHECK(finish(exchange) && exchange.complete);
+    }
+    CHECK(target.channels() > 1);
+    for (int number = 0; number < Requests; ++number) {
+        const std::size_t sent = target.requests().size();
+        Exchange exchange;
+        start(exchange, std::to_string(number));
+        CHECK(finish(exchange) && exchange.complete);
+        const auto earlier = std::count_if(target.requests().begin(),
+                                           target.requests().end(),
+                                           [&](const auto &request) {
+                                               return request.field("X-Request-Id") == std::to_string(number)
+                                                   && request.channel == target.requests()[sent].channel;
+                                           });
+        CHECK_EQUAL(1, earlier);
+    }
+}
+
 TEST(TargetChannels, channelsAreDestroyed_theirTimerIsGone)
 {
     auto own = std::make_unique<TargetChannels>(loop, TargetConnection::Conventions{"X-Request-Id"});
--- /dev/null
+++ b/tests/src/unit-repeatedrefusals.cpp
@@ -0,0 +1,93 @@
+#include "gatewayworld.h"
+#include "nodeworld.h"
+#include "targetanswers.h"
+
+#include <optional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace celeryroute;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string IdOnly = "X-Request-Id: {id}\r\n";
+const std::string Refusals[] = {
+    httpAnswer(421, {}, IdOnly),
+    httpAnswer(503, {}, IdOnly + "X-Not-Run: 1\r\n"),
+    httpAnswer(429, {}, IdOnly + "X-Not-Run: 1\r\n"),
+    httpAnswer(400, {}, IdOnly + "X-Not-Run: 1\r\n"),
+    httpAnswer(200, {}, IdOnly + "X-Not-Run: 1\r\n"),
+};
+
+/// A target with two ids, which writes a refusal once more when the refused request arrives again, and runs that.
+class RepeatedRefusalWorld : public GatewayWorld
+{
+public:
+    RepeatedRefusalWorld(const std::string &refusal, const std::string &served)
+        : GatewayWorld(1)
+    {
+        TargetRecord second = table.target("t0")->record;
+        second.id = "t1";
+        table.setRecord(second, loop.now());
+        apply();
+        scripts = {respondWith(refusal), [this, refusal, served](const ScriptedTarget::Request &) {
+                       answer(0, refusal);
+                       answer(1, served);
+                   }};
+    }
+};
+
+} // namespace
+
+TEST_GROUP(RepeatedRefusals){};
+
+// The second copy was taken for the answer to the second send: the caller was told that the request had not run, or it
+// was sent to a third target, while the target ran it.
+TEST(RepeatedRefusals, refusalRepeatedAfterTheRequestWasSentAgain_isNotItsAnswer)
+{
+    for (const std::string &refusal : Refusals) {
+        for (const std::string path : {"/once/a", "/idempotent/a", "/resumable/a"}) {
+            const std::string stream = StreamHead + chunk(event(1)) + LastChunk;
+            RepeatedRefusalWorld world(refusal, path == "/resumable/a" ? stream : Ok);
+            const std::string answer = world.call(path);
+            const std::string text = path + " after " + refusal;
+            CHECK_EQUAL_TEXT(200, statusOf(answer), text.c_str());
+            CHECK_EQUAL_TEXT(2U, world.arrived.size(), text.c_str());
+        }
+    }
+}
+
+// As above, for a request that waits until its model is loaded and goes to the same target again.
+TEST(RepeatedRefusals, refusalRepeatedAfterTheModelWasLoaded_isNotTheAnswer)
+{
+    NodeWorld world;
+    world.publish();
+    world.engine.report["models"] = nlohmann::json::parse(R"([{"name": "m1", "version": 3, "adapters": []}])");
+    world.registerEngine();
+    world.startAgent();
+    world.startEntry();
+    CHECK(world.runUntilReadiness(0, 200));
+    std::optional<ScriptedTarget::Request> first;
+    std::size_t arrivals = 0;
+    world.engine.onArrival = [&](const ScriptedTarget::Request &request) {
+        if (request.head.target != "/chat/a") {
+            return;
+        }
+        ++arrivals;
+        if (first) {
+            world.engine.server.answer(*first, httpAnswer(421, {}, IdOnly));
+        } else {
+            first = request;
+            world.engine.report["models"] = nlohmann::json::array(); // The agent hasn't told the entry yet.
+        }
+    };
+    const std::string answer = world.call(world.callerEndpoint(0),
+                                          "/chat/a",
+                                          "r1",
+                                          "Authorization: Bearer key-a\r\nX-Model: m1\r\nX-Token-Usage: 100,5\r\n"
+                                          "X-Deadline-Ms: 3000\r\n");
+    CHECK_EQUAL(200, statusOf(answer));
+    STRCMP_CONTAINS("a token", answer.c_str());
+    CHECK_EQUAL(2U, arrivals);
+}
