--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -130,7 +130,10 @@
     void recordSuccess(const TargetAnswer &answer);
     void noteFailure(int status, std::string_view reason);
     void beginStream(TargetAttempt &attempt);
-    void forwardEvents(TargetAttempt &attempt);
+    /// @return false if the attempt has ended, because what it received are no events
+    bool forwardEvents(TargetAttempt &attempt);
+    void forwardEvents(TargetAttempt &attempt, const std::string &events, bool first);
+    void endGarbledStream(TargetAttempt &attempt);
     /// @brief Takes over whether the target leaves or asks for a pause.
     void noteAvailability(const TargetAttempt &attempt, const MessageHead &head);
     /// @brief Takes over the limit that the target names.
--- a/include/celeryroute/detail/gateway/eventsplitter.h
+++ b/include/celeryroute/detail/gateway/eventsplitter.h
@@ -13,9 +13,16 @@
     /// @param versionField event field that announces another version of the weights
     explicit EventSplitter(std::string versionField);
 
+    /// Bytes of an answer that were taken.
+    struct Taken {
+        std::string events;
+        bool valid = true; ///< Whether nothing that is no event, or does not follow the last one, comes after them.
+        bool operator==(const Taken &) const = default;
+    };
+
     /// @brief Removes all complete events from the front of @p bytes and returns them.
     /// @param searched number of bytes that an earlier call has left in @p bytes
-    std::string takeCompleteEvents(std::string &bytes, std::size_t searched = 0);
+    Taken takeCompleteEvents(std::string &bytes, std::size_t searched = 0);
 
     /// @brief Number of events taken so far.
     std::uint64_t eventCount() const
@@ -34,7 +41,13 @@
     }
 
 private:
-    void readLine(std::string_view line);
+    struct Event;
+
+    /// @return whether @p line may be part of an event
+    bool readLine(std::string_view line, Event &event) const;
+    /// @return whether @p event may follow those taken so far
+    bool mayFollow(const Event &event) const;
+    void take(const Event &event);
 
     std::string m_versionField;
     std::uint64_t m_eventCount = 0;
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -38,7 +38,7 @@
     answer.notRun = head.field(names.notRun) != nullptr || head.status == HttpStatus::Misdirected;
     const std::string *type = head.field("Content-Type");
     answer.isEventStream = m_route->kind == CallKind::Stream && head.status == HttpStatus::Ok && answer.signedByTarget
-        && (type == nullptr || type->find("text/event-stream") != std::string::npos);
+        && !answer.notRun && (type == nullptr || type->find("text/event-stream") != std::string::npos);
     noteAvailability(attempt, head);
     if (const std::string *load = head.field(names.load)) {
         if (const auto read = readLoad(*load)) {
@@ -97,8 +97,8 @@
     if (&attempt == m_current && mayBeForwarded(answer)) {
         endHedging();
     }
-    if (answer.isEventStream) {
-        forwardEvents(attempt);
+    if (answer.isEventStream && !forwardEvents(attempt)) {
+        return;
     }
     const std::optional<std::string_view> limit = attempt.isInProgress() ? attempt.exceededLimit() : std::nullopt;
     if (limit) {
@@ -123,15 +123,24 @@
                            {"bytes", attempt.answer().body.size()}});
 }
 
-void Call::forwardEvents(TargetAttempt &attempt)
+bool Call::forwardEvents(TargetAttempt &attempt)
 {
     TargetAnswer &answer = attempt.answer();
     const std::uint64_t before = m_splitter.eventCount();
-    const std::string whole = m_splitter.takeCompleteEvents(answer.body, answer.searchedBytes);
+    const EventSplitter::Taken taken = m_splitter.takeCompleteEvents(answer.body, answer.searchedBytes);
     answer.searchedBytes = answer.body.size();
-    if (whole.empty()) {
-        return;
+    if (!taken.events.empty()) {
+        forwardEvents(attempt, taken.events, before == 0);
+    }
+    if (!taken.valid && attempt.isInProgress()) {
+        endGarbledStream(attempt);
     }
+    return taken.valid;
+}
+
+void Call::forwardEvents(TargetAttempt &attempt, const std::string &events, bool first)
+{
+    TargetAnswer &answer = attempt.answer();
     if (!answer.hasEvents) {
         answer.hasEvents = true;
         noteWeightsVersion(answer);
@@ -140,12 +149,12 @@
         m_weightsVersion = m_splitter.weightsVersion();
     }
     m_phase = Phase::Streaming;
-    if (before == 0) {
+    if (first) {
         beginStream(attempt);
         startStallTimer(); // The timeout between events applies from now on.
     }
     m_callerIdleSince = m_gateway.loop().now();
-    m_caller->append(whole);
+    m_caller->append(events);
     m_caller->flush();
     if (m_caller != nullptr && m_caller->congested() && !m_readingPaused && attempt.isInProgress()) {
         m_readingPaused = true;
@@ -153,6 +162,16 @@
     }
 }
 
+// The text of an error, or its head, may come where the next event is due.
+void Call::endGarbledStream(TargetAttempt &attempt)
+{
+    ++m_possibleRuns;
+    endAttempt(attempt, CallEnd::Failed);
+    attempt.discardBody();
+    exclude(attempt);
+    attemptEnded(attempt, reasons::AnswerGarbled, mayRetry());
+}
+
 void Call::noteWeightsVersion(const TargetAnswer &answer)
 {
     if (const std::string *version = answer.head.field(m_gateway.names().weightsVersion)) {
--- a/tests/src/unit-gateway.cpp
+++ b/tests/src/unit-gateway.cpp
@@ -57,9 +57,11 @@
         EventSplitter splitter("X-Weights");
         std::string bytes;
         std::string taken;
-        for (const std::string &part : row.parts) {
-            bytes += part;
-            taken += splitter.takeCompleteEvents(bytes);
+        for (const std::string &received : row.parts) {
+            bytes += received;
+            const EventSplitter::Taken part = splitter.takeCompleteEvents(bytes);
+            CHECK(part.valid);
+            taken += part.events;
         }
         STRCMP_EQUAL(row.taken.c_str(), taken.c_str());
         STRCMP_EQUAL(row.rest.c_str(), bytes.c_str());
@@ -434,7 +436,7 @@
     for (const Row &row : rows) {
         GatewayWorld fresh(2);
         fresh.apply();
-        const std::string complete = "ok\n\n"; // Also as a stream.
+        const std::string complete = "data: ok\n\n"; // Also as a stream.
         fresh.scripts = {fresh.respondWith(row.first, row.afterAnswer), fresh.respondWith(signedAnswer(200, complete))};
         const std::string answer = fresh.call(row.path);
         const std::string text = std::string(row.path) + ' ' + row.first;
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -171,7 +171,8 @@
     objects += '1' + std::string(Depth, '}');
     for (const std::string &nested : {std::string(Depth, '[') + std::string(Depth, ']'), objects}) {
         const auto with = [&nested](const std::string &text, const std::string &field) {
-            return text.substr(0, text.size() - 1) + ",\"" + field + "\":" + nested + '}';
+            std::string changed = text.substr(0, text.size() - 1);
+            return changed.append(",\"").append(field).append("\":").append(nested).append("}");
         };
         for (const char *field : {"version", "service", "address", "zone", "slots", "state", "born", "models", "odd"}) {
             CHECK_TEXT(!platform.targetRecord("i-1", with(EntryText, field)), field);
--- a/tests/src/unit-repeatedrefusals.cpp
+++ b/tests/src/unit-repeatedrefusals.cpp
@@ -20,6 +20,11 @@
     httpAnswer(200, {}, IdOnly + "X-Not-Run: 1\r\n"),
 };
 
+std::string streamOfOneEvent()
+{
+    return chunk(event(1)) + LastChunk;
+}
+
 /// A target with two ids, which writes a refusal once more when the refused request arrives again, and runs that.
 class RepeatedRefusalWorld : public GatewayWorld
 {
@@ -46,12 +51,13 @@
 // was sent to a third target, while the target ran it.
 TEST(RepeatedRefusals, refusalRepeatedAfterTheRequestWasSentAgain_isNotItsAnswer)
 {
+    const std::string stream = StreamHead + streamOfOneEvent();
     for (const std::string &refusal : Refusals) {
         for (const std::string path : {"/once/a", "/idempotent/a", "/resumable/a"}) {
-            const std::string stream = StreamHead + chunk(event(1)) + LastChunk;
             RepeatedRefusalWorld world(refusal, path == "/resumable/a" ? stream : Ok);
             const std::string answer = world.call(path);
-            const std::string text = path + " after " + refusal;
+            std::string text = path;
+            text.append(" after ").append(refusal);
             CHECK_EQUAL_TEXT(200, statusOf(answer), text.c_str());
             CHECK_EQUAL_TEXT(2U, world.arrived.size(), text.c_str());
         }
