Make the new bounded map safe against copies, and name its users' parts plainly

Read as a newcomer: a copied RecentEntries would have kept positions in the original's list (nothing copies one), two functions were called forwardEvents, and a connection without refusals hashed each request's id. No change of behaviour; the six test programs concerned pass.

--- a/include/celeryroute/detail/base/recententries.h
+++ b/include/celeryroute/detail/base/recententries.h
@@ -16,6 +16,9 @@
     explicit RecentEntries(std::size_t most)
         : m_most(most)
     {}
+    // A copy would refer to the entries of the original.
+    RecentEntries(const RecentEntries &) = delete;
+    RecentEntries &operator=(const RecentEntries &) = delete;
 
     /// @brief Adds or replaces the entry of @p id, which is the newest one then.
     void set(const std::string &id, Value value)
--- a/include/celeryroute/detail/gateway/call.h
+++ b/include/celeryroute/detail/gateway/call.h
@@ -130,9 +130,11 @@
     void recordSuccess(const TargetAnswer &answer);
     void noteFailure(int status, std::string_view reason);
     void beginStream(TargetAttempt &attempt);
-    /// @return false if the attempt has ended, because what it received are no events
+    /// @brief Forwards the whole events that have arrived.
+    /// @return false if something else came, and the attempt has ended
     bool forwardEvents(TargetAttempt &attempt);
-    void forwardEvents(TargetAttempt &attempt, const std::string &events, bool first);
+    /// @param first whether the caller has got no event yet
+    void appendEvents(TargetAttempt &attempt, const std::string &events, bool first);
     void endGarbledStream(TargetAttempt &attempt);
     /// @brief Takes over whether the target leaves or asks for a pause.
     void noteAvailability(const TargetAttempt &attempt, const MessageHead &head);
--- a/include/celeryroute/detail/gateway/eventsplitter.h
+++ b/include/celeryroute/detail/gateway/eventsplitter.h
@@ -6,7 +6,7 @@
 
 namespace celeryroute {
 
-/// Splits a stream of server-sent events into complete events.
+/// Splits a stream of server-sent events into complete events, whose numbers rise.
 class EventSplitter
 {
 public:
@@ -16,7 +16,7 @@
     /// Bytes of an answer that were taken.
     struct Taken {
         std::string events;
-        bool valid = true; ///< Whether nothing that is no event, or does not follow the last one, comes after them.
+        bool valid = true; ///< False if something comes after them that is no event, or none that may follow the last.
         bool operator==(const Taken &) const = default;
     };
 
--- a/src/gateway/callanswers.cpp
+++ b/src/gateway/callanswers.cpp
@@ -130,7 +130,7 @@
     const EventSplitter::Taken taken = m_splitter.takeCompleteEvents(answer.body, answer.searchedBytes);
     answer.searchedBytes = answer.body.size();
     if (!taken.events.empty()) {
-        forwardEvents(attempt, taken.events, before == 0);
+        appendEvents(attempt, taken.events, before == 0);
     }
     if (!taken.valid && attempt.isInProgress()) {
         endGarbledStream(attempt);
@@ -138,7 +138,7 @@
     return taken.valid;
 }
 
-void Call::forwardEvents(TargetAttempt &attempt, const std::string &events, bool first)
+void Call::appendEvents(TargetAttempt &attempt, const std::string &events, bool first)
 {
     TargetAnswer &answer = attempt.answer();
     if (!answer.hasEvents) {
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -118,7 +118,8 @@
 
 bool TargetConnection::hasRefused(const std::string &requestId) const
 {
-    return std::find(m_refused.begin(), m_refused.end(), stableHash(requestId)) != m_refused.end();
+    return !m_refused.empty()
+        && std::find(m_refused.begin(), m_refused.end(), stableHash(requestId)) != m_refused.end();
 }
 
 void TargetConnection::channelConnected()
