--- a/include/celeryroute/detail/telemetry/reasonnames.h
+++ b/include/celeryroute/detail/telemetry/reasonnames.h
@@ -78,7 +78,7 @@
     ReasonDescription{reasons::TargetFailed, "the target ran the request and failed", "the target's own log"},
     ReasonDescription{reasons::TargetSilent, "the target did not answer or continue in time", "target.shunned, target.lost"},
     ReasonDescription{reasons::ConnectionLost, "the connection to the target ended; the request may have run", "target.lost, target.removed, target.shunned"},
-    ReasonDescription{reasons::AnswerGarbled, "the bytes received were not the answer to this request", "target.shunned"},
+    ReasonDescription{reasons::AnswerGarbled, "the bytes received were not the answer to this request, or no events inside a stream", "target.shunned"},
     ReasonDescription{reasons::AnswerCutOff, "the answer exceeded a limit, and its connection was closed", "answer.cut_off; limit"},
     ReasonDescription{reasons::WrongInstance, "another target has the address now", "target.removed"},
     ReasonDescription{reasons::NoSuccessor, "no other target could continue the stream", "request.resumed, target.shunned; weights"},
