--- a/include/celeryroute/detail/base/digest.h
+++ b/include/celeryroute/detail/base/digest.h
@@ -19,6 +19,9 @@
 /// @brief 64-bit XXH3 hash of @p text; equal on all hosts and versions.
 std::uint64_t stableHash(const std::string &text);
 
+/// @brief Rendezvous-hashing score of @p host for @p key, equal in all processes; the highest score is preferred.
+std::uint64_t rendezvousScore(const std::string &key, const std::string &host);
+
 /// @brief The decimal numbers @p digests, separated by commas.
 std::string joinDigests(const std::vector<std::uint64_t> &digests);
 
--- a/include/celeryroute/detail/routing/rendezvous.h
+++ b/include/celeryroute/detail/routing/rendezvous.h
@@ -17,9 +17,6 @@
     bool operator==(const RankedTarget &) const = default;
 };
 
-/// @brief Rendezvous-hashing score of @p host for @p key, equal in all processes.
-std::uint64_t rendezvousScore(const std::string &key, const std::string &host);
-
 /// @brief Returns the @p size targets with the highest scores, best first, spread evenly over the
 /// failure domains where each domain has enough targets.
 std::vector<RankedTarget> rendezvousSubset(std::vector<RankedTarget> targets, std::size_t size);
--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -45,6 +45,11 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+std::uint64_t rendezvousScore(const std::string &key, const std::string &host)
+{
+    return stableHash(key + '\n' + host);
+}
+
 std::string joinDigests(const std::vector<std::uint64_t> &digests)
 {
     std::string text;
--- a/src/gateway/crashexchange.cpp
+++ b/src/gateway/crashexchange.cpp
@@ -40,12 +40,6 @@
     }
 };
 
-/// Rendezvous-hashing score of the entry @p relay for telling @p peer.
-std::uint64_t relayScore(const std::string &peer, const std::string &relay)
-{
-    return stableHash(peer + '\n' + relay);
-}
-
 } // namespace
 
 CrashExchange::CrashExchange(std::string address, std::uint64_t incarnation, const CrashExchangeLimits &limits)
@@ -259,9 +253,9 @@
 
 bool CrashExchange::isRelayFor(const std::string &peer) const
 {
-    const std::uint64_t score = relayScore(peer, m_address);
+    const std::uint64_t score = rendezvousScore(peer, m_address);
     const auto above = std::count_if(m_heard.begin(), m_heard.end(), [&](const std::string &other) {
-        return other != peer && relayScore(peer, other) > score;
+        return other != peer && rendezvousScore(peer, other) > score;
     });
     return static_cast<std::size_t>(above) < m_limits.relays;
 }
--- a/src/routing/rendezvous.cpp
+++ b/src/routing/rendezvous.cpp
@@ -1,7 +1,5 @@
 #include <celeryroute/detail/routing/rendezvous.h>
 
-#include <celeryroute/detail/base/digest.h>
-
 #include <algorithm>
 #include <map>
 #include <set>
@@ -17,11 +15,6 @@
 
 } // namespace
 
-std::uint64_t rendezvousScore(const std::string &key, const std::string &host)
-{
-    return stableHash(key + '\n' + host);
-}
-
 // The first pass takes at most an even share from each failure domain. The second pass fills the
 // remaining places by score alone.
 std::vector<RankedTarget> rendezvousSubset(std::vector<RankedTarget> targets, std::size_t size)
--- a/src/routing/targetchooser.cpp
+++ b/src/routing/targetchooser.cpp
@@ -1,5 +1,7 @@
 #include <celeryroute/detail/routing/targetchooser.h>
 
+#include <celeryroute/detail/base/digest.h>
+
 #include <algorithm>
 #include <map>
 
--- a/src/targetlimit/limitexchange.cpp
+++ b/src/targetlimit/limitexchange.cpp
@@ -20,15 +20,10 @@
 /// have been in touch with the one before for as long as an acknowledgement is awaited.
 constexpr Duration OwnSettleTime = LimitExchange::SettleTime + 1s;
 
-std::uint64_t issuerScore(const std::string &target, const std::string &entry)
-{
-    return stableHash(target + '\n' + entry);
-}
-
 double startingLevel(const std::string &target, const std::string &entry)
 {
     constexpr std::uint64_t Steps = 1024;
-    return static_cast<double>(issuerScore(entry, target) % Steps) / static_cast<double>(Steps);
+    return static_cast<double>(rendezvousScore(entry, target) % Steps) / static_cast<double>(Steps);
 }
 
 std::uint64_t clockMs(TimePoint time)
@@ -301,7 +296,7 @@
     const auto best = std::max_element(m_candidates.begin(),
                                        m_candidates.end(),
                                        [&target](const std::string &left, const std::string &right) {
-                                           return issuerScore(target, left) < issuerScore(target, right);
+                                           return rendezvousScore(target, left) < rendezvousScore(target, right);
                                        });
     return best == m_candidates.end() ? std::string() : *best;
 }
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -1,3 +1,4 @@
+#include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/routing/targetchooser.h>
 
 #include <iostream>
