--- a/include/celeryroute/detail/feed/feedcalls.h
+++ b/include/celeryroute/detail/feed/feedcalls.h
@@ -2,6 +2,7 @@
 
 #include <celeryroute/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -9,11 +10,15 @@
 
 namespace celeryroute {
 
+/// Longest key of a record.
+inline constexpr std::size_t MaxKeyBytes = 255;
+
 /// Topics of the store that this system reads and writes.
 enum class FeedTopic {
     Desired, ///< The operators' desired state.
     Targets, ///< The registry of targets.
     Fences, ///< One record per start of an agent; its offset is the agent's fencing token.
+    Versions, ///< Software versions that have served in each pool; see VersionRecord.
 };
 
 /// Reads one page of the newest records of all keys.
@@ -35,6 +40,7 @@
 struct AppendRecord {
     FeedTopic topic = FeedTopic::Fences;
     std::string value;
+    std::string key{}; ///< Of a keyed topic; at most MaxKeyBytes. With an empty value the key is deleted.
     bool operator==(const AppendRecord &) const = default;
 };
 
--- a/include/celeryroute/detail/gateway/gateway.h
+++ b/include/celeryroute/detail/gateway/gateway.h
@@ -145,14 +145,18 @@
     {
         return m_streamOrigins;
     }
-    /// @brief Sets how to tell whether no other software version can have served without this entry's knowledge.
-    void useVersionsComplete(std::function<bool()> versionsComplete)
+    /// Software versions that may have served in a pool within a time and that the registry no longer shows; nullopt if
+    /// that is not known.
+    using EarlierVersions =
+        std::function<std::optional<std::vector<std::string>>(const std::string &pool, Duration lifetime)>;
+    /// @brief Sets where earlier versions are known from. Without it there are none.
+    void useEarlierVersions(EarlierVersions earlierVersions)
     {
-        m_versionsComplete = std::move(versionsComplete);
+        m_earlierVersions = std::move(earlierVersions);
     }
-    bool areVersionsComplete() const
+    std::optional<std::vector<std::string>> earlierVersions(const std::string &pool, Duration lifetime) const
     {
-        return !m_versionsComplete || m_versionsComplete();
+        return m_earlierVersions ? m_earlierVersions(pool, lifetime) : std::vector<std::string>();
     }
     /// @brief Routing table of the current desired state; null before the first state was applied.
     const std::shared_ptr<const RouteTable> &table() const
@@ -232,7 +236,7 @@
     CrashSuspects m_suspects;
     AnswerBuffers m_answerBuffers;
     StreamOrigins m_streamOrigins;
-    std::function<bool()> m_versionsComplete;
+    EarlierVersions m_earlierVersions;
     std::shared_ptr<const RouteTable> m_table;
     CallerLimits m_limits;
     std::uint64_t m_nextCall = 1;
--- a/include/celeryroute/detail/gateway/streamorigins.h
+++ b/include/celeryroute/detail/gateway/streamorigins.h
@@ -33,12 +33,12 @@
     /// @brief Decides where a stream that began in one of @p pools may go on.
     /// @param stream digest of the stream, if its caller named it
     /// @param pool pool that serves the stream if its origin is unknown
-    /// @param versionsComplete whether no other version can have served without this entry's knowledge
+    /// @param earlier versions that may have served before @p versions was complete; nullopt if that is not known
     Resumption resume(std::optional<std::uint64_t> stream,
                       const std::vector<std::string> &pools,
                       const std::string &pool,
                       const PoolVersions &versions,
-                      bool versionsComplete,
+                      const std::optional<std::vector<std::string>> &earlier,
                       TimePoint now) const;
 
     /// @brief What other entries should be told now; nothing while one software version serves in each pool.
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -4,6 +4,7 @@
 #include <celeryroute/detail/feed/targetsfeed.h>
 #include <celeryroute/detail/gateway/crashexchange.h>
 #include <celeryroute/detail/gateway/gateway.h>
+#include <celeryroute/detail/gateway/versionrecord.h>
 #include <celeryroute/detail/node/agentdirectory.h>
 #include <celeryroute/detail/node/demandsender.h>
 #include <celeryroute/detail/node/entryadmission.h>
@@ -63,7 +64,14 @@
     void scheduleStreams();
     /// @brief Tells the other entries which software versions began streams.
     void sendStreams();
-    bool areVersionsComplete() const;
+    /// @brief Tells the record of versions whether the registry is known without gaps.
+    void noteRegistryRead();
+    void useStreamPools(const ServingState &state);
+    bool isVersionWriter(const std::string &key) const;
+    void log(const VersionsRead &event);
+    void log(const VersionRecorded &event);
+    /// @brief See Gateway::EarlierVersions.
+    std::optional<std::vector<std::string>> earlierVersions(const std::string &pool, Duration lifetime) const;
     void handleLimits(const wire::Envelope &envelope);
     /// @brief Logs that a limit has ended now because @p target has started anew.
     void logLimitOfEarlierLifetime(const std::string &target);
@@ -104,6 +112,8 @@
     AgentDirectory m_agents;
     FeedDriver m_desiredDriver;
     FeedDriver m_targetsDriver;
+    VersionRecord m_versionRecord;
+    FeedDriver m_versionDriver;
     ReadinessServer m_readiness;
     MetricsServer m_metrics;
     std::set<std::string> m_entries; ///< IP addresses of the other entries.
--- a/src/gateway/callresumption.cpp
+++ b/src/gateway/callresumption.cpp
@@ -14,6 +14,15 @@
 namespace {
 
 constexpr Duration UnknownRetryAfter = std::chrono::milliseconds(200);
+/// An answer lasts for the timeout of its route at most, and its caller may notice late that it has broken off.
+constexpr int TimeoutsPerStream = 2;
+
+/// Time within which a stream of @p route that is taken up now can have got its last events.
+Duration streamLifetime(const ServingRoute &route)
+{
+    return route.timeout == Duration::zero() ? StreamOrigins::Retention
+                                             : std::min(StreamOrigins::Retention, route.timeout * TimeoutsPerStream);
+}
 
 } // namespace
 
@@ -33,12 +42,13 @@
     }
     const std::string &name = m_fields.resumes.empty() ? m_fields.requestId : m_fields.resumes;
     const auto stream = name.empty() ? std::nullopt : std::optional(streamDigest(m_customerName, name));
-    const Resumption resumption = m_gateway.streamOrigins().resume(stream,
-                                                                   pools,
-                                                                   m_pool,
-                                                                   m_gateway.targetTable().versions(),
-                                                                   m_gateway.areVersionsComplete(),
-                                                                   m_gateway.loop().now());
+    const Resumption resumption = m_gateway.streamOrigins().resume(
+        stream,
+        pools,
+        m_pool,
+        m_gateway.targetTable().versions(),
+        m_gateway.earlierVersions(m_pool, streamLifetime(*m_route)),
+        m_gateway.loop().now());
     return std::visit([this](const auto &result) { return pin(result); }, resumption);
 }
 
--- a/src/gateway/streamorigins.cpp
+++ b/src/gateway/streamorigins.cpp
@@ -32,7 +32,7 @@
                                  const std::vector<std::string> &pools,
                                  const std::string &pool,
                                  const PoolVersions &versions,
-                                 bool versionsComplete,
+                                 const std::optional<std::vector<std::string>> &earlier,
                                  TimePoint now) const
 {
     const auto known = stream ? m_streams.find(*stream) : m_streams.end();
@@ -49,7 +49,11 @@
     if (served.empty()) {
         return NoVersionServes{};
     }
-    if (served.size() > 1 || !versionsComplete) {
+    const bool servedAlone = served.size() == 1 && earlier
+        && std::all_of(earlier->begin(), earlier->end(), [&served](const std::string &version) {
+                                 return version == served.front();
+                             });
+    if (!servedAlone) {
         return BeginAnew{};
     }
     return ContinueStream{{pool, served.front()}, "only_version"};
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -43,9 +43,11 @@
             [this](TimePoint now) {
                 m_desired.beginEra(now);
                 m_targets.beginEra(now);
+                m_versionRecord.beginEra(now);
                 m_core.loop.defer([this] {
                     m_desiredDriver.advance();
                     m_targetsDriver.advance();
+                    m_versionDriver.advance();
                 });
             })
     , m_desired(TopicFollowerSettings::forKeys(core.settings.bounds),
@@ -100,6 +102,24 @@
                            applyTargets(m_targets.answered(std::move(answer), began, now));
                        },
                        [this](TimePoint now) { m_targets.timedOut(now); }})
+    , m_versionRecord(TopicFollowerSettings::forState(core.settings.bounds),
+                      core.seed,
+                      m_targetTable.versions(),
+                      StreamOrigins::Retention,
+                      [this](const std::string &key) { return isVersionWriter(key); })
+    , m_versionDriver(core.loop,
+                      m_store,
+                      core.translation,
+                      core.metrics,
+                      m_era,
+                      StoreMonitor(core.log, FeedTopic::Versions, core.started),
+                      {[this](TimePoint now) { return m_versionRecord.next(now); },
+                       [this](const FeedAnswer &answer, TimePoint began, TimePoint now) {
+                           for (const VersionRecordEvent &event : m_versionRecord.answered(answer, began, now)) {
+                               std::visit([this](const auto &change) { log(change); }, event);
+                           }
+                       },
+                       [this](TimePoint now) { m_versionRecord.timedOut(now); }})
     , m_readiness(
           core.loop,
           core.translation.readinessPath,
@@ -127,8 +147,10 @@
     m_metrics.listen();
     m_desiredDriver.advance();
     m_targetsDriver.advance();
+    m_versionDriver.advance();
     m_gateway.useMessageNumbers([this] { return m_peers.nextSequence(); });
-    m_gateway.useVersionsComplete([this] { return areVersionsComplete(); });
+    m_gateway.useEarlierVersions(
+        [this](const std::string &pool, Duration lifetime) { return earlierVersions(pool, lifetime); });
     m_gateway.useLimitExchange([this] { advanceLimitsSoon(); });
     scheduleGossip();
     scheduleStreams();
@@ -163,6 +185,7 @@
                           {"customers", state.customers.size()}});
         m_gateway.setState(changed->state);
         m_allowances.setCustomers(state.customers, m_core.loop.now());
+        useStreamPools(state);
         for (const auto &[id, record] : m_targets.targets()) {
             addAgent(record);
         }
@@ -186,10 +209,12 @@
     if (!events.empty()) {
         m_gateway.targetsChanged(ChangedModels(changed.begin(), changed.end()));
         scheduleStreams();
+        m_versionRecord.versionsChanged();
     }
     if (const auto confirmed = m_targets.follower().confirmedAt()) {
         m_targetTable.confirmRecords(*confirmed);
     }
+    noteRegistryRead();
     scheduleExpiry();
 }
 
--- a/src/node/storemonitor.cpp
+++ b/src/node/storemonitor.cpp
@@ -11,6 +11,8 @@
         return "desired";
     case FeedTopic::Targets:
         return "targets";
+    case FeedTopic::Versions:
+        return "versions";
     case FeedTopic::Fences:
         break;
     }
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -238,6 +238,16 @@
           "/api/log-append?topic=celeryroute.fences&part=0",
           "application/octet-stream",
           fromHex("000000026162")}},
+        {AppendRecord{FeedTopic::Versions, "1", "ab"},
+         {"POST",
+          "/api/log-append?topic=keyed.celeryroute.versions&part=0",
+          "application/octet-stream",
+          fromHex("0000000402616231")}},
+        {AppendRecord{FeedTopic::Versions, "", "ab"},
+         {"POST",
+          "/api/log-append?topic=keyed.celeryroute.versions&part=0",
+          "application/octet-stream",
+          fromHex("00000003026162")}},
     };
     for (const auto &[call, expected] : rows) {
         CHECK(platform.feedCall(call) == expected);
--- a/tests/src/unit-resumptions.cpp
+++ b/tests/src/unit-resumptions.cpp
@@ -124,11 +124,28 @@
 {
     GatewayWorld world(2);
     world.apply();
-    world.gateway.useVersionsComplete([] { return false; });
+    world.gateway.useEarlierVersions([](const std::string &, Duration) { return std::nullopt; });
     CHECK_EQUAL(503, statusOf(world.call("/resumable/a", "Last-Event-Id: 1\r\nX-Resumes: never-seen\r\n")));
     CHECK_EQUAL(0U, world.arrived.size());
 }
 
+TEST(Resumptions, unknownStreamThatAVersionOfBeforeMayHaveBegun_isNotSent)
+{
+    const std::string rest = SecondHead + chunk(event(2)) + LastChunk;
+    for (const bool isSame : {true, false}) {
+        GatewayWorld world(2);
+        world.apply();
+        world.scripts = {world.respondWith(rest)};
+        world.gateway.useEarlierVersions([isSame](const std::string &pool, Duration) {
+            STRCMP_EQUAL("apps", pool.c_str());
+            return std::vector<std::string>{isSame ? "" : "v1"};
+        });
+        const std::string answer = world.call("/resumable/a", "Last-Event-Id: 1\r\nX-Resumes: never-seen\r\n");
+        CHECK_EQUAL(isSame ? 200 : 503, statusOf(answer));
+        CHECK_EQUAL(isSame ? 1U : 0U, world.arrived.size());
+    }
+}
+
 TEST(Resumptions, nameThatIsNotTheCallersOwn_showsAndContinuesNothing)
 {
     const std::string names[] = {"forged", "firs", "", std::string(300, 'x'), "first\t1", "first,first"};
--- a/tests/src/unit-streamorigins.cpp
+++ b/tests/src/unit-streamorigins.cpp
@@ -21,7 +21,7 @@
     }
     Resumption resume(std::uint64_t stream)
     {
-        return origins.resume(stream, {"pool"}, "pool", versions, true, now);
+        return origins.resume(stream, {"pool"}, "pool", versions, std::vector<std::string>(), now);
     }
     bool goesOn(std::uint64_t stream)
     {
--- a/tests/support/resumptionplay.h
+++ b/tests/support/resumptionplay.h
@@ -59,6 +59,7 @@
     }
 
 private:
+    inline static const std::vector<std::string> NoVersions;
     static constexpr Duration Step = std::chrono::milliseconds(50);
     static constexpr Duration VersionsCheck = std::chrono::seconds(1);
     static constexpr Duration FirstReports = std::chrono::seconds(3);
@@ -284,7 +285,8 @@
                                                            {"pool"},
                                                            "pool",
                                                            entry.versions,
-                                                           areVersionsComplete(entry),
+                                                           areVersionsComplete(entry) ? std::optional(NoVersions)
+                                                                                      : std::nullopt,
                                                            m_now);
         const auto *goesOn = std::get_if<ContinueStream>(&resumption);
         const auto target = goesOn == nullptr ? std::nullopt : choose(entry, goesOn->origin.softwareVersion);
