--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <spawn.h>
 #include <stdexcept>
@@ -58,7 +59,8 @@
                          int output,
                          int errorOutput)
 {
-    const std::string path = std::string(CELERYROUTE_BIN_DIR) + "/" + program;
+    const char *folder = std::getenv("CELERYROUTE_TEST_PROGRAMS"); // Programs of another build, in runs by hand.
+    const std::string path = std::string(folder == nullptr ? CELERYROUTE_BIN_DIR : folder) + "/" + program;
     std::vector<std::string> words = {path};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
--- a/tests/support/scriptedtarget.cpp
+++ b/tests/support/scriptedtarget.cpp
@@ -116,10 +116,14 @@
 }
 
 ScriptedTarget::ScriptedTarget(EventLoop &loop, std::uint32_t ip)
+    : ScriptedTarget(loop, Endpoint{ip, 0})
+{}
+
+ScriptedTarget::ScriptedTarget(EventLoop &loop, const Endpoint &endpoint)
     : m_loop(loop)
-    , m_listener(listenerAt({ip, 0}))
+    , m_listener(listenerAt(endpoint))
 {
-    m_endpoint = {ip, boundEndpoint(m_listener).port};
+    m_endpoint = {endpoint.ip, boundEndpoint(m_listener).port};
     m_loop.watch(m_listener, EPOLLIN, *this);
 }
 
--- a/tests/support/scriptedtarget.h
+++ b/tests/support/scriptedtarget.h
@@ -35,6 +35,7 @@
 
     /// @param ip address in the loopback network to listen on
     explicit ScriptedTarget(EventLoop &loop, std::uint32_t ip = INADDR_LOOPBACK);
+    ScriptedTarget(EventLoop &loop, const Endpoint &endpoint);
     ~ScriptedTarget() override;
 
     const Endpoint &endpoint() const
