--- a/include/celeryroute/detail/node/asynchttpclient.h
+++ b/include/celeryroute/detail/node/asynchttpclient.h
@@ -16,6 +16,12 @@
     /// Receives the head, with status 0 if no complete answer arrived, and the body.
     using Answered = std::function<void(const MessageHead &head, const std::string &body)>;
 
+    /// Which connection a call uses.
+    enum class Connection {
+        Kept, ///< An idle one, or a new one that is kept for later calls.
+        Own, ///< A new one for this call alone, where a late copy of an earlier answer can't come.
+    };
+
     /// Longest body of an answer. A call whose answer is longer ends as one without an answer.
     static constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 
@@ -26,7 +32,8 @@
 
     /// @brief Starts a call; @p answered is called once, after this function has returned. A call that times out
     /// closes its connection.
-    void call(const OutgoingRequest &call, Duration timeout, Answered answered);
+    void
+    call(const OutgoingRequest &call, Duration timeout, Answered answered, Connection connection = Connection::Kept);
 
     /// @brief Sends further calls to @p server; calls in progress are ended as if they had timed out.
     void useServer(const Endpoint &server);
--- a/src/node/agentnode.cpp
+++ b/src/node/agentnode.cpp
@@ -300,9 +300,12 @@
          {fieldnames::HeardMessage, messageOf(m_lastDemand)}});
     OutgoingRequest call = m_core.translation.orderCall(order);
     call.fields.push_back({m_core.translation.headers.instance, order.instance});
-    m_target.call(call, OrderTimeout, [this, order, now](const MessageHead &head, const std::string &) {
-        handleOrderAnswer(order, head, now);
-    });
+    // Answers to orders and reports bear no id that would tell a late copy of an earlier one from the order's own.
+    m_target.call(
+        call,
+        OrderTimeout,
+        [this, order, now](const MessageHead &head, const std::string &) { handleOrderAnswer(order, head, now); },
+        AsyncHttpClient::Connection::Own);
 }
 
 void AgentNode::handleOrderAnswer(const TargetOrder &order, const MessageHead &head, TimePoint sentAt)
--- a/src/node/asynchttpclient.cpp
+++ b/src/node/asynchttpclient.cpp
@@ -87,9 +87,10 @@
 
 AsyncHttpClient::~AsyncHttpClient() = default;
 
-void AsyncHttpClient::call(const OutgoingRequest &call, Duration timeout, Answered answered)
+void AsyncHttpClient::call(const OutgoingRequest &call, Duration timeout, Answered answered, Connection connection)
 {
     TargetRequest request;
+    request.single = connection == Connection::Own;
     appendRequestLine(request.head, call.method, call.target);
     appendField(request.head, "Host", m_host);
     for (const HeaderField &field : call.fields) {
--- a/tests/src/unit-repeatedrefusals.cpp
+++ b/tests/src/unit-repeatedrefusals.cpp
@@ -3,6 +3,7 @@
 #include "targetanswers.h"
 
 #include <optional>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -97,3 +98,32 @@
     STRCMP_CONTAINS("a token", answer.c_str());
     CHECK_EQUAL(2U, arrivals);
 }
+
+// An agent took a late copy of an earlier answer, a report or a refusal, for the answer to its order.
+TEST(RepeatedRefusals, answerRepeatedBeforeThatToAnOrder_isNotTakenForIt)
+{
+    for (const std::string &copy : {httpAnswer(200, "{}"), httpAnswer(421, {}), httpAnswer(409, "{}")}) {
+        NodeWorld world;
+        world.publish();
+        world.registerEngine();
+        std::set<std::size_t> used;
+        world.engine.onArrival = [&](const ScriptedTarget::Request &request) {
+            if (request.head.target == "/api/order" && used.contains(request.channel)) {
+                world.engine.server.send(request.channel, copy);
+            }
+            used.insert(request.channel);
+        };
+        const NodeLog &log = world.startAgent().log;
+        world.startEntry();
+        CHECK(world.runUntilReadiness(0, 200));
+        CHECK_EQUAL(200,
+                    statusOf(world.call(world.callerEndpoint(0),
+                                        "/chat/a",
+                                        "r1",
+                                        "Authorization: Bearer key-a\r\nX-Model: m1\r\nX-Token-Usage: 100,5\r\n"
+                                        "X-Deadline-Ms: 3000\r\n")));
+        const auto outcomes = log.linesOf("agent.outcome");
+        CHECK_EQUAL(1U, outcomes.size());
+        CHECK_EQUAL(202, outcomes[0].at("status").get<int>());
+    }
+}
