--- a/tests/src/process-plannedstop.cpp
+++ b/tests/src/process-plannedstop.cpp
@@ -83,6 +83,8 @@
     {
         const nlohmann::json record = {{"service", "app"},
                                        {"address", app.address()},
+                                       {"cold_remaining_ms", 0},
+                                       {"version", "1"},
                                        {"zone", "a"},
                                        {"slots", 64},
                                        {"state", "ready"},
--- a/tests/src/process-serving.cpp
+++ b/tests/src/process-serving.cpp
@@ -86,6 +86,8 @@
                   id,
                   json{{"service", service},
                        {"address", address},
+                       {"cold_remaining_ms", 0},
+                       {"version", "1"},
                        {"zone", "a"},
                        {"slots", 8},
                        {"state", "ready"},
--- a/tests/src/process-targetlimit.cpp
+++ b/tests/src/process-targetlimit.cpp
@@ -103,6 +103,8 @@
         store.put("keyed.servers", "i-7", engine.record());
         const nlohmann::json record = {{"service", "app"},
                                        {"address", app.address()},
+                                       {"cold_remaining_ms", 0},
+                                       {"version", "1"},
                                        {"zone", "a"},
                                        {"slots", 64},
                                        {"state", "ready"},
--- a/tests/src/unit-leavingfleet.cpp
+++ b/tests/src/unit-leavingfleet.cpp
@@ -121,6 +121,7 @@
     void publish(const Target &target)
     {
         json record = {{"service", target.pool}, {"address", target.server->address()}, {"zone", "a"}, {"slots", 64}};
+        record["version"] = "1";
         record.update({{"state", "ready"}, {"sequence", 0}, {"born", target.bornMs}, {"version", "1"}});
         record["cold_remaining_ms"] = 0;
         world->store.put("keyed.servers", target.id, record.dump());
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -111,7 +111,8 @@
     CHECK(platform.targetRecord("i-1", EntryText) == expected);
     const std::optional<TargetRecord> plain = platform.targetRecord(
         "i-2",
-        R"({"service":"s","address":"1.2.3.4:5","zone":"","version":"v1","slots":1,"state":"draining","sequence":0})");
+        R"({"service":"s","address":"1.2.3.4:5","zone":"","version":"v1","slots":1,"state":"draining","sequence":0,)"
+        R"("cold_remaining_ms":9.5})");
     CHECK(plain && plain->draining && !plain->remaining && plain->bornMs == 0);
     STRCMP_EQUAL("v1", plain->softwareVersion.c_str());
 }
@@ -124,6 +125,11 @@
         {"\"slots\":64,", ""},
         {"\"state\":\"ready\",", ""},
         {"\"sequence\":2,", ""},
+        {"\"version\":3,", ""},
+        {"\"version\":3", "\"version\":null"},
+        {"\"cold_remaining_ms\":0,", ""},
+        {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"0\""},
+        {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":null"},
         {"\"llm\"", "5"},
         {"\"llm\"", "\"\""},
         {"10.0.0.1:80", "10.0.0.1"},
--- a/tests/src/unit-targetlimitsharing.cpp
+++ b/tests/src/unit-targetlimitsharing.cpp
@@ -118,6 +118,8 @@
     const auto registerBorn = [this](std::int64_t bornMs) {
         const nlohmann::json record = {{"service", "app"},
                                        {"address", world.app.address()},
+                                       {"cold_remaining_ms", 0},
+                                       {"version", "1"},
                                        {"zone", "a"},
                                        {"slots", 8},
                                        {"sequence", 0},
--- a/tests/src/unit-versionrecord.cpp
+++ b/tests/src/unit-versionrecord.cpp
@@ -241,6 +241,7 @@
     {
         const nlohmann::json record = {{"service", "app"},
                                        {"address", target.address()},
+                                       {"cold_remaining_ms", 0},
                                        {"zone", "a"},
                                        {"slots", 8},
                                        {"sequence", 0},
--- a/tests/support/nodeworld.cpp
+++ b/tests/support/nodeworld.cpp
@@ -142,7 +142,8 @@
 
 void NodeWorld::registerApp(const std::string &id, const ScriptedTarget &target, bool draining)
 {
-    json record = {{"service", "app"}, {"address", target.address()}, {"zone", "a"}, {"slots", 8}, {"sequence", 0}};
+    json record = {{"service", "app"}, {"address", target.address()}, {"zone", "a"}, {"version", "1"}};
+    record.update({{"slots", 8}, {"sequence", 0}, {"cold_remaining_ms", 0}});
     record["state"] = draining ? "draining" : "ready";
     if (draining) {
         record["remaining_ms"] = 1500;
