--- a/include/celeryroute/detail/feed/desiredstatefeed.h
+++ b/include/celeryroute/detail/feed/desiredstatefeed.h
@@ -42,6 +42,14 @@
     /// the store does not confirm the keys.
     void beginEra(TimePoint now);
 
+    /// @brief Whether the store has just come back from a copy is not known. As with beginEra(), it does not confirm
+    /// the keys for a time, unless the era turns out to be settled.
+    void beginUnknownEra();
+    /// @brief What a restore had lost is known to be written again.
+    void eraSettled();
+    /// @brief Whether what a restore had lost can be taken for written again.
+    bool isRewritten(TimePoint now) const;
+
     /// @brief See TopicFollower for these three functions.
     FeedStep next(TimePoint now);
     std::vector<DesiredStateEvent> answered(FeedAnswer answer, TimePoint callBegan, TimePoint now);
@@ -56,6 +64,7 @@
     void process(const FeedRecord &record, std::vector<DesiredStateEvent> &events);
     /// @brief Whether the store has come back with an older state than the one in force.
     bool wentBack() const;
+    void confirmKeys();
 
     TopicFollower m_follower;
     KeyFreshness m_freshness;
--- a/include/celeryroute/detail/feed/feedcalls.h
+++ b/include/celeryroute/detail/feed/feedcalls.h
@@ -19,6 +19,7 @@
     Targets, ///< The registry of targets.
     Fences, ///< One record per start of an agent; its offset is the agent's fencing token.
     Versions, ///< Software versions that have served in each pool; see VersionRecord.
+    Eras, ///< The newest era of the store that is settled; see EraRecord.
 };
 
 /// Reads one page of the newest records of all keys.
--- a/include/celeryroute/detail/feed/storeera.h
+++ b/include/celeryroute/detail/feed/storeera.h
@@ -14,11 +14,12 @@
 public:
     enum class Change {
         None, ///< The era is the known one, or the answer named none.
+        First, ///< The first answer that names an era. Whether the store has just come back from a copy is not known.
         Newer, ///< The store came back from a copy since the last answer.
         Older, ///< The answer was made before the store came back.
     };
 
-    /// @brief Takes over the era that an answer of the store named. The first one is no change.
+    /// @brief Takes over the era that an answer of the store named.
     Change note(std::optional<std::uint64_t> era);
 
     /// @brief The highest era seen; 0 before the first.
--- a/include/celeryroute/detail/node/entrynode.h
+++ b/include/celeryroute/detail/node/entrynode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <celeryroute/detail/feed/desiredstatefeed.h>
+#include <celeryroute/detail/feed/erarecord.h>
 #include <celeryroute/detail/feed/targetsfeed.h>
 #include <celeryroute/detail/gateway/crashexchange.h>
 #include <celeryroute/detail/gateway/gateway.h>
@@ -66,8 +67,12 @@
     void sendStreams();
     /// @brief Tells the record of versions whether the registry is known without gaps.
     void noteRegistryRead();
+    /// @brief Takes over the era of the store, and whether it is settled.
+    void beginEra();
+    void noteSettledEra(TimePoint now);
     void useStreamPools(const ServingState &state);
-    bool isVersionWriter(const std::string &key) const;
+    /// @brief Whether this entry is one of the few that write the record with this key in the store.
+    bool isWriter(const std::string &key) const;
     void log(const VersionsRead &event);
     void log(const VersionRecorded &event);
     /// @brief See Gateway::EarlierVersions.
@@ -112,6 +117,8 @@
     AgentDirectory m_agents;
     FeedDriver m_desiredDriver;
     FeedDriver m_targetsDriver;
+    EraRecord m_eraRecord;
+    FeedDriver m_eraDriver;
     VersionRecord m_versionRecord;
     FeedDriver m_versionDriver;
     ReadinessServer m_readiness;
--- a/include/celeryroute/detail/node/eramonitor.h
+++ b/include/celeryroute/detail/node/eramonitor.h
@@ -17,10 +17,12 @@
     /// @param field name of the header field that carries the era
     /// @param restored called when the era has risen, before the answer is used
     /// @param log and @p metrics must outlive this object
+    /// @param first called with the first era, before the answer that names it is used
     EraMonitor(std::string field,
                DecisionLog &log,
                ServingMetrics &metrics,
-               std::function<void(TimePoint now)> restored);
+               std::function<void(TimePoint now)> restored,
+               std::function<void()> first = {});
 
     /// @brief Takes over the era of an answer.
     /// @return whether the answer may be used; not if it was made before the store came back
@@ -36,6 +38,7 @@
     DecisionLog &m_log;
     ServingMetrics &m_metrics;
     std::function<void(TimePoint now)> m_restored;
+    std::function<void()> m_first;
     StoreEra m_era;
 };
 
--- a/src/feed/desiredstatefeed.cpp
+++ b/src/feed/desiredstatefeed.cpp
@@ -34,6 +34,24 @@
     m_confirmsFrom = TimePoint::max();
 }
 
+void DesiredStateFeed::beginUnknownEra()
+{
+    m_confirmsFrom = TimePoint::max();
+}
+
+void DesiredStateFeed::eraSettled()
+{
+    if (m_confirmsFrom && !wentBack()) {
+        m_confirmsFrom.reset();
+        confirmKeys();
+    }
+}
+
+bool DesiredStateFeed::isRewritten(TimePoint now) const
+{
+    return !wentBack() && (!m_confirmsFrom || now >= *m_confirmsFrom);
+}
+
 bool DesiredStateFeed::wentBack() const
 {
     return m_confirmsFrom && m_state && m_shownVersion < m_state->version;
@@ -56,13 +74,18 @@
     if (m_confirmsFrom == TimePoint::max() && !m_follower.isListing()) {
         m_confirmsFrom = now + RewriteTime;
     }
+    confirmKeys();
+    return events;
+}
+
+void DesiredStateFeed::confirmKeys()
+{
     // An unreadable state may have revoked a key, so it doesn't confirm the keys of the previous state. The same holds
     // for an older state after the store came back, and for reads before its lost records were written again.
     const std::optional<TimePoint> confirmed = m_follower.confirmedAt();
     if (m_readable && !wentBack() && confirmed && confirmed >= m_confirmsFrom) {
         m_freshness.confirm(*confirmed);
     }
-    return events;
 }
 
 void DesiredStateFeed::timedOut(TimePoint now)
--- a/src/feed/storeera.cpp
+++ b/src/feed/storeera.cpp
@@ -20,7 +20,11 @@
     if (wasKnown && *era < m_era) {
         return Change::Older;
     }
-    const bool isNewer = wasKnown && *era > m_era;
+    if (!wasKnown) {
+        m_era = *era;
+        return Change::First;
+    }
+    const bool isNewer = *era > m_era;
     m_era = *era;
     return isNewer ? Change::Newer : Change::None;
 }
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -37,19 +37,27 @@
     : m_core(core)
     , m_peerEndpoint{parseIp(core.settings.ip).value_or(0), core.settings.firstPeerPort}
     , m_store(core.loop, endpointOf(core.settings.storeAddress))
-    , m_era(core.translation.headers.storeEra,
-            core.log,
-            core.metrics,
-            [this](TimePoint now) {
-                m_desired.beginEra(now);
-                m_targets.beginEra(now);
-                m_versionRecord.beginEra(now);
-                m_core.loop.defer([this] {
-                    m_desiredDriver.advance();
-                    m_targetsDriver.advance();
-                    m_versionDriver.advance();
-                });
-            })
+    , m_era(
+          core.translation.headers.storeEra,
+          core.log,
+          core.metrics,
+          [this](TimePoint now) {
+              m_desired.beginEra(now);
+              m_targets.beginEra(now);
+              m_versionRecord.beginEra(now);
+              beginEra();
+              m_core.loop.defer([this] {
+                  m_desiredDriver.advance();
+                  m_targetsDriver.advance();
+                  m_versionDriver.advance();
+              });
+          },
+          [this] {
+              if (m_era.era() > 0) {
+                  m_desired.beginUnknownEra();
+                  beginEra();
+              }
+          })
     , m_desired(TopicFollowerSettings::forKeys(core.settings.bounds),
                 core.settings.bounds.keyRevocation,
                 core.translation.servingState,
@@ -102,11 +110,26 @@
                            applyTargets(m_targets.answered(std::move(answer), began, now));
                        },
                        [this](TimePoint now) { m_targets.timedOut(now); }})
+    , m_eraRecord(TopicFollowerSettings::forState(core.settings.bounds),
+                  core.seed,
+                  [this](TimePoint now) { return m_desired.isRewritten(now) && isWriter("era"); })
+    , m_eraDriver(core.loop,
+                  m_store,
+                  core.translation,
+                  core.metrics,
+                  m_era,
+                  StoreMonitor(core.log, FeedTopic::Eras, core.started),
+                  {[this](TimePoint now) { return m_eraRecord.next(now); },
+                   [this](const FeedAnswer &answer, TimePoint began, TimePoint now) {
+                       m_eraRecord.answered(answer, began, now);
+                       noteSettledEra(now);
+                   },
+                   [this](TimePoint now) { m_eraRecord.timedOut(now); }})
     , m_versionRecord(TopicFollowerSettings::forState(core.settings.bounds),
                       core.seed,
                       m_targetTable.versions(),
                       StreamOrigins::Retention,
-                      [this](const std::string &key) { return isVersionWriter(key); })
+                      [this](const std::string &key) { return isWriter(key); })
     , m_versionDriver(core.loop,
                       m_store,
                       core.translation,
@@ -198,6 +221,20 @@
     }
 }
 
+void EntryNode::beginEra()
+{
+    m_eraRecord.begin(m_era.era());
+    m_core.loop.defer([this] { m_eraDriver.advance(); });
+}
+
+void EntryNode::noteSettledEra(TimePoint now)
+{
+    if (m_eraRecord.isSettled()) {
+        m_desired.eraSettled();
+        m_keys.areKeysFresh(now);
+    }
+}
+
 void EntryNode::applyTargets(const std::vector<TargetEvent> &events)
 {
     // Waiting calls are checked once for all events, since the first read delivers thousands of events.
--- a/src/node/entrynodestreams.cpp
+++ b/src/node/entrynodestreams.cpp
@@ -91,7 +91,7 @@
 }
 
 // A few entries write each record, so that the loss of one doesn't leave it unwritten.
-bool EntryNode::isVersionWriter(const std::string &key) const
+bool EntryNode::isWriter(const std::string &key) const
 {
     constexpr std::ptrdiff_t Writers = 3;
     const std::vector<std::string> peers = m_allowances.members().connectedPeers();
--- a/src/node/eramonitor.cpp
+++ b/src/node/eramonitor.cpp
@@ -23,11 +23,13 @@
 EraMonitor::EraMonitor(std::string field,
                        DecisionLog &log,
                        ServingMetrics &metrics,
-                       std::function<void(TimePoint now)> restored)
+                       std::function<void(TimePoint now)> restored,
+                       std::function<void()> first)
     : m_field(std::move(field))
     , m_log(log)
     , m_metrics(metrics)
     , m_restored(std::move(restored))
+    , m_first(std::move(first))
 {}
 
 bool EraMonitor::accept(const MessageHead &head, TimePoint now)
@@ -39,6 +41,9 @@
         m_log.write(DecisionEvent::StoreRestored, now, {{"era", m_era.value()}, {"era_before", before}});
         m_restored(now);
     }
+    if (change == StoreEra::Change::First && m_first) {
+        m_first();
+    }
     return change != StoreEra::Change::Older;
 }
 
--- a/src/node/storemonitor.cpp
+++ b/src/node/storemonitor.cpp
@@ -13,6 +13,8 @@
         return "targets";
     case FeedTopic::Versions:
         return "versions";
+    case FeedTopic::Eras:
+        return "eras";
     case FeedTopic::Fences:
         break;
     }
--- a/tests/src/unit-storerestore.cpp
+++ b/tests/src/unit-storerestore.cpp
@@ -61,7 +61,7 @@
 {
     StoreEra era;
     CHECK(era.note(std::nullopt) == StoreEra::Change::None);
-    CHECK(era.note(3) == StoreEra::Change::None);
+    CHECK(era.note(3) == StoreEra::Change::First);
     CHECK(era.note(3) == StoreEra::Change::None);
     CHECK(era.note(4) == StoreEra::Change::Newer);
     CHECK(era.note(3) == StoreEra::Change::Older);
--- a/tests/support/faultytarget.cpp
+++ b/tests/support/faultytarget.cpp
@@ -114,9 +114,8 @@
         m_server->answer(request, httpAnswer(200, report().dump()));
     } else if (request.head.target == "/api/order") {
         order(request);
-    } else if (request.field("X-Expect-Instance") != m_id) {
-        refuse(request, 421);
-    } else if (isEngine() && !m_models.contains(request.field("X-Model"))) {
+    } else if (request.field("X-Expect-Instance") != m_id
+               || (isEngine() && !m_models.contains(request.field("X-Model")))) {
         refuse(request, 421);
     } else if (happens(m_around.faults.refusals)) {
         constexpr int Statuses[] = {503, 503, 429, 400};
