--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -221,20 +221,6 @@
     }
 }
 
-void EntryNode::beginEra()
-{
-    m_eraRecord.begin(m_era.era());
-    m_core.loop.defer([this] { m_eraDriver.advance(); });
-}
-
-void EntryNode::noteSettledEra(TimePoint now)
-{
-    if (m_eraRecord.isSettled()) {
-        m_desired.eraSettled();
-        m_keys.areKeysFresh(now);
-    }
-}
-
 void EntryNode::applyTargets(const std::vector<TargetEvent> &events)
 {
     // Waiting calls are checked once for all events, since the first read delivers thousands of events.
