--- a/tests/src/process-plannedstop.cpp
+++ b/tests/src/process-plannedstop.cpp
@@ -2,18 +2,17 @@
 #include "fakeengine.h"
 #include "fakestore.h"
 #include "gatewayworld.h"
+#include "nodelauncher.h"
 
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
 #include <map>
 #include <memory>
 #include <random>
 #include <sstream>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -51,7 +50,7 @@
     FakeStore store{loop};
     ScriptedTarget app{loop};
     std::mt19937_64 random;
-    std::string file = "plannedstop-" + std::to_string(getpid()) + ".settings";
+    NodeLauncher launcher{"plannedstop", store.address(), static_cast<int>(Grace.count())};
     Endpoint callers{*parseIp("127.0.0.2"), freeEndpoint().port};
     std::unique_ptr<ChildProcess> entry;
     std::vector<Caller> open;
@@ -64,33 +63,19 @@
     {
         open.clear();
         entry.reset();
-        unsetenv("CELERYROUTE_CONFIG");
-        (void)std::remove(file.c_str());
     }
     void startEntry()
     {
-        const int peerPort = std::min<int>(freeEndpoint().port, 65000);
-        std::ofstream(file) << "name = entry\nrole = entry\nip = 127.0.0.2\ndomain = a\nfirst-start = true"
-                            << "\nkey-revocation-ms = 1000\nstop-grace-s = " << Grace.count()
-                            << "\nstore-address = " << store.address() << "\npeer-port-first = " << peerPort
-                            << "\npeer-port-last = " << peerPort + 9 << "\nlisten-address = " << toString(callers)
-                            << "\nreadiness-address = 127.0.0.2:" << freeEndpoint().port << '\n';
-        setenv("CELERYROUTE_CONFIG", file.c_str(), 1);
-        entry = std::make_unique<ChildProcess>("celeryrouted", std::vector<std::string>());
-        CHECK(entry->waitForOutput("process.start"));
+        entry = launcher.start("entry",
+                               "127.0.0.2",
+                               "listen-address = " + toString(callers)
+                                   + "\nreadiness-address = 127.0.0.2:" + std::to_string(freeEndpoint().port) + '\n');
+        CHECK(entry != nullptr);
     }
     void startTarget()
     {
-        const nlohmann::json record = {{"service", "app"},
-                                       {"address", app.address()},
-                                       {"cold_remaining_ms", 0},
-                                       {"version", "1"},
-                                       {"zone", "a"},
-                                       {"slots", 64},
-                                       {"state", "ready"},
-                                       {"sequence", 0}};
         store.put("keyed.op", "config", servingDesiredState(1).dump());
-        store.put("keyed.servers", "i-1", record.dump());
+        store.put("keyed.servers", "i-1", plainRecord(app.address(), 64).dump());
         app.onRequest([this](const ScriptedTarget::Request &request) {
             arrived[request.field("X-Request-Id")] = loop.now();
             const auto work = std::chrono::milliseconds(random() % (toMilliseconds(LongestWork) + 1));
--- a/tests/src/process-runonce.cpp
+++ b/tests/src/process-runonce.cpp
@@ -3,17 +3,16 @@
 #include "fakestore.h"
 #include "faultytarget.h"
 #include "gatewayworld.h"
+#include "nodelauncher.h"
 #include "runjudge.h"
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -76,8 +75,7 @@
     FakeStore store{loop};
     std::mt19937_64 random;
     std::unique_ptr<RunJudge> judge = std::make_unique<RunJudge>();
-    std::string file = "runonce-" + std::to_string(getpid()) + ".settings";
-    int peerPort = std::min<int>(freeEndpoint().port, 65000);
+    NodeLauncher launcher{"runonce", store.address(), 3};
     std::vector<Entry> entries;
     std::vector<Target> targets;
     std::vector<OpenCall> open;
@@ -90,19 +88,11 @@
         entries.clear();
         leaving.clear();
         targets.clear();
-        unsetenv("CELERYROUTE_CONFIG");
-        (void)std::remove(file.c_str());
     }
     std::unique_ptr<ChildProcess> start(const std::string &role, const std::string &ip, const std::string &more)
     {
-        std::ofstream(file) << "name = " << role << ip << "\nrole = " << role << "\nip = " << ip
-                            << "\ndomain = a\nfirst-start = true\nkey-revocation-ms = 1000\nstop-grace-s = 3"
-                            << "\nstore-address = " << store.address() << "\npeer-port-first = " << peerPort
-                            << "\npeer-port-last = " << peerPort + 9 << '\n'
-                            << more;
-        setenv("CELERYROUTE_CONFIG", file.c_str(), 1);
-        auto process = std::make_unique<ChildProcess>("celeryrouted", std::vector<std::string>());
-        CHECK(process->waitForOutput("process.start"));
+        auto process = launcher.start(role, ip, more);
+        CHECK(process != nullptr);
         return process;
     }
     void startEntry(std::size_t index)
--- a/tests/src/process-targetlimit.cpp
+++ b/tests/src/process-targetlimit.cpp
@@ -2,16 +2,15 @@
 #include "fakeengine.h"
 #include "fakestore.h"
 #include "gatewayworld.h"
+#include "nodelauncher.h"
 #include "targetlimitjudge.h"
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
 #include <memory>
 #include <random>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -60,8 +59,7 @@
     FakeStore store{loop};
     FakeEngine engine{loop, *parseIp("127.0.0.9")};
     ScriptedTarget app{loop};
-    std::string file = "targetlimit-" + std::to_string(getpid()) + ".settings";
-    int peerPort = std::min<int>(freeEndpoint().port, 65000);
+    NodeLauncher launcher{"targetlimit", store.address(), 5};
     std::vector<Entry> entries;
     std::unique_ptr<ChildProcess> agent;
     std::unique_ptr<TargetLimitJudge> judge;
@@ -74,19 +72,11 @@
         open.clear();
         entries.clear();
         agent.reset();
-        unsetenv("CELERYROUTE_CONFIG");
-        (void)std::remove(file.c_str());
     }
     std::unique_ptr<ChildProcess> start(const std::string &role, const std::string &ip, const std::string &more)
     {
-        std::ofstream(file) << "name = " << role << ip << "\nrole = " << role << "\nip = " << ip
-                            << "\ndomain = a\nfirst-start = true\nkey-revocation-ms = 1000\nstop-grace-s = 5"
-                            << "\nstore-address = " << store.address() << "\npeer-port-first = " << peerPort
-                            << "\npeer-port-last = " << peerPort + 9 << '\n'
-                            << more;
-        setenv("CELERYROUTE_CONFIG", file.c_str(), 1);
-        auto process = std::make_unique<ChildProcess>("celeryrouted", std::vector<std::string>());
-        CHECK(process->waitForOutput("process.start"));
+        auto process = launcher.start(role, ip, more);
+        CHECK(process != nullptr);
         return process;
     }
     void startEntry(std::size_t index)
@@ -101,15 +91,7 @@
     {
         store.put("keyed.op", "config", servingDesiredState(1).dump());
         store.put("keyed.servers", "i-7", engine.record());
-        const nlohmann::json record = {{"service", "app"},
-                                       {"address", app.address()},
-                                       {"cold_remaining_ms", 0},
-                                       {"version", "1"},
-                                       {"zone", "a"},
-                                       {"slots", 64},
-                                       {"state", "ready"},
-                                       {"sequence", 0}};
-        store.put("keyed.servers", "i-1", record.dump());
+        store.put("keyed.servers", "i-1", plainRecord(app.address(), 64).dump());
         agent = start("agent", "127.0.0.9", "pool = llm\ntarget-address = " + engine.server.address());
         for (std::size_t i = 0; i < Entries; ++i) {
             const std::uint32_t ip = *parseIp(ipOf(i));
--- a/tests/src/unit-streamsharing.cpp
+++ b/tests/src/unit-streamsharing.cpp
@@ -18,15 +18,7 @@
 
     void registerTarget(const std::string &id, ScriptedTarget &target, const std::string &version)
     {
-        const nlohmann::json record = {{"service", "app"},
-                                       {"address", target.address()},
-                                       {"cold_remaining_ms", 0},
-                                       {"zone", "a"},
-                                       {"slots", 8},
-                                       {"sequence", 0},
-                                       {"state", "ready"},
-                                       {"version", version}};
-        world.store.put("keyed.servers", id, record.dump());
+        world.store.put("keyed.servers", id, plainRecord(target.address(), 8, version).dump());
         target.onRequest([this, &target, version](const ScriptedTarget::Request &request) {
             lastVersion = version;
             target.answer(request, streamHead() + streamEvent(1) + streamEnd());
--- a/tests/src/unit-targetlimitsharing.cpp
+++ b/tests/src/unit-targetlimitsharing.cpp
@@ -116,15 +116,8 @@
 TEST(TargetLimitSharing, limitedTargetThatStartsAnew_getsCallsWithoutPermits)
 {
     const auto registerBorn = [this](std::int64_t bornMs) {
-        const nlohmann::json record = {{"service", "app"},
-                                       {"address", world.app.address()},
-                                       {"cold_remaining_ms", 0},
-                                       {"version", "1"},
-                                       {"zone", "a"},
-                                       {"slots", 8},
-                                       {"sequence", 0},
-                                       {"state", "ready"},
-                                       {"born", bornMs}};
+        nlohmann::json record = plainRecord(world.app.address());
+        record["born"] = bornMs;
         world.store.put("keyed.servers", "i-1", record.dump());
     };
     world.publish();
--- a/tests/src/unit-versionrecord.cpp
+++ b/tests/src/unit-versionrecord.cpp
@@ -239,15 +239,7 @@
     }
     void registerVersion(const std::string &id, const ScriptedTarget &target, const std::string &version)
     {
-        const nlohmann::json record = {{"service", "app"},
-                                       {"address", target.address()},
-                                       {"cold_remaining_ms", 0},
-                                       {"zone", "a"},
-                                       {"slots", 8},
-                                       {"sequence", 0},
-                                       {"state", "ready"},
-                                       {"version", version}};
-        world.store.put("keyed.servers", id, record.dump());
+        world.store.put("keyed.servers", id, plainRecord(target.address(), 8, version).dump());
     }
     void record(const std::string &version)
     {
--- a/tests/support/fakeengine.cpp
+++ b/tests/support/fakeengine.cpp
@@ -62,6 +62,18 @@
     }
 }
 
+json plainRecord(const std::string &address, int slots, const std::string &softwareVersion)
+{
+    return {{"service", "app"},
+            {"address", address},
+            {"zone", "a"},
+            {"version", softwareVersion},
+            {"slots", slots},
+            {"state", "ready"},
+            {"cold_remaining_ms", 0},
+            {"sequence", 0}};
+}
+
 json servingDesiredState(int version)
 {
     json state = json::parse(R"({
--- a/tests/support/fakeengine.h
+++ b/tests/support/fakeengine.h
@@ -34,6 +34,9 @@
     void serve(const ScriptedTarget::Request &request);
 };
 
+/// @brief Registry record of a ready target of the plain service `app`.
+nlohmann::json plainRecord(const std::string &address, int slots = 8, const std::string &softwareVersion = "1");
+
 /// @brief A desired state with routes of several kinds to a plain service and to engines.
 nlohmann::json servingDesiredState(int version);
 
--- a/tests/support/nodeworld.cpp
+++ b/tests/support/nodeworld.cpp
@@ -142,10 +142,9 @@
 
 void NodeWorld::registerApp(const std::string &id, const ScriptedTarget &target, bool draining)
 {
-    json record = {{"service", "app"}, {"address", target.address()}, {"zone", "a"}, {"version", "1"}};
-    record.update({{"slots", 8}, {"sequence", 0}, {"cold_remaining_ms", 0}});
-    record["state"] = draining ? "draining" : "ready";
+    json record = plainRecord(target.address());
     if (draining) {
+        record["state"] = "draining";
         record["remaining_ms"] = 1500;
     }
     store.put("keyed.servers", id, record.dump());
