--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -176,7 +176,10 @@
         def value(match):
             found = self.values
             for part in match.group(1).split("."):
-                found = found.get(part, "") if isinstance(found, dict) else found[int(part)]
+                if isinstance(found, dict):
+                    found = found.get(part, "")
+                elif isinstance(found, list):
+                    found = found[int(part)]
             return str(found)
 
         text = re.sub(r"\{\{([a-z_.0-9]+)\}\}", value, TEMPLATE.read_text(encoding="utf-8"))
@@ -252,6 +255,22 @@
             "state": state, "cold_remaining_ms": 0, "sequence": sequence, **more}
 
 
+def engine_service(name, models):
+    return {"name": name, "health_path": "/healthz", "max_connections": 360,
+            "engine": {"slots": 64, "kv_capacity": 251265, "weights_mb": 140000, "adapter_slots": 8, "loads_per_s": 4.2,
+                       "models": [{"name": model, "weights_mb": 42700.0, "load_s": 6.0, "adapters": 0,
+                                   "adapter_mb": 66.0, "warm_s": 0.44, "disk_s": 0.57} for model in models]}}
+
+
+def report(models, sequence, born, active=0):
+    """The answer to GET /api/report."""
+    text = json.dumps({"stage": "combined", "models": [{"name": model, "version": 1, "adapters": []}
+                                                       for model in models],
+                       "busy": False, "sequence": sequence, "queued": 0, "active": active, "kv_used": 0,
+                       "kv_total": 251265, "handles": 0, "born": born}).encode()
+    return message(200, {"Content-Type": "application/json"}, text)
+
+
 async def ready(ip, port):
     try:
         reader, writer = await asyncio.open_connection(ip, port)
