--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,6 @@
 """The store is silent for two seconds; afterwards an entry does not learn that a worker leaves. See claim.txt."""
 import asyncio
+import json
 import os
 import pathlib
 import sys
@@ -11,6 +12,9 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENTRY = "127.0.0.2"
+CALM_S = 10.0
+EACH_S = 0.02  # Between two requests; five or six are at work at a time, at three workers.
+WORK_S = 0.1
 SILENT_S = 2.0  # The sheets play up to 4.5 s.
 STABLE_S = 3.2  # `stability_window_ms` is 3,000.
 DRAIN_S = 2.0  # `drain_ms`.
@@ -25,7 +29,7 @@
     async def answer(self, method, path, values, body):
         epoch, came_in_silence = self.epoch, self.silent
         result = await super().answer(method, path, values, body)
-        if came_in_silence or epoch != self.epoch:
+        if came_in_silence or self.silent or epoch != self.epoch:
             await asyncio.sleep(60)
         return result
 
@@ -49,7 +53,7 @@
 
     async def serve(worker, fields, line, body, writer):
         arrivals.append((time.monotonic(), fields["x-request-id"], worker.id))
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(WORK_S)
         writer.write(p.signed(fields, b"price"))
 
     workers = [p.Worker("127.0.1.%d" % number, "i-%d" % number, serve) for number in (1, 2, 3)]
@@ -102,10 +106,10 @@
             while True:
                 number += 1
                 tasks.append(asyncio.create_task(one("r%d" % number)))
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(EACH_S)
 
         others = [asyncio.create_task(heartbeats()), asyncio.create_task(callers())]
-        await asyncio.sleep(5)
+        await asyncio.sleep(CALM_S)
         if TROUBLE:
             store.silent = True
             record.note("the store answers nothing")
@@ -125,6 +129,12 @@
             task.cancel()
     finally:
         entry.end()
+    with open(entry.log_path, encoding="utf-8", errors="replace") as log:
+        for line in log:
+            if '"event":"store.' in line or '"event":"target.draining"' in line:
+                event = json.loads(line)
+                record.note("log of the entry: %s" % {name: event[name] for name in event
+                                                      if name not in ("host", "role", "inc")})
     late = [(at, name) for at, name, worker in arrivals
             if worker == leaving.id and at > acknowledged + DRAIN_S and sent[name] > acknowledged + DRAIN_S]
     record.note("answers: %s" % statuses)
