--- a/src/http1/messageparser.cpp
+++ b/src/http1/messageparser.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t LeastChunkedBody = 5;
 constexpr int CurrentVersion = 11;
 constexpr int LeastStatus = 100;
+constexpr int GreatestStatus = 599;
 
 namespace http = boost::beast::http;
 using BeastError = boost::beast::error_code;
@@ -125,7 +126,7 @@
 
     void on_response_impl(int status, BeastView reason, int version, BeastError &error) override
     {
-        if (status < LeastStatus) {
+        if (status < LeastStatus || status > GreatestStatus) {
             error = http::error::bad_status;
         }
         collected.head.status = status;
