--- a/src/http1/messageparser.cpp
+++ b/src/http1/messageparser.cpp
@@ -174,6 +174,17 @@
 
 using AnyParser = std::variant<std::unique_ptr<BeastParser<true>>, std::unique_ptr<BeastParser<false>>>;
 
+/// @brief Whether a line in @p consumed continues the field before it. Begins and ends of fields coincide with those of
+/// @p consumed, which may also hold the end of the head and the begin of the body.
+bool continuesField(std::string_view consumed)
+{
+    constexpr std::string_view HeadEnd = "\r\n\r\n";
+    constexpr std::string_view LineEnd = HeadEnd.substr(0, 2);
+    const std::string_view fields = consumed.starts_with(LineEnd) ? std::string_view()
+                                                                  : consumed.substr(0, consumed.find(HeadEnd));
+    return fields.find("\r\n ") != std::string_view::npos || fields.find("\r\n\t") != std::string_view::npos;
+}
+
 AnyParser makeParser(MessageKind kind, const MessageLimits &limits)
 {
     if (kind == MessageKind::Request) {
@@ -242,13 +253,23 @@
         return chunked && state == ParseState::Body && !collected().chunkBegun;
     }
 
+    bool isAnswer() const
+    {
+        return std::holds_alternative<std::unique_ptr<BeastParser<false>>>(parser);
+    }
+
     std::size_t put(std::string_view bytes)
     {
         BeastError error;
+        const bool inHead = state == ParseState::Head;
         const std::size_t consumed = std::visit(
             [&](auto &beast) { return beast->put(boost::asio::const_buffer(bytes.data(), bytes.size()), error); },
             parser);
         update(error);
+        // Beast joins such a line to the value before, though its sender may have meant a field of its own.
+        if (inHead && isAnswer() && continuesField(bytes.substr(0, consumed))) {
+            state = ParseState::Malformed;
+        }
         return consumed;
     }
 
--- a/tests/src/unit-brokenanswers.cpp
+++ b/tests/src/unit-brokenanswers.cpp
@@ -27,6 +27,12 @@
     std::string bytes;
 };
 
+std::string quoted(char byte)
+{
+    constexpr int Printable = 0x20;
+    return byte > Printable ? std::string(1, byte) : "byte " + std::to_string(byte);
+}
+
 /// Answers with a status that HTTP doesn't define a class for, or none at all.
 std::vector<BrokenAnswer> brokenStatuses()
 {
@@ -41,6 +47,44 @@
     return answers;
 }
 
+/// Answers in whose head a name of a field holds a byte that no name may hold.
+std::vector<BrokenAnswer> brokenNames()
+{
+    std::string bytes = " \"(),/;<=>?@[\\]{}\x7f\x80\xff";
+    for (char byte = 0; byte < ' '; ++byte) {
+        bytes += byte;
+    }
+    std::vector<BrokenAnswer> answers;
+    for (const char byte : bytes) {
+        const std::string one(1, byte);
+        for (const std::string &name : {one + "X-Odd", "X-" + one + "Odd", "X-Odd" + one}) {
+            const std::string line = name + ": 1\r\n";
+            const std::string about = quoted(byte) + " in '" + name + "', ";
+            const std::string start = "HTTP/1.1 200 OK\r\n";
+            answers.push_back({about + "first", start + line + OwnFields + Length + "\r\n" + Body});
+            answers.push_back({about + "between", start + OwnFields + line + Length + "\r\n" + Body});
+            answers.push_back({about + "last", start + OwnFields + Length + line + "\r\n" + Body});
+        }
+        // Readers that take the line differently disagree about where the body ends.
+        answers.push_back({quoted(byte) + " before the length",
+                           "HTTP/1.1 200 OK\r\n" + OwnFields + one + "Content-Length: 2\r\n\r\n" + Body});
+        answers.push_back({quoted(byte) + " behind the length",
+                           "HTTP/1.1 200 OK\r\n" + OwnFields + "Content-Length" + one + ": 2\r\n\r\n" + Body});
+    }
+    answers.push_back({"no name", "HTTP/1.1 200 OK\r\n" + OwnFields + ": 1\r\n" + Length + "\r\n" + Body});
+    answers.push_back({"no colon", "HTTP/1.1 200 OK\r\n" + OwnFields + "X-Odd\r\n" + Length + "\r\n" + Body});
+    return answers;
+}
+
+std::vector<BrokenAnswer> brokenHeads()
+{
+    std::vector<BrokenAnswer> answers = brokenStatuses();
+    for (BrokenAnswer &answer : brokenNames()) {
+        answers.push_back(std::move(answer));
+    }
+    return answers;
+}
+
 /// How the bytes of an answer arrive.
 enum class Arrival {
     Whole,
@@ -138,7 +182,7 @@
 TEST(BrokenExchange, answerWithBrokenHead_failsAndItsChannelIsClosed)
 {
     std::string taken;
-    for (const BrokenAnswer &answer : brokenStatuses()) {
+    for (const BrokenAnswer &answer : brokenHeads()) {
         for (const Arrival arrival : {Arrival::Whole, Arrival::Bytewise}) {
             for (const bool kept : {false, true}) {
                 if (kept) {
@@ -168,7 +212,7 @@
 TEST(BrokenCall, answerWithBrokenHead_isRepeatedAtAnotherTarget)
 {
     std::string forwarded;
-    for (const BrokenAnswer &answer : brokenStatuses()) {
+    for (const BrokenAnswer &answer : brokenHeads()) {
         GatewayWorld world(2);
         world.apply();
         world.scripts = {world.respondWith(answer.bytes, AfterAnswer::Close), world.respondWith(Ok)};
@@ -184,7 +228,7 @@
 TEST(BrokenCall, answerWithBrokenHeadToACallThatMayRunOnce_becomes502)
 {
     std::string forwarded;
-    for (const BrokenAnswer &answer : brokenStatuses()) {
+    for (const BrokenAnswer &answer : brokenHeads()) {
         GatewayWorld world(2);
         world.apply();
         world.scripts = {world.respondWith(answer.bytes, AfterAnswer::Close)};
@@ -232,7 +276,7 @@
 TEST(BrokenStoreAnswer, answerWithBrokenHead_endsItsCallWithoutAnAnswer)
 {
     std::string taken;
-    for (const BrokenAnswer &answer : brokenStatuses()) {
+    for (const BrokenAnswer &answer : brokenHeads()) {
         for (const auto connection : {AsyncHttpClient::Connection::Kept, AsyncHttpClient::Connection::Own}) {
             server.onRequest([&](const ScriptedTarget::Request &request) {
                 send(loop, server, request, answer.bytes, Arrival::Whole);
@@ -267,7 +311,7 @@
 TEST(BrokenClientAnswer, answerWithBrokenHead_endsItsCallWithAnError)
 {
     std::string taken;
-    for (const BrokenAnswer &answer : brokenStatuses()) {
+    for (const BrokenAnswer &answer : brokenHeads()) {
         server.onRequest(
             [&](const ScriptedTarget::Request &request) { send(loop, server, request, answer.bytes, Arrival::Whole); });
         HttpCall call;
--- a/tests/src/unit-http1.cpp
+++ b/tests/src/unit-http1.cpp
@@ -230,6 +230,24 @@
     }
 }
 
+TEST(MessageParser, answerWithALineThatContinuesAField_isRefusedInAnySplit)
+{
+    const std::string begin = "HTTP/1.1 200 OK\r\nX-A: a\r\n";
+    const std::string body = "\r\n b\r\n\tc\r\n\r\n d";
+    const std::string framed = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    for (const std::string odd : {" b\r\n", "\tX-B: b\r\n", " \r\n", "X-B:\r\n b\r\n", ""}) {
+        const std::string bytes = begin + odd + framed + "\r\n" + body;
+        for (std::size_t split = 0; split < bytes.size(); ++split) {
+            Reading reading(MessageKind::Answer);
+            reading.feed(bytes.substr(0, split));
+            reading.feed(bytes.substr(split));
+            CHECK_TRUE_TEXT(reading.parser.state() == (odd.empty() ? ParseState::Complete : ParseState::Malformed),
+                            bytes.c_str());
+            CHECK_TRUE_TEXT(!odd.empty() || reading.parser.body() == body, bytes.c_str());
+        }
+    }
+}
+
 TEST(MessageParser, anySplitOfTheBytes_readsTheSame)
 {
     const std::string bytes = request(Chunked,
