--- a/include/celeryroute/detail/net/tcpchannel.h
+++ b/include/celeryroute/detail/net/tcpchannel.h
@@ -75,6 +75,9 @@
     void releaseInput();
     /// @brief Bytes that the peer's system has not confirmed, with those of unsent(); one system call.
     std::size_t unconfirmed() const;
+    /// @brief Whether the peer's system had confirmed all output when the channel ended, or has until now; one system
+    /// call.
+    bool outputConfirmed() const;
     /// @brief Counts the bytes sent from now on.
     void restartSentCount()
     {
@@ -115,6 +118,7 @@
     std::uint32_t m_events = 0;
     std::size_t m_sent = 0;
     std::size_t m_outputBegin = 0;
+    std::size_t m_unsentAtEnd = 0;
     std::string m_input;
     std::string m_output;
     std::shared_ptr<const std::string> m_shared; ///< Sent after m_output.
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -294,7 +294,10 @@
         fail(ExchangeFailure::NotConnected);
         return;
     }
-    if (m_headTaken && !m_foreign && !reset) {
+    // An answer that ends with its connection may be a part. A target that has not got the whole request can only have
+    // refused it.
+    const bool mayBeWhole = m_refuses || m_channel->outputConfirmed();
+    if (m_headTaken && !m_foreign && !reset && mayBeWhole) {
         m_parser->feedEnd();
         if (m_parser->state() == ParseState::Complete) {
             m_reusable = false;
--- a/src/net/tcpchannel.cpp
+++ b/src/net/tcpchannel.cpp
@@ -136,6 +136,11 @@
     return unsent() + (ioctl(m_socket, SIOCOUTQ, &held) == 0 ? static_cast<std::size_t>(held) : 0);
 }
 
+bool TcpChannel::outputConfirmed() const
+{
+    return m_unsentAtEnd == 0 && unconfirmed() == 0;
+}
+
 bool TcpChannel::stirred() const
 {
     char byte = 0;
@@ -211,6 +216,7 @@
     // Without this, a peer's close would be reported again at every turn until the user destroys the channel.
     m_reading = false;
     m_failed = true;
+    m_unsentAtEnd = unsent();
     m_output.clear();
     m_outputBegin = 0;
     m_shared.reset();
