--- a/tests/support/scriptedtarget.cpp
+++ b/tests/support/scriptedtarget.cpp
@@ -3,6 +3,7 @@
 #include <celeryroute/detail/net/sockets.h>
 
 #include <arpa/inet.h>
+#include <deque>
 #include <optional>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -31,10 +32,23 @@
 
 Endpoint freeEndpoint()
 {
-    const int listener = listenerAt({Loopback, 0});
-    const Endpoint endpoint = boundEndpoint(listener);
-    ::close(listener);
-    return endpoint;
+    constexpr std::size_t MaxReserved = 64;
+    static std::deque<int> reserved;
+    // Tests that run side by side listen at several loopback addresses. The system gives out a port once for each of
+    // them, so the last ports stay bound here, where each test asks for its ports.
+    const int reservation = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    constexpr int Yes = 1;
+    setsockopt(reservation, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes)); // Allows to listen at the endpoint.
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(Loopback);
+    bind(reservation, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    reserved.push_back(reservation);
+    if (reserved.size() > MaxReserved) {
+        ::close(reserved.front());
+        reserved.pop_front();
+    }
+    return boundEndpoint(reservation);
 }
 
 std::string httpAnswer(int status, const std::string &body, const std::string &fields)
