--- a/src/gateway/targetattempt.cpp
+++ b/src/gateway/targetattempt.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/gateway/targetattempt.h>
 
+#include <celeryroute/detail/base/compactbuffer.h>
 #include <celeryroute/detail/gateway/answerlimits.h>
 
 #include <algorithm>
@@ -64,7 +65,7 @@
 
 void TargetAttempt::discardBody()
 {
-    std::string().swap(m_answer.body);
+    release(m_answer.body);
     m_held.setBytes(0);
 }
 
@@ -98,8 +99,8 @@
 void TargetAttempt::exchangeBody(std::string &body)
 {
     noteProgress(m_loop.now());
-    m_answer.body += body;
-    body.clear();
+    appendCompactly(m_answer.body, body);
+    release(body);
     m_held.setBytes(m_answer.body.size());
     m_user.attemptBody(*this);
     m_held.setBytes(m_answer.body.size());
--- a/src/http1/messageparser.cpp
+++ b/src/http1/messageparser.cpp
@@ -1,6 +1,7 @@
 #include <celeryroute/detail/http1/messageparser.h>
 
-#include <algorithm>
+#include <celeryroute/detail/base/compactbuffer.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -46,25 +47,10 @@
             error = http::error::body_limit;
             return 0;
         }
-        growBody(bytes.size());
-        body.append(bytes.data(), bytes.size());
+        appendCompactly(body, toView(bytes));
         return bytes.size();
     }
 
-    // A string that grows by itself, also by reserve(), has room for twice its content.
-    void growBody(std::size_t bytes)
-    {
-        constexpr std::size_t SmallBody = std::size_t{64} * 1024;
-        constexpr std::size_t ExtraParts = 4;
-        if (body.size() + bytes <= body.capacity() || body.size() < SmallBody) {
-            return;
-        }
-        std::string grown;
-        grown.reserve(body.size() + std::max(bytes, body.size() / ExtraParts));
-        grown.append(body);
-        body.swap(grown);
-    }
-
     void takeField(http::field id, BeastView name, BeastView value, BeastError &error)
     {
         if (headDone) {
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/http1/targetconnection.h>
 
+#include <celeryroute/detail/base/compactbuffer.h>
 #include <celeryroute/detail/base/digest.h>
 #include <celeryroute/detail/net/sockets.h>
 
@@ -140,6 +141,9 @@
     }
     const std::shared_ptr<bool> alive = m_alive;
     while (*alive && !m_dead && m_user != nullptr && answerProgress()) {}
+    if (*alive) {
+        m_channel->releaseInput();
+    }
 }
 
 // Returns whether more of the input may be read.
@@ -171,7 +175,7 @@
         return false;
     }
     if (m_foreign) {
-        m_parser->body().clear();
+        release(m_parser->body());
     } else if (!m_parser->body().empty()) {
         m_user->exchangeBody(m_parser->body());
     }
--- a/src/net/tcpchannel.cpp
+++ b/src/net/tcpchannel.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/net/tcpchannel.h>
 
+#include <celeryroute/detail/base/compactbuffer.h>
 #include <celeryroute/detail/net/sockets.h>
 
 #include <array>
@@ -196,7 +197,7 @@
     thread_local std::array<char, ReadSize> buffer;
     const ssize_t received = recv(m_socket, buffer.data(), buffer.size(), 0);
     if (received > 0) {
-        m_input.append(buffer.data(), static_cast<std::size_t>(received));
+        appendCompactly(m_input, {buffer.data(), static_cast<std::size_t>(received)});
         m_user.channelReceived();
         return;
     }
--- a/src/node/asynchttpclient.cpp
+++ b/src/node/asynchttpclient.cpp
@@ -1,5 +1,6 @@
 #include <celeryroute/detail/node/asynchttpclient.h>
 
+#include <celeryroute/detail/base/compactbuffer.h>
 #include <celeryroute/detail/http1/messagewriter.h>
 
 #include <vector>
@@ -41,10 +42,10 @@
     }
     void exchangeBody(std::string &body) override
     {
-        m_body += body;
-        body.clear();
+        appendCompactly(m_body, body);
+        release(body);
         if (m_body.size() > MaxAnswerBytes) {
-            std::string().swap(m_body);
+            release(m_body);
             abort();
         }
     }
--- a/tests/src/process-untrustedclients.cpp
+++ b/tests/src/process-untrustedclients.cpp
@@ -3,14 +3,12 @@
 #include "fakestore.h"
 #include "gatewayworld.h"
 #include "nodelauncher.h"
+#include "processusage.h"
 
 #include <celeryroute/detail/net/sockets.h>
 
 #include <algorithm>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -184,21 +182,9 @@
         caller.waitForEnd();
         return caller.received();
     }
-    std::size_t peakKib() const
-    {
-        std::ifstream status("/proc/" + std::to_string(entry->pid()) + "/status");
-        for (std::string word; status >> word;) {
-            std::size_t kib = 0;
-            if (word == "VmHWM:" && status >> kib) {
-                return kib;
-            }
-        }
-        return 0; // The process has ended.
-    }
     void countDescriptors()
     {
-        const std::filesystem::directory_iterator files("/proc/" + std::to_string(entry->pid()) + "/fd");
-        mostDescriptors = std::max(mostDescriptors, static_cast<std::size_t>(std::distance(begin(files), end(files))));
+        mostDescriptors = std::max(mostDescriptors, openDescriptors(entry->pid()));
     }
     /// @brief Sends the request of each member side by side and keeps all connections open.
     void sendAll(const std::vector<std::string> &requests)
@@ -228,10 +214,10 @@
     void play(const std::vector<std::string> &requests, std::size_t descriptors = MaxDescriptors)
     {
         startEntry(descriptors);
-        const std::size_t atRest = peakKib();
+        const std::size_t atRest = peakMemoryKib(entry->pid());
         sendAll(requests);
         const std::string answer = exchange(callers, "/open/a");
-        const std::size_t peak = peakKib();
+        const std::size_t peak = peakMemoryKib(entry->pid());
         std::printf("\n%zu clients: %zu KiB at rest, %zu KiB at most, %zu descriptors, then status %d;",
                     Crowd,
                     atRest,
--- a/tests/src/unit-endlessanswers.cpp
+++ b/tests/src/unit-endlessanswers.cpp
@@ -1,3 +1,4 @@
+#include <celeryroute/detail/base/compactbuffer.h>
 #include <celeryroute/detail/http1/targetchannels.h>
 #include <celeryroute/detail/node/asynchttpclient.h>
 
@@ -346,6 +347,26 @@
     }
 }
 
+TEST_GROUP(CompactBuffer){};
+
+TEST(CompactBuffer, bytesOfAnySize_areAppendedWithLittleRoomToSpare)
+{
+    constexpr std::size_t Small = 8192;
+    for (const std::size_t step : {1U, 100U, 65536U}) {
+        std::string buffer;
+        std::string expected;
+        while (buffer.size() < 4 * BytesOfSend) {
+            const std::string bytes(step, static_cast<char>('a' + buffer.size() % 26));
+            appendCompactly(buffer, bytes);
+            expected += bytes;
+            CHECK_TRUE(buffer.capacity() <= std::max(Small, buffer.size() + buffer.size() / 8));
+        }
+        CHECK_TRUE(buffer == expected);
+        release(buffer);
+        CHECK_TRUE(buffer.empty() && buffer.capacity() < Small);
+    }
+}
+
 TEST_GROUP(AnswerBuffers)
 {
     AnswerBuffers buffers;
--- a/tests/support/fakestore.h
+++ b/tests/support/fakestore.h
@@ -26,6 +26,11 @@
     {
         return m_server.address();
     }
+    /// @brief The server that receives all calls, also for scripts that replace the store's answers.
+    ScriptedTarget &server()
+    {
+        return m_server;
+    }
     std::size_t calls() const
     {
         return m_server.requests().size();
