--- a/include/celeryroute/detail/agent/answermeter.h
+++ b/include/celeryroute/detail/agent/answermeter.h
@@ -18,6 +18,8 @@
     void finish();
     /// @brief Whether part of an event has arrived. A stream that ends so has been broken off.
     bool isInsideEvent() const;
+    /// @brief Bytes of that part.
+    std::size_t partialBytes() const;
     /// @brief Discards an incomplete event before the stream continues over another connection.
     void dropPartial();
 
--- a/src/agent/answermeter.cpp
+++ b/src/agent/answermeter.cpp
@@ -67,6 +67,11 @@
     return !m_partial.empty();
 }
 
+std::size_t AnswerMeter::partialBytes() const
+{
+    return m_partial.size();
+}
+
 void AnswerMeter::dropPartial()
 {
     m_partial.clear();
--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned MaxResumes = 3;
+constexpr std::size_t MaxEventBytes = std::size_t{1024} * 1024;
 constexpr int HttpOk = 200;
 constexpr int HttpNotFound = 404;
 constexpr int HttpServerErrors = 500;
@@ -84,6 +85,11 @@
         attempt->resumes = 0;
         sendChunk(*attempt, attempt->chunks.append(std::move(whole)));
     }
+    // Such an event is none, so the stream is broken off here and goes on like one whose connection was lost.
+    if (attempt->meter.partialBytes() > MaxEventBytes) {
+        m_dependencies.client.cancel(std::exchange(attempt->call, 0));
+        suspend(attempt);
+    }
 }
 
 void AttemptRunner::onCallEnd(const AttemptPointer &attempt, const HttpCallEnd &end, TimePoint now)
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -246,6 +246,15 @@
     STRCMP_EQUAL("2", target.received("/v1/chat").at(1).headers.at("x-resume-from").c_str());
 }
 
+TEST(Agent, eventWithoutEnd_isCutOffAndTheStreamResumes)
+{
+    start();
+    target.extendNextAfter(2);
+    entry->submit(chatSubmit("a"));
+    checkCompleteAnswer("a");
+    STRCMP_EQUAL("2", target.received("/v1/chat").at(1).headers.at("x-resume-from").c_str());
+}
+
 TEST(Agent, connectionStalls_resumesOverANewConnection)
 {
     start();
@@ -574,7 +583,9 @@
     STRCMP_EQUAL("", meter.take("data: a\n").c_str());
     STRCMP_EQUAL("data: a\n\n", meter.take("\ndata: b").c_str());
     CHECK_EQUAL(1U, meter.events());
+    CHECK_EQUAL(7U, meter.partialBytes());
     meter.dropPartial();
+    CHECK_EQUAL(0U, meter.partialBytes());
     STRCMP_EQUAL("data: {\"usage\":{\"total_tokens\":42}}\r\n\r\n",
                  meter.take("data: {\"usage\":{\"total_tokens\":42}}\r\n\r\n").c_str());
     CHECK_EQUAL(42U, meter.tokensUsed(1, 100));
--- a/tests/support/faketarget.cpp
+++ b/tests/support/faketarget.cpp
@@ -76,6 +76,9 @@
         silent.clear();
         m_server.reset();
     }
+    if (m_writer.joinable()) {
+        m_writer.join();
+    }
 }
 
 void FakeTarget::restart()
@@ -102,6 +105,12 @@
     m_silentAfter = events;
 }
 
+void FakeTarget::extendNextAfter(int events)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_extendedAfter = events;
+}
+
 void FakeTarget::silenceEachAfterOneEvent()
 {
     absl::MutexLock lock(&m_mutex);
@@ -212,6 +221,7 @@
 {
     int cutAfter = -1;
     int silentAfter = -1;
+    int extendedAfter = -1;
     bool cutInOrder = false;
     bool silentAfterOne = false;
     {
@@ -222,6 +232,7 @@
         }
         std::swap(cutAfter, m_cutAfter);
         std::swap(silentAfter, m_silentAfter);
+        std::swap(extendedAfter, m_extendedAfter);
         std::swap(cutInOrder, m_cutInOrder);
         silentAfterOne = m_silentAfterOne;
     }
@@ -244,12 +255,34 @@
             m_silent.push_back(responder);
             return;
         }
+        if (number == extendedAfter) {
+            extendEvent(responder);
+            return;
+        }
         responder->write(eventText(number));
     }
     responder->write("data: [DONE]\n\n");
     responder->end(true);
 }
 
+void FakeTarget::extendEvent(const Responder &responder)
+{
+    m_writer = std::thread([responder] {
+        constexpr std::size_t PartBytes = std::size_t{64} * 1024;
+        constexpr std::size_t MostBytes = std::size_t{256} * 1024 * 1024;
+        responder->write("data: ");
+        for (std::size_t written = 0; written < MostBytes && !responder->closed();) {
+            if (responder->pendingBytes() < PartBytes) {
+                responder->write(std::string(PartBytes, 'x'));
+                written += PartBytes;
+            } else {
+                std::this_thread::yield();
+            }
+        }
+        responder->end(true);
+    });
+}
+
 void FakeTarget::answerOrder(const HttpRequest &request, const Responder &responder)
 {
     const nlohmann::json order = nlohmann::json::parse(request.body);
--- a/tests/support/faketarget.h
+++ b/tests/support/faketarget.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace celeryroute::test {
@@ -32,6 +33,8 @@
     /// The next streamed answer ends in order inside the event after this many events.
     void endNextInsideEventAfter(int events);
     void silenceNextAfter(int events);
+    /// The event of the next streamed answer after this many events goes on until its connection is closed.
+    void extendNextAfter(int events);
     /// Each streamed answer stalls with its connection open after one event.
     void silenceEachAfterOneEvent();
     /// The next order takes effect, but its connection is closed without a complete answer.
@@ -58,6 +61,7 @@
     void start(std::uint16_t port);
     void handle(const HttpRequest &request, const Responder &responder);
     void answerCall(const HttpRequest &request, const Responder &responder);
+    void extendEvent(const Responder &responder);
     void answerOrder(const HttpRequest &request, const Responder &responder);
     std::string inventoryJson() const;
     std::size_t countReceived(const std::string &pathPrefix) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -70,11 +74,13 @@
     int m_cutAfter ABSL_GUARDED_BY(m_mutex) = -1;
     bool m_cutInOrder ABSL_GUARDED_BY(m_mutex) = false; ///< The cut answer ends as if it were complete.
     int m_silentAfter ABSL_GUARDED_BY(m_mutex) = -1;
+    int m_extendedAfter ABSL_GUARDED_BY(m_mutex) = -1;
     bool m_silentAfterOne ABSL_GUARDED_BY(m_mutex) = false;
     bool m_holdingProbes ABSL_GUARDED_BY(m_mutex) = false;
     bool m_dropOrderAnswer ABSL_GUARDED_BY(m_mutex) = false;
     bool m_holding ABSL_GUARDED_BY(m_mutex) = false;
     std::uint16_t m_port = 0;
+    std::thread m_writer; ///< Of the event that goes on.
     std::unique_ptr<HttpServer> m_server;
 };
 
