--- a/include/celeryroute/detail/agent/attempt.h
+++ b/include/celeryroute/detail/agent/attempt.h
@@ -23,7 +23,7 @@
 
 /// One attempt of a request at this target.
 struct Attempt {
-    static constexpr std::size_t MaxUnacknowledgedBytes = 4U << 20U;
+    static constexpr std::size_t MaxKeptBytes = 4U << 20U;
 
     std::shared_ptr<const proto::Envelope> envelope; ///< Holds the SubmitRequest.
     std::string connection; ///< Connection to the entry that receives the answer.
@@ -44,7 +44,7 @@
     bool headSent = false;
     std::optional<proto::ResponseHead> head;
     AnswerMeter meter;
-    ChunkLog chunks{MaxUnacknowledgedBytes};
+    ChunkLog chunks{MaxKeptBytes};
     std::optional<proto::ResponseEnd> end;
 
     const proto::SubmitRequest &submit() const
--- a/include/celeryroute/detail/agent/chunklog.h
+++ b/include/celeryroute/detail/agent/chunklog.h
@@ -31,10 +31,14 @@
     bool has(std::uint64_t sequence) const;
     std::uint64_t nextSequence() const;
     std::size_t bytes() const;
+    /// @brief Bytes that the receiver lacked at its last acknowledgement, and all since then, also discarded ones.
+    std::size_t unacknowledgedBytes() const;
 
 private:
     std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
+    std::size_t m_unacknowledgedBytes = 0;
+    std::uint64_t m_acknowledged = 0; ///< Chunks before this one.
     std::uint64_t m_next = 0;
     std::deque<SequencedChunk> m_chunks;
 };
--- a/src/agent/attemptcalls.cpp
+++ b/src/agent/attemptcalls.cpp
@@ -9,6 +9,7 @@
 
 constexpr unsigned MaxResumes = 3;
 constexpr std::size_t MaxEventBytes = std::size_t{1024} * 1024;
+constexpr std::size_t MaxUnacknowledgedBytes = std::size_t{32} * 1024 * 1024;
 constexpr int HttpOk = 200;
 constexpr int HttpNotFound = 404;
 constexpr int HttpServerErrors = 500;
@@ -84,6 +85,12 @@
     if (!whole.empty()) {
         attempt->resumes = 0;
         sendChunk(*attempt, attempt->chunks.append(std::move(whole)));
+        if (attempt->chunks.unacknowledgedBytes() > MaxUnacknowledgedBytes) {
+            cutCall(attempt);
+            const Error error{ResultCode::TargetFailed, "the target sends more than the entry takes"};
+            finish(attempt, Outcome{error, proto::RUN_UNKNOWN}, MonotonicClock::now());
+            return;
+        }
     }
     // Such an event is none, so the stream is broken off here and goes on like one whose connection was lost.
     if (attempt->meter.partialBytes() > MaxEventBytes) {
--- a/src/agent/chunklog.cpp
+++ b/src/agent/chunklog.cpp
@@ -9,6 +9,7 @@
 const SequencedChunk &ChunkLog::append(std::string data)
 {
     m_bytes += data.size();
+    m_unacknowledgedBytes += data.size();
     m_chunks.push_back(SequencedChunk{m_next++, std::move(data)});
     while (m_bytes > m_maxBytes && m_chunks.size() > 1) {
         m_bytes -= m_chunks.front().data.size();
@@ -23,6 +24,10 @@
         m_bytes -= m_chunks.front().data.size();
         m_chunks.pop_front();
     }
+    if (nextSequence > m_acknowledged) {
+        m_acknowledged = nextSequence;
+        m_unacknowledgedBytes = m_bytes;
+    }
 }
 
 std::vector<SequencedChunk> ChunkLog::from(std::uint64_t sequence) const
@@ -52,4 +57,9 @@
     return m_bytes;
 }
 
+std::size_t ChunkLog::unacknowledgedBytes() const
+{
+    return m_unacknowledgedBytes;
+}
+
 } // namespace celeryroute
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -494,6 +494,18 @@
     STRCMP_EQUAL("request-a", request.headers.at("x-request-id").c_str());
 }
 
+// The agent queued all of it for the entry.
+TEST(ServiceAgent, bodyWithoutEndThatItsEntryDoesNotRead_isCutOff)
+{
+    constexpr std::size_t MostBytes = std::size_t{64} * 1024 * 1024;
+    target.extendNextBody();
+    entry->submit(booking("a", "claim-1"));
+    target.waitForRequests("/couriers/book", 1);
+    CHECK_TRUE(target.waitForExtendedEnd());
+    CHECK_TRUE(target.extendedBytes() < MostBytes);
+    checkRefused("a", ResultCode::TargetFailed, proto::RUN_UNKNOWN);
+}
+
 TEST(ServiceAgent, claimSubmittedTwice_runsOnceAndTheSecondSaysUnknown)
 {
     entry->submit(booking("a", "claim-1"));
@@ -568,8 +580,12 @@
     CHECK_FALSE(log.has(0));
     CHECK(log.from(0).empty());
     CHECK_EQUAL(2U, log.from(1).size());
+    CHECK_EQUAL(3 * log.from(1).front().data.size(), log.unacknowledgedBytes());
+    log.acknowledge(2);
+    CHECK_EQUAL(log.bytes(), log.unacknowledgedBytes());
     log.acknowledge(3);
     CHECK_EQUAL(0U, log.bytes());
+    CHECK_EQUAL(0U, log.unacknowledgedBytes());
     CHECK(log.has(3));
     CHECK_FALSE(log.has(4));
 }
--- a/tests/support/faketarget.cpp
+++ b/tests/support/faketarget.cpp
@@ -111,6 +111,18 @@
     m_extendedAfter = events;
 }
 
+void FakeTarget::extendNextBody()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_extendedBody = true;
+}
+
+bool FakeTarget::waitForExtendedEnd() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_mutex.AwaitWithTimeout(absl::Condition(&m_extendedClosed), HangGuard);
+}
+
 void FakeTarget::silenceEachAfterOneEvent()
 {
     absl::MutexLock lock(&m_mutex);
@@ -224,6 +236,7 @@
     int extendedAfter = -1;
     bool cutInOrder = false;
     bool silentAfterOne = false;
+    bool extendedBody = false;
     {
         absl::MutexLock lock(&m_mutex);
         if (m_holding) {
@@ -233,9 +246,15 @@
         std::swap(cutAfter, m_cutAfter);
         std::swap(silentAfter, m_silentAfter);
         std::swap(extendedAfter, m_extendedAfter);
+        std::swap(extendedBody, m_extendedBody);
         std::swap(cutInOrder, m_cutInOrder);
         silentAfterOne = m_silentAfterOne;
     }
+    if (extendedBody) {
+        responder->begin(200, {{"content-type", "application/json"}});
+        extend(responder);
+        return;
+    }
     if (request.path != "/v1/chat/completions") {
         responder->respond({200, {{"content-type", "application/json"}}, R"({"booked":true})"});
         return;
@@ -256,7 +275,8 @@
             return;
         }
         if (number == extendedAfter) {
-            extendEvent(responder);
+            responder->write("data: ");
+            extend(responder);
             return;
         }
         responder->write(eventText(number));
@@ -265,20 +285,23 @@
     responder->end(true);
 }
 
-void FakeTarget::extendEvent(const Responder &responder)
+void FakeTarget::extend(const Responder &responder)
 {
-    m_writer = std::thread([responder] {
+    m_writer = std::thread([this, responder] {
         constexpr std::size_t PartBytes = std::size_t{64} * 1024;
         constexpr std::size_t MostBytes = std::size_t{256} * 1024 * 1024;
-        responder->write("data: ");
-        for (std::size_t written = 0; written < MostBytes && !responder->closed();) {
+        while (m_extendedBytes < MostBytes && !responder->closed()) {
             if (responder->pendingBytes() < PartBytes) {
                 responder->write(std::string(PartBytes, 'x'));
-                written += PartBytes;
+                m_extendedBytes += PartBytes;
             } else {
                 std::this_thread::yield();
             }
         }
+        {
+            absl::MutexLock lock(&m_mutex);
+            m_extendedClosed = responder->closed();
+        }
         responder->end(true);
     });
 }
--- a/tests/support/faketarget.h
+++ b/tests/support/faketarget.h
@@ -5,6 +5,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +36,15 @@
     void silenceNextAfter(int events);
     /// The event of the next streamed answer after this many events goes on until its connection is closed.
     void extendNextAfter(int events);
+    /// The next answer of a service goes on until its connection is closed.
+    void extendNextBody();
+    /// @brief Bytes written of the part that goes on.
+    std::size_t extendedBytes() const
+    {
+        return m_extendedBytes;
+    }
+    /// @brief Waits until the connection of that part was closed. Returns false if it wasn't.
+    bool waitForExtendedEnd() const;
     /// Each streamed answer stalls with its connection open after one event.
     void silenceEachAfterOneEvent();
     /// The next order takes effect, but its connection is closed without a complete answer.
@@ -61,7 +71,7 @@
     void start(std::uint16_t port);
     void handle(const HttpRequest &request, const Responder &responder);
     void answerCall(const HttpRequest &request, const Responder &responder);
-    void extendEvent(const Responder &responder);
+    void extend(const Responder &responder);
     void answerOrder(const HttpRequest &request, const Responder &responder);
     std::string inventoryJson() const;
     std::size_t countReceived(const std::string &pathPrefix) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -75,12 +85,15 @@
     bool m_cutInOrder ABSL_GUARDED_BY(m_mutex) = false; ///< The cut answer ends as if it were complete.
     int m_silentAfter ABSL_GUARDED_BY(m_mutex) = -1;
     int m_extendedAfter ABSL_GUARDED_BY(m_mutex) = -1;
+    bool m_extendedBody ABSL_GUARDED_BY(m_mutex) = false;
     bool m_silentAfterOne ABSL_GUARDED_BY(m_mutex) = false;
     bool m_holdingProbes ABSL_GUARDED_BY(m_mutex) = false;
     bool m_dropOrderAnswer ABSL_GUARDED_BY(m_mutex) = false;
     bool m_holding ABSL_GUARDED_BY(m_mutex) = false;
     std::uint16_t m_port = 0;
-    std::thread m_writer; ///< Of the event that goes on.
+    std::thread m_writer; ///< Of the part that goes on.
+    std::atomic<std::size_t> m_extendedBytes = 0;
+    bool m_extendedClosed ABSL_GUARDED_BY(m_mutex) = false;
     std::unique_ptr<HttpServer> m_server;
 };
 
