--- a/include/celeryroute/detail/http1/targetconnection.h
+++ b/include/celeryroute/detail/http1/targetconnection.h
@@ -86,6 +86,8 @@
     bool passOver(std::size_t bytes);
     bool takeHead();
     void completeAnswer();
+    /// @brief Whether an answer that ends with its connection, which has just ended in order, is more than a part.
+    bool isWholeAtEnd() const;
     void resetParser();
     void fail(ExchangeFailure failure);
     void end();
@@ -106,6 +108,7 @@
     std::vector<std::uint64_t> m_refused; ///< Digests of the ids of requests that were not served.
     bool m_refuses = false; ///< The head of the answer says that the request was not served.
     bool m_headTaken = false;
+    bool m_endsWithConnection = false; ///< The answer has neither a length nor chunks.
     bool m_foreign = false;
     bool m_reusable = true;
     bool m_dead = false;
--- a/include/celeryroute/detail/net/tcpchannel.h
+++ b/include/celeryroute/detail/net/tcpchannel.h
@@ -20,7 +20,8 @@
     virtual void channelConnected() {}
     /// @brief New bytes are at the end of the channel's input.
     virtual void channelReceived() = 0;
-    /// @brief Nothing more comes. @p reset: the peer or the network broke the channel.
+    /// @brief Nothing more comes. @p reset: the peer or the network broke the channel. See also
+    /// TcpChannel::endedCleanly().
     virtual void channelClosed(bool reset) = 0;
     /// @brief All output was handed to the network.
     virtual void channelDrained() {}
@@ -75,6 +76,8 @@
     void releaseInput();
     /// @brief Bytes that the peer's system has not confirmed, with those of unsent(); one system call.
     std::size_t unconfirmed() const;
+    /// @brief Whether no reset has followed the end that was reported as orderly; one system call.
+    bool endedCleanly() const;
     /// @brief Whether the peer's system had confirmed all output when the channel ended, or has until now; one system
     /// call.
     bool outputConfirmed() const;
--- a/src/http1/targetconnection.cpp
+++ b/src/http1/targetconnection.cpp
@@ -225,7 +225,8 @@
     }
     m_headTaken = true;
     m_foreign = isForeign(head);
-    m_reusable = m_reusable && head.keepAlive && head.framing != BodyFraming::UntilClose;
+    m_endsWithConnection = head.framing == BodyFraming::UntilClose;
+    m_reusable = m_reusable && head.keepAlive && !m_endsWithConnection;
     if (m_foreign) {
         m_user->exchangeStrayHead(head);
     } else {
@@ -298,10 +299,7 @@
         fail(ExchangeFailure::NotConnected);
         return;
     }
-    // An answer that ends with its connection may be a part. A target that has not got the whole request can only have
-    // refused it.
-    const bool mayBeWhole = m_refuses || m_channel->outputConfirmed();
-    if (m_headTaken && !m_foreign && !reset && mayBeWhole) {
+    if (m_headTaken && !m_foreign && !reset && m_endsWithConnection && isWholeAtEnd()) {
         m_parser->feedEnd();
         if (m_parser->state() == ParseState::Complete) {
             m_reusable = false;
@@ -316,6 +314,12 @@
     }
 }
 
+// A target that has not got the whole request can only have refused it.
+bool TargetConnection::isWholeAtEnd() const
+{
+    return m_channel->endedCleanly() && (m_refuses || m_channel->outputConfirmed());
+}
+
 void TargetConnection::fail(ExchangeFailure failure)
 {
     ExchangeUser *user = m_user;
--- a/src/net/tcpchannel.cpp
+++ b/src/net/tcpchannel.cpp
@@ -142,6 +142,12 @@
     return m_unsentAtEnd == 0 && unconfirmed() == 0;
 }
 
+// A read behind an orderly end doesn't report a reset that followed.
+bool TcpChannel::endedCleanly() const
+{
+    return takePendingError(m_socket) == 0;
+}
+
 bool TcpChannel::stirred() const
 {
     char byte = 0;
@@ -202,9 +208,8 @@
         return;
     }
     if (received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
-        // The system reports a reset once. If a write got the report, the next read looks like an orderly end. So does
-        // a read behind an orderly end that was followed by a reset.
-        fail(received < 0 || m_failed || takePendingError(m_socket) != 0);
+        // The system reports a reset once. If a write got the report, the next read looks like an orderly end.
+        fail(received < 0 || m_failed);
     }
 }
 
