--- a/tests/src/unit-brokenanswers.cpp
+++ b/tests/src/unit-brokenanswers.cpp
@@ -1,3 +1,4 @@
+#include <celeryroute/detail/agent/targetmonitor.h>
 #include <celeryroute/detail/http/httpmulticlient.h>
 #include <celeryroute/detail/http1/targetchannels.h>
 #include <celeryroute/detail/node/asynchttpclient.h>
@@ -9,6 +10,7 @@
 #include "scriptedtarget.h"
 #include "targetanswers.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -323,3 +325,49 @@
     }
     STRCMP_EQUAL("", taken.c_str());
 }
+
+/// Liveness checks of the standalone form's agents.
+TEST_GROUP(BrokenProbeAnswer)
+{
+    EventLoop loop;
+    ScriptedTarget target{loop};
+    HttpMultiClient client;
+    AgentSettings settings;
+    int probes = 0;
+    std::unique_ptr<TargetMonitor> monitor;
+
+    void setup() override
+    {
+        settings.targetUrl = "http://" + target.address();
+        monitor = std::make_unique<TargetMonitor>(settings, client, [this](TargetCondition, TargetCondition) {
+            ++probes;
+        });
+        monitor->setKind(PoolKind::Service);
+    }
+    TargetCondition probe()
+    {
+        const int before = probes;
+        monitor->requestProbe();
+        monitor->step(loop.now());
+        CHECK(turnUntil(loop, [&] {
+            client.poll(Duration::zero());
+            return probes > before;
+        }));
+        return monitor->condition();
+    }
+};
+
+TEST(BrokenProbeAnswer, answerWithBrokenHead_doesNotShowThatTheTargetIsAlive)
+{
+    std::string alive;
+    target.answerEveryRequest(httpAnswer(200, "{}"));
+    CHECK(probe() == TargetCondition::Alive);
+    for (const BrokenAnswer &answer : brokenHeads()) {
+        target.onRequest(
+            [&](const ScriptedTarget::Request &request) { send(loop, target, request, answer.bytes, Arrival::Whole); });
+        if (probe() != TargetCondition::Silent) {
+            alive += answer.name + "; ";
+        }
+    }
+    STRCMP_EQUAL("", alive.c_str());
+}
